--- /dev/null
+++ b/cmake/Dependencies.cmake
@@ -0,0 +1,24 @@
+# Third-party libraries, all from Debian packages (scripts/install lists them).
+find_package(Threads REQUIRED)
+find_package(Boost 1.74 REQUIRED COMPONENTS log log_setup)
+find_package(Protobuf 3.21 REQUIRED)
+find_package(CURL REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(fmt REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(GTest REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
+
+add_library(fireflyrun_asio INTERFACE)
+target_compile_definitions(fireflyrun_asio INTERFACE ASIO_STANDALONE ASIO_NO_DEPRECATED)
+target_link_libraries(fireflyrun_asio INTERFACE Threads::Threads)
+
+add_library(fireflyrun_boost_log INTERFACE)
+target_compile_definitions(fireflyrun_boost_log INTERFACE BOOST_LOG_DYN_LINK)
+target_link_libraries(fireflyrun_boost_log INTERFACE Boost::log Boost::log_setup)
+
+# RESTinio 0.6 uses the header-only standalone Asio and Node's HTTP parser.
+add_library(fireflyrun_restinio INTERFACE)
+target_compile_definitions(fireflyrun_restinio INTERFACE RESTINIO_USE_BOOST_ASIO=0)
+target_link_libraries(fireflyrun_restinio INTERFACE fireflyrun_asio fmt::fmt http_parser)
--- /dev/null
+++ b/cmake/Library.cmake
@@ -0,0 +1,22 @@
+# fireflyrun_library(NAME SOURCES file... DEPENDS target...)
+# One static library for each folder of src/.
+function(fireflyrun_library name)
+  cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_library(${name} STATIC ${ARG_SOURCES})
+  target_include_directories(${name} PUBLIC ${CMAKE_SOURCE_DIR}/src)
+  target_link_libraries(${name} PUBLIC ${ARG_DEPENDS})
+endfunction()
+
+# fireflyrun_test(NAME SOURCES file... DEPENDS target...)
+# One test program for each library; ctest runs it as one test with a time limit.
+function(fireflyrun_test name)
+  cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+  if(NOT ARG_TIMEOUT)
+    set(ARG_TIMEOUT 120)
+  endif()
+  add_executable(${name} ${ARG_SOURCES})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR})
+  target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} GTest::gtest GTest::gtest_main rapidcheck)
+  add_test(NAME ${name} COMMAND ${name})
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/src/common/timer_service.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "common/clock.h"
+#include "common/timer_subscription.h"
+
+namespace fireflyrun {
+
+/// Calls subscribers back on the event loop, once or periodically. Not thread-safe: subscribe and
+/// cancel on the loop's own thread. Destroying a subscription cancels it, also from inside its own
+/// callback.
+class TimerService {
+ public:
+  explicit TimerService(asio::io_context& loop);
+  ~TimerService();
+  TimerService(const TimerService&) = delete;
+  TimerService& operator=(const TimerService&) = delete;
+
+  /// Calls `callback` once after `delay`.
+  [[nodiscard]] TimerSubscription After(Duration delay, std::function<void()> callback);
+
+  /// Calls `callback` every `period`, first after one period with up to a tenth taken off at
+  /// random, so that nodes started together do not act in step.
+  [[nodiscard]] TimerSubscription Every(Duration period, std::function<void()> callback);
+
+  asio::io_context& Loop() { return this->loop; }
+
+ private:
+  struct Entry;
+
+  TimerSubscription Subscribe(Duration first_delay, Duration period,
+                              std::function<void()> callback);
+  void Arm(const std::shared_ptr<Entry>& entry, Duration delay);
+
+  asio::io_context& loop;
+};
+
+}  // namespace fireflyrun
