Land the interfaces between libraries and the design they follow

Cause: the libraries are written side by side and need one contract. Ruled out: gossiping each node's records in force (2,700 entries for every change); it is collected when an operator asks.

--- a/src/common/timer_service.cc
+++ b/src/common/timer_service.cc
@@ -19,8 +19,6 @@
 
 TimerService::TimerService(asio::io_context& event_loop) : loop(event_loop) {}
 
-TimerService::~TimerService() = default;
-
 TimerSubscription TimerService::After(Duration delay, std::function<void()> callback) {
   return this->Subscribe(delay, Duration::zero(), std::move(callback));
 }
--- a/src/common/timer_service.h
+++ b/src/common/timer_service.h
@@ -17,7 +17,7 @@
 class TimerService {
  public:
   explicit TimerService(asio::io_context& loop);
-  ~TimerService();
+  ~TimerService() = default;
   TimerService(const TimerService&) = delete;
   TimerService& operator=(const TimerService&) = delete;
 
--- /dev/null
+++ b/src/http/request.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+
+#include "http/headers.h"
+
+namespace fireflyrun::http {
+
+/// A whole request as received from a caller.
+struct Request {
+  std::string method;
+  std::string target;  ///< Path and query, undecoded.
+  Headers headers;
+  std::string body;
+  std::string remote_address;  ///< IP number of the connection's far end.
+};
+
+}  // namespace fireflyrun::http
--- /dev/null
+++ b/src/http/response.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "http/headers.h"
+
+namespace fireflyrun::http {
+
+/// A whole response; Content-Length is set by whoever sends it.
+struct Response {
+  int status = 0;
+  Headers headers;
+  std::string body;
+};
+
+}  // namespace fireflyrun::http
--- /dev/null
+++ b/src/membership/member.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "common/enum_names.h"
+
+namespace fireflyrun::membership {
+
+/// What a node says of its own target.
+enum class TargetState {
+  kAbsent,   ///< No target has announced itself, or its announcements stopped.
+  kServing,
+  kLeaving,  ///< Takes no new call; finishes those it has.
+};
+
+inline constexpr EnumNames kTargetStateNames(std::array{
+    std::pair{TargetState::kAbsent, std::string_view("absent")},
+    std::pair{TargetState::kServing, std::string_view("serving")},
+    std::pair{TargetState::kLeaving, std::string_view("leaving")},
+});
+
+/// What one incarnation of a node tells all others about itself. Only that incarnation raises
+/// `version`; of two entries the one with the higher (incarnation, version) stands.
+struct Member {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  std::uint64_t version = 0;
+  std::string region;
+  std::string zone;
+  std::string ip;
+  std::uint16_t caller_port = 0;
+  std::uint16_t peer_port = 0;
+  std::uint16_t control_port = 0;
+  std::uint16_t admin_port = 0;
+  std::string service;  ///< Empty while the target is absent.
+  std::uint32_t slots = 0;
+  TargetState target_state = TargetState::kAbsent;
+  std::uint32_t ticket_window = 0;
+  bool stopped = false;  ///< The node has left for good.
+};
+
+}  // namespace fireflyrun::membership
--- /dev/null
+++ b/src/peer/link_server.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "common/id128.h"
+#include "peer/call.h"
+#include "peer/link_options.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+
+namespace fireflyrun::peer {
+
+/// The called side: takes calls from other nodes, keeps each answer until it is acknowledged, and
+/// answers questions about the state of calls. A duplicate or voided call never reaches the hook.
+class LinkServer {
+ public:
+  /// Sends the answer of one call; later uses do nothing.
+  using Reply = std::function<void(Answer)>;
+  using CallHook = std::function<void(Call, Reply)>;
+  using CancelHook = std::function<void(const Id128& call_id)>;
+
+  LinkServer(TimerService& timers, LinkOptions options, CallHook on_call, CancelHook on_cancel);
+  ~LinkServer();
+  LinkServer(const LinkServer&) = delete;
+  LinkServer& operator=(const LinkServer&) = delete;
+
+  tl::expected<void, std::string> Start();
+  std::uint16_t Port() const;
+
+  /// Answers not yet acknowledged by their callers.
+  std::size_t RetainedAnswers() const;
+  /// Calls handed to the hook and not yet answered.
+  std::size_t OpenCalls() const;
+  void Close();
+
+ private:
+  class Implementation;
+  std::unique_ptr<Implementation> implementation;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/peer_address.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace fireflyrun::peer {
+
+/// One incarnation of a node and where its calls are taken. A link to another incarnation at the
+/// same address is refused.
+struct PeerAddress {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  std::string ip;
+  std::uint16_t port = 0;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/store/store_error.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <array>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "common/enum_names.h"
+
+namespace fireflyrun::store {
+
+/// How a store operation failed, by whether a write may have taken effect.
+enum class StoreErrorKind {
+  kNotSent,   ///< The store was not reached: nothing took effect.
+  kUnknown,   ///< The answer was lost: a write may have taken effect.
+  kRejected,  ///< The store answered that it refuses; nothing took effect.
+  kCompacted, ///< A watch asked for a revision that the store no longer holds.
+};
+
+inline constexpr EnumNames kStoreErrorKindNames(std::array{
+    std::pair{StoreErrorKind::kNotSent, std::string_view("not-sent")},
+    std::pair{StoreErrorKind::kUnknown, std::string_view("unknown")},
+    std::pair{StoreErrorKind::kRejected, std::string_view("rejected")},
+    std::pair{StoreErrorKind::kCompacted, std::string_view("compacted")},
+});
+
+struct StoreError {
+  StoreErrorKind kind = StoreErrorKind::kNotSent;
+  std::string message;
+};
+
+}  // namespace fireflyrun::store
