--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,77 @@
+#include <array>
+#include <exception>
+#include <iostream>
+#include <string_view>
+
+#include "cli/apply_command.h"
+#include "cli/check_command.h"
+#include "cli/exit_code.h"
+#include "cli/get_command.h"
+#include "cli/node_command.h"
+#include "cli/retire_command.h"
+#include "cli/status_command.h"
+
+namespace {
+
+using fireflyrun::cli::ExitCode;
+using fireflyrun::cli::ToExitStatus;
+
+constexpr std::string_view kVersion = "0.1.0";
+
+struct Subcommand {
+  std::string_view name;
+  std::string_view help;
+  int (*run)(int argc, char** argv);
+};
+
+constexpr std::array<Subcommand, 6> kSubcommands = {{
+    {"node", "run the node of this host", fireflyrun::cli::RunNode},
+    {"check", "check a file of records", fireflyrun::cli::RunCheck},
+    {"apply", "write the records of a file", fireflyrun::cli::RunApply},
+    {"get", "print records as they stand", fireflyrun::cli::RunGet},
+    {"retire", "retire a record", fireflyrun::cli::RunRetire},
+    {"status", "show zones, nodes and the records in force", fireflyrun::cli::RunStatus},
+}};
+
+void PrintHelp(std::ostream& out) {
+  out << "Usage: fireflyrun SUBCOMMAND [FLAGS]\n\nSubcommands:\n";
+  for (const auto& subcommand : kSubcommands) {
+    out << "  " << subcommand.name << std::string(10 - subcommand.name.size(), ' ')
+        << subcommand.help << '\n';
+  }
+  out << "\nfireflyrun SUBCOMMAND --help shows its flags; fireflyrun --version its version.\n";
+}
+
+int RunSubcommand(int argc, char** argv) {
+  const std::string_view name = argv[1];
+  for (const auto& subcommand : kSubcommands) {
+    if (subcommand.name == name) return subcommand.run(argc - 1, argv + 1);
+  }
+  std::cerr << "fireflyrun: \"" << name << "\" is no subcommand\n";
+  PrintHelp(std::cerr);
+  return ToExitStatus(ExitCode::kWrongUsage);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    PrintHelp(std::cerr);
+    return ToExitStatus(ExitCode::kWrongUsage);
+  }
+  const std::string_view first = argv[1];
+  if (first == "--help") {
+    PrintHelp(std::cout);
+    return ToExitStatus(ExitCode::kDone);
+  }
+  if (first == "--version") {
+    std::cout << "fireflyrun " << kVersion << '\n';
+    return ToExitStatus(ExitCode::kDone);
+  }
+  try {
+    return RunSubcommand(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "fireflyrun: " << error.what() << '\n';
+    return ToExitStatus(ExitCode::kFailed);
+  }
+}
--- /dev/null
+++ b/src/cli/node_command.cc
@@ -0,0 +1,91 @@
+#include "cli/node_command.h"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "cli/exit_code.h"
+#include "common/log.h"
+#include "node/node.h"
+#include "node/node_setting_table.h"
+
+namespace fireflyrun::cli {
+namespace {
+
+std::optional<std::string> ReadEnvironmentVariable(const std::string& name) {
+  const char* const value = std::getenv(name.c_str());
+  if (value == nullptr) return std::nullopt;
+  return std::string(value);
+}
+
+/// Stops the node on the first signal and the loop on the second.
+class SignalHandler {
+ public:
+  SignalHandler(asio::io_context& event_loop, node::Node& stopped_node)
+      : loop(event_loop), node(stopped_node), signals(event_loop, SIGTERM, SIGINT) {
+    this->Wait();
+  }
+
+ private:
+  void Wait() {
+    this->signals.async_wait([this](const asio::error_code& error, int) {
+      if (!error) this->OnSignal();
+    });
+  }
+
+  void OnSignal() {
+    if (this->stopping) {
+      Log(LogLevel::kWarning, "node", "event=stopped-at-once");
+      this->loop.stop();
+      return;
+    }
+    this->stopping = true;
+    Log(LogLevel::kInfo, "node", "event=stopping");
+    this->node.Stop([this] { this->loop.stop(); });
+    this->Wait();
+  }
+
+  asio::io_context& loop;
+  node::Node& node;
+  asio::signal_set signals;
+  bool stopping = false;
+};
+
+int RunUntilStopped(const node::NodeSettings& settings) {
+  InitializeLog(settings.node, settings.log_level);
+  // One thread runs the loop, so Asio needs no locks.
+  asio::io_context loop(1);
+  node::Node node(loop, settings);
+  if (const auto started = node.Start(); !started) {
+    Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
+    return ToExitStatus(ExitCode::kFailed);
+  }
+  SignalHandler handler(loop, node);
+  Log(LogLevel::kInfo, "node",
+      "event=running zone=" + settings.zone + " region=" + settings.region +
+          " cluster=" + settings.cluster);
+  loop.run();
+  Log(LogLevel::kInfo, "node", "event=ended");
+  return ToExitStatus(ExitCode::kDone);
+}
+
+}  // namespace
+
+int RunNode(int argc, char** argv) {
+  const auto parsed = node::ParseNodeSettings(argc, argv, ReadEnvironmentVariable);
+  if (parsed.help) {
+    std::cout << node::NodeHelp();
+    return ToExitStatus(ExitCode::kDone);
+  }
+  if (parsed.wrong_usage || !parsed.findings.empty()) {
+    std::cerr << FormatFindings(parsed.findings) << "See fireflyrun node --help.\n";
+    return ToExitStatus(ExitCode::kWrongUsage);
+  }
+  return RunUntilStopped(parsed.settings);
+}
+
+}  // namespace fireflyrun::cli
--- /dev/null
+++ b/src/node/admin_service.cc
@@ -0,0 +1,53 @@
+#include "node/admin_service.h"
+
+#include <utility>
+
+#include "http/problem.h"
+
+namespace fireflyrun::node {
+namespace {
+
+http::Response TextResponse(int status, std::string_view type, std::string body) {
+  return {status, {{"Content-Type", std::string(type)}}, std::move(body)};
+}
+
+}  // namespace
+
+AdminService::AdminService(Hooks service_hooks) : hooks(std::move(service_hooks)) {}
+
+void AdminService::OnRequest(const http::Request& request,
+                             const std::shared_ptr<http::Exchange>& exchange) {
+  constexpr std::string_view kJson = "application/json";
+  const bool get = request.method == "GET";
+  if (request.method == "PUT" && request.target == "/target") {
+    this->OnAnnouncement(request, *exchange);
+  } else if (get && request.target == "/metrics") {
+    exchange->Respond(TextResponse(200, "text/plain; version=0.0.4", this->hooks.render_metrics()));
+  } else if (get && request.target == "/fleet") {
+    this->hooks.collect_fleet(
+        [exchange](std::string json) { exchange->Respond(TextResponse(200, kJson, json)); });
+  } else if (get && request.target == "/records") {
+    exchange->Respond(TextResponse(200, kJson, this->hooks.describe_records()));
+  } else if (get && request.target == "/targets") {
+    exchange->Respond(TextResponse(200, kJson, this->hooks.describe_targets()));
+  } else if (get && request.target == "/health") {
+    const bool ready = this->hooks.ready();
+    exchange->Respond(TextResponse(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n"));
+  } else {
+    exchange->Respond(http::MakeProblem(404, "unknown-path", "There is nothing at this path",
+                                        request.method + " " + request.target));
+  }
+}
+
+void AdminService::OnAnnouncement(const http::Request& request, http::Exchange& exchange) {
+  const auto announcement = ParseAnnouncement(request.body);
+  if (!announcement) {
+    exchange.Respond(http::MakeProblem(400, "bad-announcement", "The announcement is not valid",
+                                       FormatFindings(announcement.error())));
+    return;
+  }
+  this->hooks.on_announcement(*announcement);
+  exchange.Respond({204, {}, ""});
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/admin_service.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "http/exchange.h"
+#include "http/request.h"
+#include "node/target_announcement.h"
+
+namespace fireflyrun::node {
+
+/// The admin port: announcements of the local target, metrics, and what operators' commands ask.
+class AdminService {
+ public:
+  struct Hooks {
+    std::function<void(const TargetAnnouncement&)> on_announcement;
+    std::function<std::string()> render_metrics;
+    /// Collects the fleet's report as JSON.
+    std::function<void(std::function<void(std::string)>)> collect_fleet;
+    /// This node's own records in force, as JSON.
+    std::function<std::string()> describe_records;
+    /// The targets that this node knows of, as JSON.
+    std::function<std::string()> describe_targets;
+    std::function<bool()> ready;
+  };
+
+  explicit AdminService(Hooks service_hooks);
+
+  /// `PUT /target`, `GET /metrics`, `/fleet`, `/records`, `/targets`, `/health`.
+  void OnRequest(const http::Request& request, const std::shared_ptr<http::Exchange>& exchange);
+
+ private:
+  void OnAnnouncement(const http::Request& request, http::Exchange& exchange);
+
+  Hooks hooks;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/call_context.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "common/clock.h"
+#include "common/id128.h"
+#include "policy/call_class.h"
+#include "policy/key_bindings.h"
+#include "policy/priority_key.h"
+#include "policy/retry_allotment.h"
+
+namespace fireflyrun::node {
+
+/// What a node keeps of a call while its target runs it. The target's own calls name it by its
+/// handle and inherit from it.
+struct CallContext {
+  static constexpr std::size_t kMaxKeyBindings = 1024;
+
+  Id128 handle;
+  Id128 root_id;
+  SteadyTime deadline;
+  policy::CallClass call_class;
+  std::string tenant;
+  std::uint32_t depth = 0;
+  bool at_most_once = false;
+  std::shared_ptr<policy::RetryAllotment> allotment;
+  policy::KeyBindings bindings{kMaxKeyBindings};
+  policy::PriorityKey tightest_level = policy::kOpenLevel;  ///< Heard from the calls it made.
+  bool child_failed = false;
+  bool child_final = false;
+  std::map<std::uint64_t, std::function<void()>> child_cancels;  ///< Of the calls in progress.
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/call_dispatcher.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "node/call_result.h"
+#include "node/dispatch_services.h"
+#include "node/outbound_call.h"
+
+namespace fireflyrun::node {
+
+class Dispatch;
+
+/// Brings calls to targets, with all their attempts, from the node at which they start.
+class CallDispatcher {
+ public:
+  using DispatchId = std::uint64_t;
+  using Handler = std::function<void(CallResult)>;
+
+  explicit CallDispatcher(DispatchServices used_services);
+  ~CallDispatcher();
+  CallDispatcher(const CallDispatcher&) = delete;
+  CallDispatcher& operator=(const CallDispatcher&) = delete;
+
+  /// `handler` runs once, never inside Start(), unless the call is cancelled.
+  DispatchId Start(OutboundCall call, Handler handler);
+
+  /// The caller no longer wants the answer; what runs for it below is cancelled.
+  void Cancel(DispatchId id);
+
+  std::size_t InProgress() const { return this->dispatches.size(); }
+
+ private:
+  DispatchServices services;
+  std::unordered_map<DispatchId, std::shared_ptr<Dispatch>> dispatches;
+  DispatchId last_id = 0;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/caller_service.cc
@@ -0,0 +1,264 @@
+#include "node/caller_service.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "common/log.h"
+#include "http/request_target.h"
+#include "node/call_context.h"
+#include "node/call_dispatcher.h"
+#include "node/call_result.h"
+#include "node/context_table.h"
+#include "node/header_names.h"
+#include "node/refusal_response.h"
+#include "node/target_request.h"
+#include "policy/ticket.h"
+#include "records/configuration.h"
+
+namespace fireflyrun::node {
+namespace {
+
+using policy::RefusalReason;
+
+constexpr std::string_view kTicketsService = "tickets";
+constexpr std::size_t kMaxKeyLength = 255;
+constexpr std::uint64_t kMaxDeadlineMs = 600'000;
+constexpr std::uint32_t kMaxDepth = 64;
+constexpr int kCreatedStatus = 201;
+constexpr int kFirstServerErrorStatus = 500;
+
+bool IsServerError(const CallResult& result) {
+  return !result.Answered() || result.status >= kFirstServerErrorStatus;
+}
+
+/// What the calls below tell about the call that they were made for.
+void NoteChild(const CallResult& result, CallContext* parent) {
+  parent->tightest_level = std::min(parent->tightest_level, result.level);
+  if (!IsServerError(result)) return;
+  parent->child_failed = true;
+  parent->child_final = parent->child_final || result.final;
+}
+
+void CopyCallerHeaders(http::Headers headers, http::Headers* out) {
+  for (auto& header : headers) {
+    if (!IsOwnHeader(header.name)) out->push_back(std::move(header));
+  }
+}
+
+bool IsKey(std::string_view key) {
+  const bool printable =
+      std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+  return !key.empty() && key.size() <= kMaxKeyLength && printable;
+}
+
+void LogEnd(const OutboundCall& call, const CallResult& result, Duration latency) {
+  if (!LogEnabled(LogLevel::kDebug)) return;
+  Log(LogLevel::kDebug, "caller",
+      "event=ended root=" + call.root_id.ToHex() + " service=" + call.route->service +
+          " outcome=" + std::string(result.Answered() ? "answered" : OutcomeName(result.outcome)) +
+          " reason=" + std::string(policy::kRefusalReasonNames.NameOf(result.reason)) +
+          " retries=" + std::to_string(result.retries) +
+          " latency_us=" + std::to_string(ToMicroseconds(latency).count()));
+}
+
+}  // namespace
+
+CallerService::CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table,
+                             Hooks service_hooks)
+    : dispatcher(call_dispatcher), contexts(context_table), hooks(std::move(service_hooks)) {}
+
+void CallerService::OnRequest(http::Request request,
+                              const std::shared_ptr<http::Exchange>& exchange) {
+  const auto target = http::SplitTarget(request.target);
+  if (!target) {
+    this->Respond(RefusalResponse(RefusalReason::kBadRequest,
+                                  "the request target is not /SERVICE or /SERVICE/PATH"),
+                  *exchange);
+    return;
+  }
+  if (target->service == kTicketsService) {
+    this->IssueTicket(*target, *exchange);
+    return;
+  }
+  auto call = this->BuildCall(&request, *target);
+  if (!call) {
+    this->Respond(RefusalResponse(call.error().reason, call.error().detail), *exchange);
+    return;
+  }
+  this->Dispatch(std::move(*call), exchange);
+}
+
+tl::expected<OutboundCall, CallerService::Refusal> CallerService::BuildCall(
+    http::Request* request, const http::RequestTarget& target) const {
+  const auto configuration = this->hooks.configuration();
+  if (!configuration) {
+    return tl::unexpected(Refusal{RefusalReason::kNotReady, "this node holds no records yet"});
+  }
+  const auto* route = configuration->Find(target.service, request->method, target.path);
+  if (route == nullptr) {
+    return tl::unexpected(Refusal{RefusalReason::kUnknownService,
+                                  "no record describes the service \"" + std::string(target.service) + "\""});
+  }
+  if (request->body.size() > route->max_body_bytes) {
+    return tl::unexpected(
+        Refusal{RefusalReason::kBodyTooLarge,
+                "the body is larger than " + std::to_string(route->max_body_bytes) + " bytes"});
+  }
+  OutboundCall call;
+  call.route = std::shared_ptr<const records::RoutePolicy>(configuration, route);
+  call.call_class = {route->class_name, static_cast<std::uint32_t>(route->rank),
+                     route->may_leave_region};
+  call.tenant = request->remote_address;
+  call.method = request->method;
+  call.target = std::string(target.path);
+  if (!target.query.empty()) call.target += '?' + std::string(target.query);
+  const auto handle = http::FindHeader(request->headers, kRequestHeader);
+  const auto parent = handle ? this->contexts.Find(*handle) : nullptr;
+  if (parent) {
+    this->InheritFrom(parent, &call);
+  } else {
+    call.root_id = Id128::Random();
+    // A handle of a call that has ended, or that never was, comes with no retries.
+    const auto retries =
+        handle ? 0U : static_cast<std::uint32_t>(route->retry.retries_per_request);
+    call.allotment = std::make_shared<policy::RetryAllotment>(retries);
+  }
+  if (call.depth > kMaxDepth) {
+    return tl::unexpected(Refusal{RefusalReason::kBadRequest, "the chain of calls is too deep"});
+  }
+  call.key = policy::KeyFor(call.call_class.rank, call.root_id);
+  if (auto set = this->SetDeadline(*request, &call); !set) return tl::unexpected(set.error());
+  if (auto set = this->SetTicketSource(*request, &call); !set) return tl::unexpected(set.error());
+  CopyCallerHeaders(std::move(request->headers), &call.headers);
+  call.body = std::move(request->body);
+  return call;
+}
+
+void CallerService::InheritFrom(const std::shared_ptr<CallContext>& parent,
+                                OutboundCall* call) const {
+  call->parent = parent;
+  call->root_id = parent->root_id;
+  call->tenant = parent->tenant;
+  call->depth = parent->depth + 1;
+  call->allotment = parent->allotment;
+  // A whole request survives only if every call made for it does.
+  if (parent->call_class.rank < call->call_class.rank) call->call_class = parent->call_class;
+}
+
+tl::expected<void, CallerService::Refusal> CallerService::SetDeadline(const http::Request& request,
+                                                                      OutboundCall* call) const {
+  const SteadyTime now = SteadyClock::now();
+  call->deadline = now + call->route->deadline;
+  if (call->parent) call->deadline = std::min(call->deadline, call->parent->deadline);
+  const auto header = http::FindHeader(request.headers, kDeadlineHeader);
+  if (!header) return {};
+  std::uint64_t left_ms = 0;
+  const auto [end, error] =
+      std::from_chars(header->data(), header->data() + header->size(), left_ms);
+  const bool whole = error == std::errc{} && end == header->data() + header->size();
+  if (!whole || left_ms > kMaxDeadlineMs) {
+    return tl::unexpected(Refusal{RefusalReason::kBadRequest,
+                                  "Firefly-Deadline-Ms is not a whole number of 0 to 600000"});
+  }
+  call->deadline = std::min(call->deadline, now + std::chrono::milliseconds(left_ms));
+  return {};
+}
+
+tl::expected<void, CallerService::Refusal> CallerService::SetTicketSource(
+    const http::Request& request, OutboundCall* call) const {
+  if (call->route->idempotent) return {};
+  const auto key = http::FindHeader(request.headers, kIdempotencyKeyHeader);
+  if (key && !IsKey(*key)) {
+    return tl::unexpected(Refusal{RefusalReason::kBadRequest,
+                                  "Idempotency-Key is not 1 to 255 printable characters"});
+  }
+  const bool parent_runs_once = call->parent && call->parent->at_most_once;
+  if (!key && !parent_runs_once) {
+    return tl::unexpected(
+        Refusal{RefusalReason::kBadRequest,
+                "the call is not idempotent and needs an Idempotency-Key, its own or a ticket of "
+                "POST /tickets/" +
+                    call->route->service});
+  }
+  call->idempotency_key = key ? std::string(*key) : std::string();
+  if (key && policy::Ticket::FromText(*key)) {
+    call->ticket_source = TicketSource::kCaller;
+  } else if (parent_runs_once) {
+    call->ticket_source = key ? TicketSource::kParent : TicketSource::kFresh;
+  } else {
+    call->ticket_source = TicketSource::kStore;
+  }
+  return {};
+}
+
+void CallerService::IssueTicket(const http::RequestTarget& target,
+                                http::Exchange& exchange) const {
+  const auto configuration = this->hooks.configuration();
+  const std::string service(target.path.substr(1));
+  const auto* route = configuration ? configuration->Find(service, "POST", "/") : nullptr;
+  if (route == nullptr) {
+    this->Respond(RefusalResponse(configuration ? RefusalReason::kUnknownService
+                                                : RefusalReason::kNotReady,
+                                  "no record describes the service \"" + service + "\""),
+                  exchange);
+    return;
+  }
+  const auto ticket = this->hooks.mint_ticket(*route);
+  if (!ticket) {
+    this->Respond(RefusalResponse(RefusalReason::kNoTarget, "the service has no target"), exchange);
+    return;
+  }
+  http::Response response;
+  response.status = kCreatedStatus;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = R"({"ticket":")" + *ticket + R"("})";
+  this->Respond(std::move(response), exchange);
+}
+
+void CallerService::Dispatch(OutboundCall call, const std::shared_ptr<http::Exchange>& exchange) {
+  const SteadyTime started = SteadyClock::now();
+  const auto parent = call.parent;
+  const auto described = std::make_shared<OutboundCall>(call);
+  described->body.clear();
+  described->headers.clear();
+  const auto child_id = std::make_shared<CallDispatcher::DispatchId>(0);
+  const auto id = this->dispatcher.Start(
+      std::move(call), [this, described, started, exchange, child_id](CallResult result) {
+        if (described->parent) described->parent->child_cancels.erase(*child_id);
+        this->OnEnded(*described, std::move(result), started, *exchange);
+      });
+  *child_id = id;
+  if (parent) parent->child_cancels[id] = [this, id] { this->dispatcher.Cancel(id); };
+  exchange->OnCallerGone([this, id, parent] {
+    if (parent) parent->child_cancels.erase(id);
+    this->dispatcher.Cancel(id);
+  });
+}
+
+void CallerService::OnEnded(const OutboundCall& call, CallResult result, SteadyTime started,
+                            http::Exchange& exchange) const {
+  const Duration latency = SteadyClock::now() - started;
+  this->hooks.on_ended(call, result, latency);
+  LogEnd(call, result, latency);
+  if (call.parent) NoteChild(result, call.parent.get());
+  if (!result.Answered()) {
+    this->Respond(RefusalResponse(result), exchange);
+    return;
+  }
+  http::Response response;
+  response.status = result.status;
+  response.headers = std::move(result.headers);
+  if (IsServerError(result)) {
+    response.headers.push_back({std::string(kOutcomeHeader), "ran"});
+  }
+  response.body = std::move(result.body);
+  this->Respond(std::move(response), exchange);
+}
+
+void CallerService::Respond(http::Response response, http::Exchange& exchange) const {
+  if (this->hooks.stopping()) response.headers.push_back({"Connection", "close"});
+  exchange.Respond(std::move(response));
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/caller_service.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "common/clock.h"
+#include "http/exchange.h"
+#include "http/request.h"
+#include "node/outbound_call.h"
+#include "policy/refusal_reason.h"
+
+namespace fireflyrun::http {
+struct RequestTarget;
+}
+namespace fireflyrun::records {
+class Configuration;
+}
+
+namespace fireflyrun::node {
+
+class CallDispatcher;
+class ContextTable;
+struct CallResult;
+
+/// The callers' side of a node: turns HTTP requests of outside callers and of the local target into
+/// calls, and their results into responses.
+class CallerService {
+ public:
+  struct Hooks {
+    /// The records in force; null before the first.
+    std::function<std::shared_ptr<const records::Configuration>()> configuration;
+    /// A ticket for a target of the service, as text; nullopt when there is none.
+    std::function<std::optional<std::string>(const records::RoutePolicy&)> mint_ticket;
+    /// A call ended after `latency`.
+    std::function<void(const OutboundCall&, const CallResult&, Duration latency)> on_ended;
+    /// True while the node stops: callers are told to use another connection.
+    std::function<bool()> stopping;
+  };
+
+  CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table, Hooks service_hooks);
+
+  void OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange);
+
+ private:
+  struct Refusal {
+    policy::RefusalReason reason;
+    std::string detail;
+  };
+
+  /// Takes the headers and the body out of the request.
+  tl::expected<OutboundCall, Refusal> BuildCall(http::Request* request,
+                                                const http::RequestTarget& target) const;
+  tl::expected<void, Refusal> SetDeadline(const http::Request& request, OutboundCall* call) const;
+  tl::expected<void, Refusal> SetTicketSource(const http::Request& request,
+                                              OutboundCall* call) const;
+  void InheritFrom(const std::shared_ptr<CallContext>& parent, OutboundCall* call) const;
+  void IssueTicket(const http::RequestTarget& target, http::Exchange& exchange) const;
+  void Dispatch(OutboundCall call, const std::shared_ptr<http::Exchange>& exchange);
+  void OnEnded(const OutboundCall& call, CallResult result, SteadyTime started,
+               http::Exchange& exchange) const;
+  void Respond(http::Response response, http::Exchange& exchange) const;
+
+  CallDispatcher& dispatcher;
+  ContextTable& contexts;
+  Hooks hooks;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/context_table.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string_view>
+#include <unordered_map>
+
+#include "common/id128.h"
+
+namespace fireflyrun::node {
+
+struct CallContext;
+
+/// The contexts of the calls that the local target is running, by handle.
+class ContextTable {
+ public:
+  /// Draws a handle, stores it in the context, and keeps the context until Remove().
+  void Add(const std::shared_ptr<CallContext>& context);
+  void Remove(const Id128& handle);
+
+  /// Null when the handle is malformed or its call has ended.
+  std::shared_ptr<CallContext> Find(std::string_view handle) const;
+  std::size_t Size() const { return this->contexts.size(); }
+
+ private:
+  std::unordered_map<Id128, std::shared_ptr<CallContext>> contexts;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/dispatch.cc
@@ -0,0 +1,384 @@
+#include "node/dispatch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/random.h"
+#include "common/timer_service.h"
+#include "node/attempt_sender.h"
+#include "node/call_context.h"
+#include "node/level_key.h"
+#include "node/retry_budgets.h"
+#include "node/target_directory.h"
+#include "policy/target_chooser.h"
+
+namespace fireflyrun::node {
+namespace {
+
+using peer::pb::Outcome;
+using policy::RefusalReason;
+
+constexpr std::uint32_t kMaxMoves = 3;
+constexpr std::uint32_t kBaselineRetriesPerHop = 3;
+constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(4);
+constexpr std::uint32_t kMaxDelayDoublings = 4;
+constexpr Duration kRedeliveryDelay = std::chrono::milliseconds(50);
+constexpr int kFirstServerErrorStatus = 500;
+
+Duration RetryDelay(std::uint32_t retries) {
+  const Duration longest = kFirstRetryDelay * (1U << std::min(retries, kMaxDelayDoublings));
+  return Duration(static_cast<Duration::rep>(RandomBelow(longest.count()) + 1));
+}
+
+/// The call has run nothing and another target may take it at once.
+bool IsMove(RefusalReason reason) {
+  return reason == RefusalReason::kLeaving || reason == RefusalReason::kNoTarget ||
+         reason == RefusalReason::kUnreachable || reason == RefusalReason::kTicketVoid;
+}
+
+http::Headers ToHeaders(const peer::pb::AnswerHead& head) {
+  http::Headers headers;
+  headers.reserve(static_cast<std::size_t>(head.headers_size()));
+  for (const auto& header : head.headers()) headers.push_back({header.name(), header.value()});
+  return headers;
+}
+
+}  // namespace
+
+Dispatch::Dispatch(const DispatchServices& used_services, OutboundCall outbound, Handler on_end)
+    : services(used_services),
+      call(std::move(outbound)),
+      handler(std::move(on_end)),
+      fixed_retries_left(used_services.fixed_retries ? kBaselineRetriesPerHop : 0) {}
+
+void Dispatch::Start() {
+  asio::post(this->services.timers->Loop(), [weak = this->weak_from_this()] {
+    if (const auto self = weak.lock(); self && !self->ended) self->Step();
+  });
+}
+
+void Dispatch::Cancel() {
+  this->Abandon();
+  if (this->attempt_id) this->services.sender->Cancel(*this->attempt_id);
+}
+
+void Dispatch::Abandon() {
+  this->ended = true;
+  this->timer.Reset();
+}
+
+void Dispatch::Step() {
+  if (SteadyClock::now() >= this->call.deadline) {
+    this->FinishRefused(RefusalReason::kDeadline);
+  } else if (this->call.ticket_source == TicketSource::kNone) {
+    this->SendIdempotent();
+  } else if (!this->ticket) {
+    this->ResolveTicket();
+  } else {
+    this->SendTicketed();
+  }
+}
+
+void Dispatch::SendIdempotent() {
+  policy::TargetQuery query{LevelKey(*this->call.route), this->call.call_class, this->call.key,
+                            this->tried, this->call.body.size()};
+  const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
+  auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
+  if (!choice && !this->tried.empty()) {
+    this->tried.clear();
+    query.excluded.clear();
+    choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
+  }
+  if (!choice) {
+    this->FinishRefused(choice.error());
+    return;
+  }
+  const auto address = this->services.directory->AddressOf(choice->node, choice->incarnation);
+  if (!address) {
+    this->FinishRefused(RefusalReason::kUnreachable);
+    return;
+  }
+  this->tried.push_back(choice->node);
+  this->SendAttempt({*address, std::nullopt, std::nullopt});
+}
+
+std::optional<policy::Ticket> Dispatch::ProposeTicket() {
+  const policy::TargetQuery query{LevelKey(*this->call.route), this->call.call_class,
+                                  this->call.key, this->tried, this->call.body.size()};
+  const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
+  const auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
+  if (!choice) return std::nullopt;
+  const auto window = this->services.directory->TicketWindowOf(choice->node);
+  return policy::Ticket::Mint(choice->node, choice->incarnation, window);
+}
+
+void Dispatch::ResolveTicket() {
+  switch (this->call.ticket_source) {
+    case TicketSource::kCaller:
+      this->ResolveCallersTicket();
+      return;
+    case TicketSource::kParent:
+      this->ResolveParentsTicket();
+      return;
+    case TicketSource::kStore:
+      this->ResolveStoresTicket();
+      return;
+    case TicketSource::kFresh:
+    case TicketSource::kNone:
+      break;
+  }
+  const auto proposed = this->ProposeTicket();
+  if (!proposed) {
+    this->FinishRefused(RefusalReason::kNoTarget);
+    return;
+  }
+  this->UseTicket(*proposed, true);
+}
+
+void Dispatch::ResolveCallersTicket() {
+  const auto given = policy::Ticket::FromText(this->call.idempotency_key);
+  if (!given) {
+    this->FinishRefused(RefusalReason::kBadRequest);
+    return;
+  }
+  this->UseTicket(*given, false);
+}
+
+void Dispatch::ResolveParentsTicket() {
+  const auto proposed = this->ProposeTicket();
+  if (!proposed) {
+    this->FinishRefused(RefusalReason::kNoTarget);
+    return;
+  }
+  auto& bindings = this->call.parent->bindings;
+  const auto standing =
+      bindings.Bind(this->call.route->service, this->call.idempotency_key, *proposed);
+  if (!standing) {
+    this->FinishRefused(standing.error());
+    return;
+  }
+  this->UseTicket(*standing, *standing == *proposed);
+}
+
+void Dispatch::ResolveStoresTicket() {
+  const auto proposed = this->ProposeTicket();
+  if (!proposed) {
+    this->FinishRefused(RefusalReason::kNoTarget);
+    return;
+  }
+  this->services.bind_key(
+      this->call.route->service, this->call.idempotency_key, proposed->ToText(),
+      [weak = this->weak_from_this(),
+       proposed](tl::expected<std::string, RefusalReason> standing) {
+        const auto self = weak.lock();
+        if (!self || self->ended) return;
+        const auto bound = standing ? policy::Ticket::FromText(*standing) : std::nullopt;
+        if (!bound) {
+          self->FinishRefused(standing ? RefusalReason::kBadRequest : standing.error());
+          return;
+        }
+        self->UseTicket(*bound, *bound == *proposed);
+      });
+}
+
+void Dispatch::UseTicket(const policy::Ticket& standing, bool own) {
+  this->ticket = standing;
+  this->may_have_run = !own;
+  this->Step();
+}
+
+void Dispatch::SendTicketed() {
+  const auto address =
+      this->services.directory->AddressOf(this->ticket->node, this->ticket->incarnation);
+  if (!address) {
+    this->FinishRefused(RefusalReason::kWrongIncarnation);
+    return;
+  }
+  this->tried.push_back(this->ticket->node);
+  this->proposed_successor = this->ProposeTicket();
+  this->SendAttempt({*address, this->ticket, this->proposed_successor});
+}
+
+void Dispatch::SendAttempt(Attempt attempt) {
+  this->attempt_id = this->services.sender->Send(
+      this->call, attempt, [weak = this->weak_from_this()](AttemptResult result) {
+        const auto self = weak.lock();
+        if (self && !self->ended) self->OnAttempt(std::move(result));
+      });
+}
+
+void Dispatch::OnAttempt(AttemptResult result) {
+  this->attempt_id.reset();
+  if (result.outcome == Outcome::OUTCOME_ANSWERED) {
+    this->ran = true;
+    const bool server_error = result.answer.head.status() >= kFirstServerErrorStatus;
+    if (!server_error) this->services.budgets->Of(this->call.route->retry).OnSuccess();
+    const bool repeatable = this->call.ticket_source == TicketSource::kNone;
+    if (server_error && repeatable && this->MayRetry(result)) {
+      this->After(RetryDelay(this->retries), [this] { this->Step(); });
+      return;
+    }
+    this->FinishAnswered(std::move(result));
+    return;
+  }
+  if (result.outcome == Outcome::OUTCOME_RAN) this->ran = true;
+  if (result.outcome == Outcome::OUTCOME_UNKNOWN) this->may_have_run = true;
+  if (this->call.ticket_source == TicketSource::kNone) {
+    this->Repeat(result, Duration::zero(), [this] { this->Step(); });
+  } else {
+    this->OnTicketedRefusal(result);
+  }
+}
+
+void Dispatch::OnTicketedRefusal(const AttemptResult& result) {
+  if (!result.from_target_node) {
+    // The same ticket again: only its own node can say what became of it, and asking runs nothing
+    // a second time.
+    this->Repeat(result, kRedeliveryDelay, [this] { this->Step(); });
+    return;
+  }
+  if (result.outcome != Outcome::OUTCOME_NOT_RUN) {
+    this->FinishRefused(result);
+    return;
+  }
+  // The ticket is void. Only its successor can have run, and only if another request proposed it.
+  this->may_have_run = result.successor && result.successor != this->proposed_successor;
+  if (!result.successor) {
+    this->FinishRefused(result);
+    return;
+  }
+  const policy::Ticket successor = *result.successor;
+  this->Repeat(result, Duration::zero(), [this, successor] { this->FollowSuccessor(successor); });
+}
+
+void Dispatch::FollowSuccessor(const policy::Ticket& successor) {
+  const bool own = !this->may_have_run;
+  const policy::Ticket from = *this->ticket;
+  if (this->call.ticket_source == TicketSource::kParent) {
+    const auto standing = this->call.parent->bindings.Move(
+        this->call.route->service, this->call.idempotency_key, from, successor);
+    if (standing) {
+      this->UseTicket(*standing, own && *standing == successor);
+    } else {
+      this->FinishRefused(standing.error());
+    }
+    return;
+  }
+  if (this->call.ticket_source != TicketSource::kStore) {
+    this->UseTicket(successor, own);
+    return;
+  }
+  this->services.move_key(
+      this->call.route->service, this->call.idempotency_key, from.ToText(), successor.ToText(),
+      [weak = this->weak_from_this(), successor,
+       own](tl::expected<std::string, RefusalReason> standing) {
+        const auto self = weak.lock();
+        if (!self || self->ended) return;
+        // The refusing node names the successor to whoever asks, so a store that cannot be
+        // reached does not change which ticket stands.
+        const auto bound = standing ? policy::Ticket::FromText(*standing) : successor;
+        self->UseTicket(bound.value_or(successor), own && bound == successor);
+      });
+}
+
+void Dispatch::Repeat(const AttemptResult& result, Duration move_delay,
+                      const std::function<void()>& again) {
+  const bool time_left = SteadyClock::now() < this->call.deadline;
+  if (time_left && this->MayMove(result)) {
+    this->After(move_delay, again);
+  } else if (time_left && this->MayRetry(result)) {
+    this->After(RetryDelay(this->retries), again);
+  } else {
+    this->FinishRefused(result);
+  }
+}
+
+bool Dispatch::MayMove(const AttemptResult& result) {
+  const bool nothing_ran = result.outcome == Outcome::OUTCOME_NOT_RUN;
+  if (!nothing_ran || !IsMove(result.reason) || this->moves >= kMaxMoves) return false;
+  ++this->moves;
+  this->services.count_repeat(this->call, true);
+  return true;
+}
+
+bool Dispatch::MayRetry(const AttemptResult& result) {
+  if (this->services.fixed_retries) {
+    if (this->fixed_retries_left == 0) return false;
+    --this->fixed_retries_left;
+  } else {
+    if (result.answer.head.final() || this->call.allotment->Exhausted()) return false;
+    if (!this->services.budgets->Of(this->call.route->retry).TrySpend()) return false;
+    if (!this->call.allotment->TrySpend()) return false;
+  }
+  ++this->retries;
+  this->services.count_repeat(this->call, false);
+  return true;
+}
+
+void Dispatch::After(Duration delay, std::function<void()> step) {
+  this->timer = this->services.timers->After(
+      delay, [weak = this->weak_from_this(), step = std::move(step)] {
+        const auto self = weak.lock();
+        if (self && !self->ended) step();
+      });
+}
+
+void Dispatch::FinishAnswered(AttemptResult result) {
+  CallResult end;
+  const auto& head = result.answer.head;
+  end.outcome = Outcome::OUTCOME_ANSWERED;
+  end.reason = result.reason;
+  end.status = static_cast<int>(head.status());
+  end.headers = ToHeaders(head);
+  end.body = std::move(result.answer.body);
+  end.final = head.final();
+  this->Finish(std::move(end));
+}
+
+void Dispatch::FinishRefused(const AttemptResult& result) {
+  CallResult end;
+  const auto& head = result.answer.head;
+  end.outcome = this->TruthOf(result.outcome);
+  end.reason = result.reason;
+  end.retry_after = std::chrono::milliseconds(head.retry_after_ms());
+  end.final = head.final() || this->call.allotment->Exhausted();
+  this->Finish(std::move(end));
+}
+
+void Dispatch::FinishRefused(RefusalReason reason) {
+  CallResult end;
+  end.outcome = this->TruthOf(Outcome::OUTCOME_NOT_RUN);
+  end.reason = reason;
+  this->Finish(std::move(end));
+}
+
+policy::PriorityKey Dispatch::LoosestLevel() const {
+  const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
+  if (candidates.empty()) return policy::kOpenLevel;
+  const std::string scope = LevelKey(*this->call.route);
+  policy::PriorityKey loosest;
+  for (const auto& candidate : candidates) {
+    const auto level =
+        this->services.chooser->Levels().Level(scope, candidate.node, SteadyClock::now());
+    loosest = std::max(loosest, level);
+  }
+  return loosest;
+}
+
+Outcome Dispatch::TruthOf(Outcome last) const {
+  if (this->ran) return Outcome::OUTCOME_RAN;
+  if (this->may_have_run) return Outcome::OUTCOME_UNKNOWN;
+  return last;
+}
+
+void Dispatch::Finish(CallResult result) {
+  this->ended = true;
+  this->timer.Reset();
+  result.level = this->LoosestLevel();
+  result.retries = this->retries;
+  result.moves = this->moves;
+  const auto keep = this->shared_from_this();
+  this->handler(std::move(result));
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/dispatch.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/id128.h"
+#include "common/timer_subscription.h"
+#include "node/attempt.h"
+#include "node/attempt_result.h"
+#include "node/call_result.h"
+#include "node/dispatch_services.h"
+#include "node/outbound_call.h"
+#include "policy/ticket.h"
+
+namespace fireflyrun::node {
+
+/// One outbound call in progress: chooses targets, sends attempts, decides on retries and moves,
+/// and keeps the truth about whether anything may have run.
+class Dispatch : public std::enable_shared_from_this<Dispatch> {
+ public:
+  using Handler = std::function<void(CallResult)>;
+
+  Dispatch(const DispatchServices& used_services, OutboundCall outbound, Handler on_end);
+
+  /// Takes the first step on a later turn of the event loop.
+  void Start();
+
+  /// Cancels the attempt under way; the handler will not run.
+  void Cancel();
+
+  /// Drops everything without telling anybody, when the node is being destroyed.
+  void Abandon();
+
+ private:
+  void Step();
+  void SendIdempotent();
+  void ResolveTicket();
+  void ResolveCallersTicket();
+  void ResolveParentsTicket();
+  void ResolveStoresTicket();
+  /// `own`: no other request has the ticket, so nothing can have run under it yet.
+  void UseTicket(const policy::Ticket& standing, bool own);
+  void SendTicketed();
+  std::optional<policy::Ticket> ProposeTicket();
+  void SendAttempt(Attempt attempt);
+  void OnAttempt(AttemptResult result);
+  void OnIdempotentRefusal(const AttemptResult& result);
+  void OnTicketedRefusal(const AttemptResult& result);
+  void FollowSuccessor(const policy::Ticket& successor);
+  /// Arranges another attempt if the rules allow one, a move after `move_delay`; otherwise ends the
+  /// call.
+  void Repeat(const AttemptResult& result, Duration move_delay, const std::function<void()>& again);
+  bool MayMove(const AttemptResult& result);
+  bool MayRetry(const AttemptResult& result);
+  void After(Duration delay, std::function<void()> step);
+  void FinishAnswered(AttemptResult result);
+  void FinishRefused(const AttemptResult& result);
+  void FinishRefused(policy::RefusalReason reason);
+  void Finish(CallResult result);
+  /// The level that a call of this kind must meet to be taken by any of the targets known here.
+  policy::PriorityKey LoosestLevel() const;
+  peer::pb::Outcome TruthOf(peer::pb::Outcome last) const;
+
+  DispatchServices services;
+  OutboundCall call;
+  Handler handler;
+  TimerSubscription timer;
+  std::optional<Id128> attempt_id;
+  std::optional<policy::Ticket> ticket;
+  std::optional<policy::Ticket> proposed_successor;
+  std::vector<std::string> tried;
+  std::uint32_t retries = 0;
+  std::uint32_t moves = 0;
+  std::uint32_t fixed_retries_left = 0;
+  bool may_have_run = false;  ///< Under the ticket in use, or by an attempt that was lost.
+  bool ran = false;           ///< An attempt is known to have run.
+  bool ended = false;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/dispatch_services.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "policy/refusal_reason.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+namespace fireflyrun::policy {
+class TargetChooser;
+}
+
+namespace fireflyrun::node {
+
+class AttemptSender;
+class RetryBudgets;
+class TargetDirectory;
+struct OutboundCall;
+
+/// What the dispatch of a call uses of its node.
+struct DispatchServices {
+  /// The text of the ticket that stands, or why it is not known.
+  using TicketHandler = std::function<void(tl::expected<std::string, policy::RefusalReason>)>;
+
+  TimerService* timers = nullptr;
+  TargetDirectory* directory = nullptr;
+  policy::TargetChooser* chooser = nullptr;
+  AttemptSender* sender = nullptr;
+  RetryBudgets* budgets = nullptr;
+  /// Binds (service, key) to a ticket in the store.
+  std::function<void(const std::string& service, const std::string& key, std::string proposed,
+                     TicketHandler)>
+      bind_key;
+  /// Moves a binding in the store from a voided ticket to its successor.
+  std::function<void(const std::string& service, const std::string& key, std::string from,
+                     std::string to, TicketHandler)>
+      move_key;
+  /// Counts one retry or move of the call.
+  std::function<void(const OutboundCall&, bool is_move)> count_repeat;
+  /// Baseline for benchmarks: a fixed number of retries at each hop, whatever the allotment.
+  bool fixed_retries = false;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/inbound_call.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/id128.h"
+#include "http/client.h"
+#include "peer/call.h"
+#include "peer/link_server.h"
+#include "policy/ticket.h"
+
+namespace fireflyrun::node {
+
+struct CallContext;
+
+/// A call at its target's node, from its arrival to its answer.
+struct InboundCall {
+  /// Another arrival of the same ticket, which gets the same answer.
+  struct Joined {
+    std::string call_id;
+    std::uint32_t lent = 0;
+    peer::LinkServer::Reply reply;
+  };
+
+  Id128 id;
+  peer::Call call;
+  peer::LinkServer::Reply reply;
+  SteadyTime arrived;
+  SteadyTime started;
+  SteadyTime deadline;
+  std::optional<policy::Ticket> ticket;
+  std::shared_ptr<CallContext> context;  ///< Set once the target runs it.
+  http::Client::RequestId request = 0;
+  std::vector<Joined> joined;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/level_key.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace fireflyrun::records {
+struct RoutePolicy;
+}
+
+namespace fireflyrun::node {
+
+/// The name under which admission levels of a route are remembered: levels heard for one class of a
+/// service say nothing about its other classes, whose calls may go deeper elsewhere.
+std::string LevelKey(const records::RoutePolicy& route);
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/node_setting_table.cc
@@ -0,0 +1,305 @@
+#include "node/node_setting_table.h"
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include <algorithm>
+#include <asio/ip/address.hpp>
+#include <charconv>
+#include <set>
+#include <string_view>
+
+namespace fireflyrun::node {
+namespace {
+
+using Problem = std::optional<std::string>;
+using Spec = SettingSpec<NodeSettings>;
+
+constexpr std::size_t kMaxNameLength = 63;
+constexpr int kHelpOption = 1000;
+constexpr int kFirstSettingOption = 1001;
+
+bool IsNameCharacter(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.';
+}
+
+Problem CheckName(std::string_view value) {
+  const bool characters_allowed = std::all_of(value.begin(), value.end(), IsNameCharacter);
+  if (!value.empty() && value.size() <= kMaxNameLength && characters_allowed) return std::nullopt;
+  return fmt::format("\"{}\" is not a name; allowed are 1 to {} of a-z, 0-9, '-' and '.'", value,
+                     kMaxNameLength);
+}
+
+Problem CheckEndpoint(std::string_view value) {
+  const auto colon = value.rfind(':');
+  const std::string message =
+      fmt::format("\"{}\" is not an address; allowed is IP:PORT with a port of 1 to 65535", value);
+  if (colon == std::string_view::npos) return message;
+  asio::error_code error;
+  asio::ip::make_address(std::string(value.substr(0, colon)), error);
+  unsigned port = 0;
+  const std::string_view digits = value.substr(colon + 1);
+  const auto [end, number_error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  const bool whole = number_error == std::errc{} && end == digits.data() + digits.size();
+  if (error || !whole || port < 1 || port > 65535) return message;
+  return std::nullopt;
+}
+
+template <typename Number>
+Problem StoreNumber(std::string_view value, std::uint64_t lowest, std::uint64_t highest,
+                    std::string_view unit, Number* number) {
+  std::uint64_t parsed = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+  const bool whole = error == std::errc{} && end == value.data() + value.size();
+  if (!whole || parsed < lowest || parsed > highest) {
+    return fmt::format("\"{}\" is out of range; allowed is a whole number of {} to {}{}", value,
+                       lowest, highest, unit);
+  }
+  *number = static_cast<Number>(parsed);
+  return std::nullopt;
+}
+
+Problem StoreSeconds(std::string_view value, std::uint64_t lowest, std::uint64_t highest,
+                     Duration* duration) {
+  std::uint64_t seconds = 0;
+  auto problem = StoreNumber(value, lowest, highest, " seconds", &seconds);
+  if (!problem) *duration = std::chrono::seconds(seconds);
+  return problem;
+}
+
+Problem StoreEndpoints(std::string_view value, std::vector<std::string>* endpoints) {
+  endpoints->clear();
+  while (!value.empty()) {
+    const auto comma = std::min(value.find(','), value.size());
+    const std::string_view endpoint = value.substr(0, comma);
+    if (auto problem = CheckEndpoint(endpoint)) return problem;
+    endpoints->emplace_back(endpoint);
+    value.remove_prefix(std::min(comma + 1, value.size()));
+  }
+  return std::nullopt;
+}
+
+Spec NameSpec(std::string_view flag, std::string_view variable, std::string_view help,
+              std::string NodeSettings::*field) {
+  return {flag, variable, "NAME", help, [field](std::string_view value, NodeSettings& settings) {
+            auto problem = CheckName(value);
+            if (!problem) settings.*field = std::string(value);
+            return problem;
+          }};
+}
+
+Spec PortSpec(std::string_view flag, std::string_view variable, std::string_view help,
+              std::uint16_t NodeSettings::*field) {
+  return {flag, variable, "PORT", help, [field](std::string_view value, NodeSettings& settings) {
+            return StoreNumber(value, 1, 65535, "", &(settings.*field));
+          }};
+}
+
+Spec EndpointsSpec(std::string_view flag, std::string_view variable, std::string_view help,
+                   std::vector<std::string> NodeSettings::*field) {
+  return {flag, variable, "IP:PORT[,...]", help,
+          [field](std::string_view value, NodeSettings& settings) {
+            return StoreEndpoints(value, &(settings.*field));
+          }};
+}
+
+Problem StoreAddress(std::string_view value, NodeSettings& settings) {
+  asio::error_code error;
+  asio::ip::make_address(std::string(value), error);
+  if (error) return fmt::format("\"{}\" is not an IP number", value);
+  settings.address = std::string(value);
+  return std::nullopt;
+}
+
+Problem StoreLogLevel(std::string_view value, NodeSettings& settings) {
+  const auto level = kLogLevelNames.ValueOf(value);
+  if (!level) {
+    return fmt::format("\"{}\" is no level; allowed are debug, info, warning, error", value);
+  }
+  settings.log_level = *level;
+  return std::nullopt;
+}
+
+Problem StoreSwitch(std::string_view value, bool* on) {
+  if (value != "on" && value != "off") {
+    return fmt::format("\"{}\" is no switch; allowed are on, off", value);
+  }
+  *on = value == "on";
+  return std::nullopt;
+}
+
+std::vector<Spec> IdentitySpecs() {
+  return {
+      NameSpec("cluster", "FIREFLYRUN_CLUSTER", "cluster that the node belongs to [default]",
+               &NodeSettings::cluster),
+      NameSpec("node", "FIREFLYRUN_NODE", "name of this node, unique in the cluster (required)",
+               &NodeSettings::node),
+      NameSpec("region", "FIREFLYRUN_REGION", "region of this host (required)",
+               &NodeSettings::region),
+      NameSpec("zone", "FIREFLYRUN_ZONE", "availability zone of this host (required)",
+               &NodeSettings::zone),
+  };
+}
+
+std::vector<Spec> AddressSpecs() {
+  return {
+      {"address", "FIREFLYRUN_ADDRESS", "IP", "IP number of this host [127.0.0.1]", StoreAddress},
+      PortSpec("caller-port", "FIREFLYRUN_CALLER_PORT", "takes callers' HTTP requests [7400]",
+               &NodeSettings::caller_port),
+      PortSpec("admin-port", "FIREFLYRUN_ADMIN_PORT",
+               "takes announcements; serves /metrics and /fleet [7401]",
+               &NodeSettings::admin_port),
+      PortSpec("peer-port", "FIREFLYRUN_PEER_PORT", "takes calls from other nodes [7402]",
+               &NodeSettings::peer_port),
+      PortSpec("control-port", "FIREFLYRUN_CONTROL_PORT", "takes control messages [7403]",
+               &NodeSettings::control_port),
+      EndpointsSpec("store", "FIREFLYRUN_STORE", "the platform's key-value service",
+                    &NodeSettings::store_endpoints),
+      EndpointsSpec("seeds", "FIREFLYRUN_SEEDS", "control addresses of nodes to join by",
+                    &NodeSettings::seeds),
+  };
+}
+
+std::vector<Spec> LimitSpecs() {
+  return {
+      {"log-level", "FIREFLYRUN_LOG_LEVEL", "LEVEL",
+       "lowest level written: debug, info, warning, error [info]", StoreLogLevel},
+      {"max-body-bytes", "FIREFLYRUN_MAX_BODY_BYTES", "BYTES",
+       "largest request or answer body, 1024 to 67108864 [8388608]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 1024, 67108864, " bytes", &settings.max_body_bytes);
+       }},
+      {"max-connections", "FIREFLYRUN_MAX_CONNECTIONS", "COUNT",
+       "callers' connections taken at once, 1 to 20000 [700]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 1, 20000, "", &settings.max_connections);
+       }},
+      {"announcement-limit", "FIREFLYRUN_ANNOUNCEMENT_LIMIT", "SECONDS",
+       "a target not heard from for this long is withdrawn, 1 to 600 [5]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSeconds(value, 1, 600, &settings.announcement_limit);
+       }},
+      {"stop-limit", "FIREFLYRUN_STOP_LIMIT", "SECONDS",
+       "a graceful stop waits this long for running calls, 1 to 3600 [60]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSeconds(value, 1, 3600, &settings.stop_limit);
+       }},
+      {"link-bytes", "FIREFLYRUN_LINK_BYTES", "BYTES",
+       "bytes of calls a second to other regions, 0 to 1000000000 [2000]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 0, 1'000'000'000, " bytes", &settings.link_bytes_per_second);
+       }},
+      {"decisions-off", "FIREFLYRUN_DECISIONS_OFF", "on|off",
+       "baseline for benchmarks: fixed retries per hop, no shedding, first in first out [off]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSwitch(value, &settings.decisions_off);
+       }},
+  };
+}
+
+std::vector<Spec> BuildTable() {
+  std::vector<Spec> table = IdentitySpecs();
+  for (auto& spec : AddressSpecs()) table.push_back(std::move(spec));
+  for (auto& spec : LimitSpecs()) table.push_back(std::move(spec));
+  return table;
+}
+
+std::vector<option> LongOptions(const std::vector<Spec>& table) {
+  std::vector<option> options;
+  int code = kFirstSettingOption;
+  for (const Spec& spec : table) {
+    options.push_back({spec.flag.data(), required_argument, nullptr, code++});
+  }
+  options.push_back({"help", no_argument, nullptr, kHelpOption});
+  options.push_back({nullptr, 0, nullptr, 0});
+  return options;
+}
+
+void StoreValue(const Spec& spec, const std::string& place, std::string_view value,
+                ParsedNodeSettings* parsed) {
+  auto problem = spec.store(value, parsed->settings);
+  if (problem) parsed->findings.push_back({place, *problem});
+}
+
+void ReadEnvironment(const EnvironmentHook& environment, ParsedNodeSettings* parsed) {
+  for (const Spec& spec : NodeSettingTable()) {
+    const std::string variable(spec.variable);
+    const auto value = environment(variable);
+    if (value) StoreValue(spec, variable, *value, parsed);
+  }
+}
+
+void ReadFlags(int argc, char** argv, ParsedNodeSettings* parsed) {
+  const auto& table = NodeSettingTable();
+  const auto options = LongOptions(table);
+  optind = 0;  // glibc: starts a fresh scan, also after an earlier one.
+  int code = 0;
+  while ((code = getopt_long(argc, argv, "", options.data(), nullptr)) != -1) {
+    if (code == kHelpOption) {
+      parsed->help = true;
+    } else if (code < kFirstSettingOption) {
+      parsed->wrong_usage = true;
+    } else {
+      const Spec& spec = table[static_cast<std::size_t>(code - kFirstSettingOption)];
+      StoreValue(spec, "--" + std::string(spec.flag), optarg, parsed);
+    }
+  }
+  if (optind < argc) {
+    parsed->findings.push_back({argv[optind], "is not a flag; values follow flags"});
+    parsed->wrong_usage = true;
+  }
+}
+
+void CheckRequired(ParsedNodeSettings* parsed) {
+  const NodeSettings& settings = parsed->settings;
+  const auto require = [parsed](const std::string& value, const char* flag) {
+    if (value.empty()) parsed->findings.push_back({flag, "is required"});
+  };
+  require(settings.node, "--node");
+  require(settings.region, "--region");
+  require(settings.zone, "--zone");
+  if (settings.store_endpoints.empty() && settings.seeds.empty()) {
+    parsed->findings.push_back({"--store, --seeds", "at least one of them is required"});
+  }
+}
+
+void CheckPortsDiffer(ParsedNodeSettings* parsed) {
+  const NodeSettings& settings = parsed->settings;
+  const std::set<std::uint16_t> ports{settings.caller_port, settings.admin_port,
+                                      settings.peer_port, settings.control_port};
+  if (ports.size() == 4) return;
+  parsed->findings.push_back({"--caller-port, --admin-port, --peer-port, --control-port",
+                              "two of them are the same; each needs a port of its own"});
+}
+
+}  // namespace
+
+const std::vector<Spec>& NodeSettingTable() {
+  static const std::vector<Spec> table = BuildTable();
+  return table;
+}
+
+ParsedNodeSettings ParseNodeSettings(int argc, char** argv, const EnvironmentHook& environment) {
+  ParsedNodeSettings parsed;
+  ReadEnvironment(environment, &parsed);
+  ReadFlags(argc, argv, &parsed);
+  if (parsed.help || parsed.wrong_usage) return parsed;
+  CheckRequired(&parsed);
+  CheckPortsDiffer(&parsed);
+  return parsed;
+}
+
+std::string NodeHelp() {
+  std::string text =
+      "Usage: fireflyrun node [FLAGS]\n\n"
+      "Runs the node of this host until SIGTERM or SIGINT, then stops gracefully.\n"
+      "Each flag has an environment variable; the flag goes before it.\n\n";
+  for (const Spec& spec : NodeSettingTable()) {
+    text += fmt::format("  --{:<32} {}\n  {:<34} ({})\n",
+                        fmt::format("{} {}", spec.flag, spec.value_name), spec.help, "",
+                        spec.variable);
+  }
+  return text;
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/node_settings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "common/clock.h"
+#include "common/log_level.h"
+
+namespace fireflyrun::node {
+
+/// Everything a node is told by whoever starts it. Defaults are those of the settings table.
+struct NodeSettings {
+  std::string cluster = "default";
+  std::string node;
+  std::string region;
+  std::string zone;
+  std::string address = "127.0.0.1";
+  std::uint16_t caller_port = 7400;
+  std::uint16_t admin_port = 7401;
+  std::uint16_t peer_port = 7402;
+  std::uint16_t control_port = 7403;
+  std::vector<std::string> store_endpoints;
+  std::vector<std::string> seeds;
+  LogLevel log_level = LogLevel::kInfo;
+  std::size_t max_body_bytes = std::size_t{8} << 20;
+  std::size_t max_connections = 700;
+  Duration announcement_limit = std::chrono::seconds(5);
+  Duration stop_limit = std::chrono::seconds(60);
+  std::uint32_t link_bytes_per_second = 2'000;
+  bool decisions_off = false;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/record_keeper.cc
@@ -0,0 +1,125 @@
+#include "node/record_keeper.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "common/log.h"
+#include "common/timer_service.h"
+#include "membership/membership.h"
+#include "node/record_codec.h"
+#include "store/record_store.h"
+
+namespace fireflyrun::node {
+namespace {
+
+constexpr Duration kCheckPeriod = std::chrono::milliseconds(500);
+
+}  // namespace
+
+RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordStore* record_store)
+    : timers(timer_service), store(record_store) {
+  this->book.OnChange([this](const records::RecordBook&) { this->OnBookChanged(); });
+}
+
+membership::RecordHooks RecordKeeper::Hooks() {
+  membership::RecordHooks hooks;
+  hooks.local_revision = [this] { return static_cast<std::uint64_t>(this->book.Revision()); };
+  hooks.apply_change_set = [this](std::string_view bytes) {
+    const auto change_set = DecodeChangeSet(bytes);
+    return change_set &&
+           this->book.ApplyChangeSet(*change_set) == records::ChangeResult::kApplied;
+  };
+  hooks.apply_transfer = [this](std::string_view bytes) {
+    const auto transfer = DecodeTransfer(bytes);
+    return transfer && this->book.MergeTransfer(*transfer);
+  };
+  hooks.changes_since = [this](std::uint64_t revision) {
+    return EncodeTransfer(this->book.ChangesSince(static_cast<std::int64_t>(revision)));
+  };
+  return hooks;
+}
+
+void RecordKeeper::Start(membership::Membership& fleet) {
+  this->membership = &fleet;
+  this->check_timer = this->timers.Every(kCheckPeriod, [this] { this->Check(); });
+  this->ReadStore();
+}
+
+void RecordKeeper::Stop() {
+  this->check_timer.Reset();
+  if (this->watching) this->store->StopWatch();
+  this->watching = false;
+}
+
+void RecordKeeper::Check() {
+  if (this->store == nullptr) return;
+  const bool wanted = this->membership->WantsWatch();
+  if (wanted && !this->watching) this->WatchStore();
+  if (!wanted && this->watching) {
+    this->store->StopWatch();
+    this->watching = false;
+  }
+  if (this->book.Revision() == 0 && !this->watching) this->ReadStore();
+}
+
+void RecordKeeper::WatchStore() {
+  this->watching = true;
+  Log(LogLevel::kInfo, "records", "event=watching");
+  this->store->WatchFrom(
+      this->book.Revision(), [this](records::ChangeSet set) { this->OnChangeSet(set); },
+      [this](records::Transfer transfer) { this->OnTransfer(transfer); });
+}
+
+void RecordKeeper::OnChangeSet(const records::ChangeSet& change_set) {
+  const auto result = this->book.ApplyChangeSet(change_set);
+  if (result == records::ChangeResult::kGap) {
+    this->ReadStore();
+  } else if (result == records::ChangeResult::kApplied) {
+    this->membership->PublishChangeSet(EncodeChangeSet(change_set));
+  }
+}
+
+void RecordKeeper::OnTransfer(const records::Transfer& transfer) {
+  const std::int64_t before = this->book.Revision();
+  if (!this->book.MergeTransfer(transfer)) return;
+  // A whole transfer also states which changes lie between the two revisions.
+  const auto news = this->book.ChangesSince(before);
+  this->membership->PublishChangeSet(
+      EncodeChangeSet({news.from_revision, news.to_revision, news.entries}));
+}
+
+void RecordKeeper::ReadStore() {
+  if (this->store == nullptr || this->reading) return;
+  this->reading = true;
+  this->store->Read([this](tl::expected<store::RecordListing, store::StoreError> listing) {
+    this->reading = false;
+    if (listing) this->OnTransfer(listing->transfer);
+  });
+}
+
+void RecordKeeper::OnBookChanged() {
+  this->configuration = records::Configuration::Build(this->book);
+  Log(LogLevel::kInfo, "records",
+      "event=in-force revision=" + std::to_string(this->book.Revision()));
+  for (const Finding& problem : this->configuration->Problems()) {
+    Log(LogLevel::kWarning, "records",
+        "event=unusable-record place=" + problem.place + " problem=\"" + problem.message + "\"");
+  }
+}
+
+std::string RecordKeeper::Describe() const {
+  nlohmann::json document;
+  document["revision"] = this->book.Revision();
+  document["records"] = nlohmann::json::array();
+  for (const auto& entry : this->book.Entries()) {
+    document["records"].push_back({{"key", records::FormatRecordKey(entry.key)},
+                                   {"revision", entry.revision},
+                                   {"retired", entry.retired},
+                                   {"body", nlohmann::json::parse(entry.body, nullptr, false)}});
+  }
+  document["problems"] = FormatFindings(this->configuration ? this->configuration->Problems()
+                                                            : Findings());
+  return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/record_keeper.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "common/timer_subscription.h"
+#include "membership/record_hooks.h"
+#include "records/change_set.h"
+#include "records/configuration.h"
+#include "records/record_book.h"
+#include "records/transfer.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+namespace fireflyrun::membership {
+class Membership;
+}
+namespace fireflyrun::store {
+class RecordStore;
+}
+
+namespace fireflyrun::node {
+
+/// Keeps the node's book of records up to date: from the store while the node is a delegate of its
+/// zone or has no records at all, and from other nodes always.
+class RecordKeeper {
+ public:
+  /// `record_store` may be null: records then come from other nodes only.
+  RecordKeeper(TimerService& timer_service, store::RecordStore* record_store);
+
+  /// How the membership reaches the book.
+  membership::RecordHooks Hooks();
+
+  void Start(membership::Membership& fleet);
+  void Stop();
+
+  /// Null before the first records.
+  std::shared_ptr<const records::Configuration> InForce() const { return this->configuration; }
+  const records::RecordBook& Book() const { return this->book; }
+
+  /// `{"revision", "records": [{"key", "schema", "revision", "retired", "body"}], "problems"}`.
+  std::string Describe() const;
+
+ private:
+  void Check();
+  void WatchStore();
+  void OnChangeSet(const records::ChangeSet& change_set);
+  void OnTransfer(const records::Transfer& transfer);
+  void ReadStore();
+  void OnBookChanged();
+
+  TimerService& timers;
+  store::RecordStore* store;
+  membership::Membership* membership = nullptr;
+  records::RecordBook book;
+  std::shared_ptr<const records::Configuration> configuration;
+  TimerSubscription check_timer;
+  bool watching = false;
+  bool reading = false;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/refusal_response.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+#include <string_view>
+
+#include "http/response.h"
+#include "peer/peer.pb.h"
+#include "policy/refusal_reason.h"
+
+namespace fireflyrun::node {
+
+struct CallResult;
+
+/// The response to a caller whose call was refused or failed: the status, Firefly-Outcome,
+/// Retry-After where waiting helps, and a problem body (RFC 9457) that names the reason.
+http::Response RefusalResponse(const CallResult& result);
+
+/// The same for a request that is refused before it becomes a call.
+http::Response RefusalResponse(policy::RefusalReason reason, std::string_view detail);
+
+/// `not-run`, `ran` or `unknown`.
+std::string_view OutcomeName(peer::pb::Outcome outcome);
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/setting_spec.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fireflyrun::node {
+
+/// One setting of a command: a flag, its environment variable, and the check of its value.
+template <typename Settings>
+struct SettingSpec {
+  std::string_view flag;      ///< Without the leading dashes.
+  std::string_view variable;  ///< Environment variable; a flag on the command line goes before it.
+  std::string_view value_name;
+  std::string_view help;
+  /// Stores the value, or says what is wrong with it and what is allowed.
+  std::function<std::optional<std::string>(std::string_view value, Settings& settings)> store;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/target_directory.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "common/clock.h"
+#include "peer/peer_address.h"
+#include "policy/candidate.h"
+
+namespace fireflyrun::membership {
+class Membership;
+struct MemberState;
+}  // namespace fireflyrun::membership
+
+namespace fireflyrun::node {
+
+/// The view of the membership as the path of a call needs it: the targets of each service, and
+/// where to reach one incarnation of a node.
+class TargetDirectory {
+ public:
+  explicit TargetDirectory(membership::Membership& fleet);
+  ~TargetDirectory();
+  TargetDirectory(const TargetDirectory&) = delete;
+  TargetDirectory& operator=(const TargetDirectory&) = delete;
+
+  /// Every target that announces the service, also leaving ones. Valid until the view changes.
+  const std::vector<policy::Candidate>& CandidatesOf(const std::string& service);
+
+  /// Nullopt when that incarnation of the node is not in the view.
+  std::optional<peer::PeerAddress> AddressOf(std::string_view node,
+                                             std::uint64_t incarnation) const;
+
+  /// Every target as a JSON array of `{"node", "zone", "service", "slots", "state",
+  /// "reachability"}`.
+  std::string Describe() const;
+
+  /// The window in which tickets for the node are to be minted now; 0 for an unknown node.
+  std::uint32_t TicketWindowOf(std::string_view node) const;
+
+ private:
+  struct Sighting {
+    std::uint64_t incarnation = 0;
+    SteadyTime first_serving;
+  };
+
+  SteadyTime FirstServing(const membership::MemberState& state);
+
+  membership::Membership& membership;
+  std::size_t subscription = 0;
+  std::unordered_map<std::string, std::vector<policy::Candidate>> candidates;
+  std::unordered_map<std::string, Sighting> sightings;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/target_request.cc
@@ -0,0 +1,57 @@
+#include "node/target_request.h"
+
+#include <strings.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+#include "node/header_names.h"
+
+namespace fireflyrun::node {
+namespace {
+
+constexpr std::array<std::string_view, 10> kConnectionHeaders = {
+    "connection",        "content-length", "expect",  "host",    "keep-alive",
+    "proxy-connection",  "te",             "trailer", "upgrade", "transfer-encoding"};
+constexpr std::string_view kOwnPrefix = "firefly-";
+
+bool EqualsIgnoringCase(std::string_view one, std::string_view other) {
+  return one.size() == other.size() && strncasecmp(one.data(), other.data(), one.size()) == 0;
+}
+
+}  // namespace
+
+bool IsOwnHeader(std::string_view name) {
+  if (EqualsIgnoringCase(name.substr(0, kOwnPrefix.size()), kOwnPrefix)) return true;
+  return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
+                     [name](std::string_view own) { return EqualsIgnoringCase(name, own); });
+}
+
+http::ClientRequest BuildTargetRequest(const peer::Call& call, const std::string& address,
+                                       const Id128& handle, SteadyTime deadline) {
+  http::ClientRequest request;
+  request.method = call.head.method();
+  request.url = "http://" + address + call.head.target();
+  for (const auto& header : call.head.headers()) {
+    request.headers.push_back({header.name(), header.value()});
+  }
+  const Duration left = std::max<Duration>(deadline - SteadyClock::now(), Duration::zero());
+  request.headers.push_back({std::string(kRequestHeader), handle.ToHex()});
+  request.headers.push_back(
+      {std::string(kDeadlineHeader), std::to_string(ToMilliseconds(left).count())});
+  request.body = call.body;
+  request.timeout = std::max<Duration>(left, std::chrono::milliseconds(1));
+  return request;
+}
+
+void CopyAnswerHeaders(const http::Headers& headers, peer::pb::AnswerHead* head) {
+  for (const auto& header : headers) {
+    if (IsOwnHeader(header.name)) continue;
+    auto* field = head->add_headers();
+    field->set_name(header.name);
+    field->set_value(header.value);
+  }
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/target_service.cc
@@ -0,0 +1,389 @@
+#include "node/target_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/log.h"
+#include "common/timer_service.h"
+#include "node/answer_codec.h"
+#include "node/call_context.h"
+#include "node/context_table.h"
+#include "node/target_request.h"
+#include "node/ticket_codec.h"
+#include "policy/admission_request.h"
+
+namespace fireflyrun::node {
+namespace {
+
+using peer::pb::Outcome;
+using policy::ClaimState;
+using policy::RefusalReason;
+
+constexpr int kFirstServerErrorStatus = 500;
+constexpr int kServiceUnavailableStatus = 503;
+constexpr std::uint32_t kRememberedWindows = 12;
+
+policy::TicketLedgerLimits LedgerLimits() {
+  policy::TicketLedgerLimits limits;
+  limits.remembered_windows = kRememberedWindows;
+  return limits;
+}
+
+peer::Answer RefusalAnswer(Outcome outcome, RefusalReason reason) {
+  peer::Answer answer;
+  answer.head.set_outcome(outcome);
+  answer.head.set_reason(std::string(policy::kRefusalReasonNames.NameOf(reason)));
+  return answer;
+}
+
+std::shared_ptr<CallContext> MakeContext(const InboundCall& inbound) {
+  const auto& head = inbound.call.head;
+  auto context = std::make_shared<CallContext>();
+  context->root_id = Id128::FromBytes(head.root_id()).value_or(Id128());
+  context->deadline = inbound.deadline;
+  context->call_class = {head.call_class(), head.class_rank(), head.may_leave_region()};
+  context->tenant = head.tenant();
+  context->depth = head.depth();
+  context->at_most_once = inbound.ticket.has_value();
+  context->allotment = std::make_shared<policy::RetryAllotment>(head.retry_allotment());
+  return context;
+}
+
+void LogCall(std::string_view event, const InboundCall& inbound, std::string_view detail) {
+  if (!LogEnabled(LogLevel::kDebug)) return;
+  const auto root = Id128::FromBytes(inbound.call.head.root_id()).value_or(Id128());
+  Log(LogLevel::kDebug, "target",
+      "event=" + std::string(event) + " root=" + root.ToHex() +
+          " service=" + inbound.call.head.service() + " " + std::string(detail));
+}
+
+}  // namespace
+
+TargetService::TargetService(TimerService& timer_service, http::Client& http_client,
+                             ContextTable& context_table, Options service_options,
+                             Hooks service_hooks)
+    : timers(timer_service),
+      client(http_client),
+      contexts(context_table),
+      options(std::move(service_options)),
+      hooks(std::move(service_hooks)),
+      ledger(this->options.node, this->options.incarnation, LedgerLimits(), SteadyClock::now()),
+      admission(
+          {},
+          {[this](const Id128& id) { this->StartCall(id); },
+           [this](const Id128& id, RefusalReason reason) {
+             if (const auto inbound = this->Find(id)) this->Refuse(inbound, reason);
+           }},
+          SteadyClock::now()) {
+  this->tick_timer = this->timers.Every(policy::AdmissionController::kTickInterval,
+                                        [this] { this->admission.Tick(SteadyClock::now()); });
+}
+
+TargetService::~TargetService() {
+  for (const auto& [id, inbound] : this->calls) this->client.Cancel(inbound->request);
+}
+
+void TargetService::SetTarget(TargetAddress address) {
+  const bool slots_changed = !this->target || this->target->slots != address.slots;
+  this->target = std::move(address);
+  if (slots_changed) this->admission.SetSlots(this->target->slots, SteadyClock::now());
+}
+
+void TargetService::WithdrawTarget() {
+  this->target.reset();
+  this->admission.SetSlots(0, SteadyClock::now());
+}
+
+void TargetService::SetLeaving(bool is_leaving) {
+  this->leaving = is_leaving;
+  this->admission.SetLeaving(is_leaving, SteadyClock::now());
+}
+
+std::uint32_t TargetService::TicketWindow() {
+  return this->ledger.CurrentWindow(SteadyClock::now());
+}
+
+policy::Ticket TargetService::MintOwnTicket() { return this->ledger.MintOwn(SteadyClock::now()); }
+
+TargetService::CallPointer TargetService::Find(const Id128& id) const {
+  const auto found = this->calls.find(id);
+  return found == this->calls.end() ? nullptr : found->second;
+}
+
+void TargetService::OnCall(peer::Call call, Reply reply) {
+  auto inbound = std::make_shared<InboundCall>();
+  inbound->id = Id128::FromBytes(call.head.call_id()).value_or(Id128::Random());
+  inbound->arrived = SteadyClock::now();
+  inbound->deadline = inbound->arrived + std::chrono::microseconds(call.head.deadline_us());
+  inbound->call = std::move(call);
+  inbound->reply = std::move(reply);
+  this->calls[inbound->id] = inbound;
+  const auto& head = inbound->call.head;
+  if (head.at_most_once()) {
+    inbound->ticket = FromMessage(head.ticket());
+    if (!inbound->ticket) {
+      this->Refuse(inbound, RefusalReason::kBadRequest);
+      return;
+    }
+    if (!this->ClaimTicket(inbound)) return;
+  }
+  this->Offer(inbound);
+}
+
+bool TargetService::ClaimTicket(const CallPointer& inbound) {
+  const auto& head = inbound->call.head;
+  const auto proposed = head.has_successor() ? FromMessage(head.successor()) : std::nullopt;
+  const auto claim = this->ledger.Claim(*inbound->ticket, proposed, SteadyClock::now());
+  switch (claim.state) {
+    case ClaimState::kRun:
+      this->running_tickets[inbound->ticket->nonce] = inbound->id;
+      return true;
+    case ClaimState::kRunning:
+      this->Join(inbound);
+      return false;
+    case ClaimState::kAnswered: {
+      auto answer = DecodeAnswer(*claim.answer);
+      if (!answer) answer = RefusalAnswer(Outcome::OUTCOME_RAN, RefusalReason::kAnswerDropped);
+      this->Answer(inbound, std::move(*answer));
+      return false;
+    }
+    case ClaimState::kRanAnswerDropped:
+      this->Answer(inbound,
+                   RefusalAnswer(Outcome::OUTCOME_RAN, RefusalReason::kAnswerDropped));
+      return false;
+    case ClaimState::kOutcomeUnknown:
+      this->Answer(inbound,
+                   RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kOutcomeUnknown));
+      return false;
+    case ClaimState::kForgotten:
+      this->Answer(inbound,
+                   RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kTicketForgotten));
+      return false;
+    case ClaimState::kWrongIncarnation:
+      this->Answer(inbound,
+                   RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kWrongIncarnation));
+      return false;
+    case ClaimState::kLedgerFull:
+      this->Answer(inbound, RefusalAnswer(Outcome::OUTCOME_NOT_RUN, RefusalReason::kTicketLimit));
+      return false;
+    case ClaimState::kVoid:
+      break;
+  }
+  auto answer = RefusalAnswer(Outcome::OUTCOME_NOT_RUN, RefusalReason::kTicketVoid);
+  if (claim.successor) *answer.head.mutable_successor() = ToMessage(*claim.successor);
+  this->Answer(inbound, std::move(answer));
+  return false;
+}
+
+void TargetService::Join(const CallPointer& inbound) {
+  this->calls.erase(inbound->id);
+  const auto running = this->running_tickets.find(inbound->ticket->nonce);
+  const auto first = running == this->running_tickets.end() ? nullptr : this->Find(running->second);
+  if (!first) {
+    auto answer = RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kOutcomeUnknown);
+    this->ReplyTo(inbound->call.head.call_id(), inbound->reply,
+                  inbound->call.head.retry_allotment(), std::move(answer));
+    return;
+  }
+  first->joined.push_back({inbound->call.head.call_id(), inbound->call.head.retry_allotment(),
+                           std::move(inbound->reply)});
+}
+
+void TargetService::Offer(const CallPointer& inbound) {
+  const auto& head = inbound->call.head;
+  if (!this->target || this->target->service != head.service()) {
+    this->Refuse(inbound, RefusalReason::kNoTarget);
+    return;
+  }
+  if (this->options.admit_all) {
+    this->StartCall(inbound->id);
+    return;
+  }
+  const auto root = Id128::FromBytes(head.root_id()).value_or(Id128());
+  this->admission.Offer(
+      {inbound->id, policy::KeyFor(head.class_rank(), root), inbound->deadline},
+      SteadyClock::now());
+}
+
+void TargetService::StartCall(const Id128& id) {
+  const auto inbound = this->Find(id);
+  if (!inbound) {
+    this->admission.Finished(id, Duration::zero(), false, SteadyClock::now());
+    return;
+  }
+  inbound->started = SteadyClock::now();
+  if (inbound->ticket && !this->ledger.Start(*inbound->ticket, inbound->started)) {
+    this->admission.Abandoned(id, inbound->started);
+    this->Refuse(inbound, RefusalReason::kTicketVoid);
+    return;
+  }
+  this->hooks.on_admitted(*inbound, inbound->started - inbound->arrived);
+  LogCall("run", *inbound, "");
+  this->SendToTarget(inbound);
+}
+
+void TargetService::SendToTarget(const CallPointer& inbound) {
+  inbound->context = MakeContext(*inbound);
+  this->contexts.Add(inbound->context);
+  auto request = BuildTargetRequest(inbound->call, this->target->address,
+                                    inbound->context->handle, inbound->deadline);
+  request.fresh_connection = inbound->ticket.has_value();
+  request.max_response_bytes = this->options.max_body_bytes;
+  inbound->request = this->client.Send(
+      std::move(request), [this, inbound](tl::expected<http::Response, http::ClientError> ended) {
+        this->OnTargetEnded(inbound, std::move(ended));
+      });
+}
+
+void TargetService::OnTargetEnded(const CallPointer& inbound,
+                                  tl::expected<http::Response, http::ClientError> ended) {
+  if (!this->Find(inbound->id)) return;  // Cancelled in the meantime.
+  if (ended) {
+    this->OnTargetAnswer(inbound, std::move(*ended));
+  } else {
+    this->OnTargetError(inbound, ended.error());
+  }
+}
+
+void TargetService::OnTargetAnswer(const CallPointer& inbound, http::Response response) {
+  const SteadyTime now = SteadyClock::now();
+  const Duration service_time = now - inbound->started;
+  const bool server_error = response.status >= kFirstServerErrorStatus;
+  const bool child_failed = inbound->context->child_failed;
+  if (!server_error) {
+    this->admission.Finished(inbound->id, service_time, true, now);
+  } else if (response.status == kServiceUnavailableStatus && !child_failed) {
+    this->admission.Finished(inbound->id, service_time, false, now);
+  } else {
+    this->admission.Abandoned(inbound->id, now);
+  }
+  this->hooks.on_answered(*inbound, service_time);
+  LogCall("answered", *inbound, "status=" + std::to_string(response.status));
+  peer::Answer answer;
+  auto& head = answer.head;
+  head.set_outcome(Outcome::OUTCOME_ANSWERED);
+  head.set_status(static_cast<std::uint32_t>(response.status));
+  if (server_error && child_failed) {
+    head.set_reason(
+        std::string(policy::kRefusalReasonNames.NameOf(RefusalReason::kDownstreamFailed)));
+  }
+  CopyAnswerHeaders(response.headers, &head);
+  head.set_service_us(static_cast<std::uint32_t>(ToMicroseconds(service_time).count()));
+  answer.body = std::move(response.body);
+  if (inbound->ticket) {
+    this->ledger.Complete(*inbound->ticket,
+                          std::make_shared<const std::string>(EncodeAnswer(answer)));
+  }
+  this->Answer(inbound, std::move(answer));
+}
+
+void TargetService::OnTargetError(const CallPointer& inbound, const http::ClientError& error) {
+  const SteadyTime now = SteadyClock::now();
+  const bool never_sent = error.kind == http::ClientErrorKind::kNotSent;
+  this->admission.Finished(inbound->id, now - inbound->started, false, now);
+  LogCall("failed", *inbound,
+          "error=" + std::string(http::kClientErrorKindNames.NameOf(error.kind)));
+  if (never_sent && (!inbound->ticket || this->ledger.WithdrawUnsent(*inbound->ticket))) {
+    this->Refuse(inbound, RefusalReason::kTargetFailed);
+    return;
+  }
+  if (inbound->ticket) this->ledger.FailUnknown(*inbound->ticket);
+  const bool timed_out = error.kind == http::ClientErrorKind::kTimedOut;
+  const auto reason = timed_out ? RefusalReason::kDeadline : RefusalReason::kTargetFailed;
+  this->hooks.on_refused(*inbound, reason);
+  const bool too_large = error.kind == http::ClientErrorKind::kTooLarge;
+  const auto outcome = too_large ? Outcome::OUTCOME_RAN : Outcome::OUTCOME_UNKNOWN;
+  this->Answer(inbound, RefusalAnswer(outcome, reason));
+}
+
+void TargetService::Refuse(const CallPointer& inbound, RefusalReason reason) {
+  LogCall("refused", *inbound,
+          "reason=" + std::string(policy::kRefusalReasonNames.NameOf(reason)));
+  this->hooks.on_refused(*inbound, reason);
+  auto answer = RefusalAnswer(Outcome::OUTCOME_NOT_RUN, reason);
+  if (inbound->ticket) {
+    // The ticket is void before anybody hears "not run", so the refusal stays true.
+    const auto standing = this->ledger.Void(*inbound->ticket, SteadyClock::now());
+    if (standing.state != ClaimState::kVoid) {
+      answer = RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kOutcomeUnknown);
+    }
+    if (standing.successor) *answer.head.mutable_successor() = ToMessage(*standing.successor);
+  }
+  this->Answer(inbound, std::move(answer));
+}
+
+void TargetService::Answer(const CallPointer& inbound, peer::Answer answer) {
+  this->calls.erase(inbound->id);
+  if (inbound->ticket) this->running_tickets.erase(inbound->ticket->nonce);
+  this->EndContext(inbound);
+  this->FillLoad(&answer.head, *inbound);
+  const auto& context = inbound->context;
+  const std::uint32_t lent = inbound->call.head.retry_allotment();
+  const std::uint32_t unused = context ? context->allotment->Remaining() : lent;
+  for (const auto& joined : inbound->joined) {
+    this->ReplyTo(joined.call_id, joined.reply, joined.lent, answer);
+  }
+  const bool all_spent = lent > 0 && unused == 0;
+  const bool failed = answer.head.outcome() != Outcome::OUTCOME_ANSWERED ||
+                      answer.head.status() >= kFirstServerErrorStatus;
+  const bool child_final = context && context->child_final;
+  answer.head.set_final(failed && (all_spent || child_final));
+  this->ReplyTo(inbound->call.head.call_id(), inbound->reply, unused, std::move(answer));
+}
+
+void TargetService::ReplyTo(const std::string& call_id, const Reply& reply,
+                            std::uint32_t unused_retries, peer::Answer answer) {
+  answer.head.set_call_id(call_id);
+  answer.head.set_unused_retries(unused_retries);
+  reply(std::move(answer));
+}
+
+void TargetService::FillLoad(peer::pb::AnswerHead* head, const InboundCall& inbound) {
+  const SteadyTime now = SteadyClock::now();
+  auto level = this->admission.Level();
+  if (inbound.context) level = std::min(level, inbound.context->tightest_level);
+  head->mutable_level()->set_rank(level.rank);
+  head->mutable_level()->set_hash(level.hash);
+  head->set_in_flight(this->admission.InFlight() +
+                      static_cast<std::uint32_t>(this->admission.QueueLength()));
+  head->set_limit(this->admission.Limit(now));
+  head->set_retry_after_ms(
+      static_cast<std::uint32_t>(ToMilliseconds(this->admission.RetryAfter()).count()));
+  const bool has_started = inbound.started != SteadyTime();
+  const Duration queue_time = (has_started ? inbound.started : now) - inbound.arrived;
+  head->set_queue_us(static_cast<std::uint32_t>(ToMicroseconds(queue_time).count()));
+}
+
+void TargetService::EndContext(const CallPointer& inbound) {
+  if (!inbound->context) return;
+  this->contexts.Remove(inbound->context->handle);
+  const auto cancels = std::exchange(inbound->context->child_cancels, {});
+  for (const auto& [id, cancel] : cancels) cancel();
+}
+
+void TargetService::OnCancel(const Id128& call_id) {
+  const auto inbound = this->Find(call_id);
+  if (!inbound) return;
+  const SteadyTime now = SteadyClock::now();
+  const bool queued = !inbound->context;
+  if (queued) {
+    // Whoever joined the call still waits for it.
+    if (!inbound->joined.empty() || !this->admission.Cancel(call_id, now)) return;
+    if (inbound->ticket) {
+      this->ledger.Void(*inbound->ticket, now);
+      this->running_tickets.erase(inbound->ticket->nonce);
+    }
+    this->calls.erase(call_id);
+    this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
+    return;
+  }
+  // The answer of a call that runs at most once is kept for whoever asks under its ticket.
+  if (inbound->ticket) return;
+  this->calls.erase(call_id);
+  this->client.Cancel(inbound->request);
+  this->EndContext(inbound);
+  this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
+  this->admission.Abandoned(call_id, now);
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/target_service.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "common/clock.h"
+#include "common/id128.h"
+#include "common/timer_subscription.h"
+#include "http/client.h"
+#include "node/inbound_call.h"
+#include "node/target_address.h"
+#include "peer/link_server.h"
+#include "policy/admission_controller.h"
+#include "policy/refusal_reason.h"
+#include "policy/ticket_ledger.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+
+namespace fireflyrun::node {
+
+class ContextTable;
+
+/// The target's side of a node: admits calls, keeps the ledger of tickets, hands calls to the local
+/// target over HTTP and answers them. A call refused here was not run, and never will be under its
+/// ticket.
+class TargetService {
+ public:
+  using Reply = peer::LinkServer::Reply;
+
+  struct Options {
+    std::string node;
+    std::uint64_t incarnation = 0;
+    std::size_t max_body_bytes = 0;
+    bool admit_all = false;  ///< Baseline for benchmarks: no shedding, first in first out.
+  };
+
+  struct Hooks {
+    /// A call left the queue for the target, was refused, or was answered.
+    std::function<void(const InboundCall&, Duration queue_time)> on_admitted;
+    std::function<void(const InboundCall&, policy::RefusalReason)> on_refused;
+    std::function<void(const InboundCall&, Duration service_time)> on_answered;
+  };
+
+  TargetService(TimerService& timer_service, http::Client& http_client, ContextTable& context_table,
+                Options service_options, Hooks service_hooks);
+  ~TargetService();
+  TargetService(const TargetService&) = delete;
+  TargetService& operator=(const TargetService&) = delete;
+
+  /// Sets or changes the target; calls in flight go on.
+  void SetTarget(TargetAddress address);
+  /// The target announced nothing for too long.
+  void WithdrawTarget();
+  /// No new call is taken; what runs finishes.
+  void SetLeaving(bool is_leaving);
+
+  /// Takes one call; `reply` is used exactly once, unless the call is cancelled.
+  void OnCall(peer::Call call, Reply reply);
+  /// The caller is gone: a queued call is dropped, an idempotent one is ended at the target too.
+  void OnCancel(const Id128& call_id);
+
+  std::uint32_t TicketWindow();
+  policy::Ticket MintOwnTicket();
+
+  std::size_t OpenCalls() const { return this->calls.size(); }
+  const policy::AdmissionController& Admission() const { return this->admission; }
+  const policy::TicketLedger& Ledger() const { return this->ledger; }
+
+ private:
+  using CallPointer = std::shared_ptr<InboundCall>;
+
+  bool ClaimTicket(const CallPointer& inbound);
+  void Join(const CallPointer& inbound);
+  void Offer(const CallPointer& inbound);
+  void StartCall(const Id128& id);
+  void SendToTarget(const CallPointer& inbound);
+  void OnTargetEnded(const CallPointer& inbound,
+                     tl::expected<http::Response, http::ClientError> ended);
+  void OnTargetAnswer(const CallPointer& inbound, http::Response response);
+  void OnTargetError(const CallPointer& inbound, const http::ClientError& error);
+  void Refuse(const CallPointer& inbound, policy::RefusalReason reason);
+  /// Answers the call and everything joined to it, and forgets it.
+  void Answer(const CallPointer& inbound, peer::Answer answer);
+  void ReplyTo(const std::string& call_id, const Reply& reply, std::uint32_t unused_retries,
+               peer::Answer answer);
+  void FillLoad(peer::pb::AnswerHead* head, const InboundCall& inbound);
+  void EndContext(const CallPointer& inbound);
+  CallPointer Find(const Id128& id) const;
+
+  TimerService& timers;
+  http::Client& client;
+  ContextTable& contexts;
+  Options options;
+  Hooks hooks;
+  policy::TicketLedger ledger;
+  policy::AdmissionController admission;
+  std::optional<TargetAddress> target;
+  bool leaving = false;
+  std::unordered_map<Id128, CallPointer> calls;
+  std::unordered_map<Id128, Id128> running_tickets;  ///< Nonce to the id of the call it runs in.
+  TimerSubscription tick_timer;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/ticket_source.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace fireflyrun::node {
+
+/// Where the ticket of a non-idempotent call comes from.
+enum class TicketSource {
+  kNone,    ///< The call is idempotent.
+  kCaller,  ///< The caller's key is itself a ticket.
+  kStore,   ///< The caller's key is bound to a ticket in the store.
+  kParent,  ///< The key is bound in memory of the parent call, which itself runs at most once.
+  kFresh,   ///< No key: a ticket of its own, never sent again by another request.
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/tests/integration/fleet.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/integration/host_layout.h"
+#include "tests/integration/http_call.h"
+#include "tests/integration/process.h"
+
+namespace fireflyrun::integration {
+
+/// A store stand-in, nodes and targets as real processes on loopback. Every host has an address of
+/// its own in 127.0.0.0/8, derived from this process's id, so that test programs can run side by
+/// side.
+class Fleet {
+ public:
+  /// Starts the store and writes `records` (the text of a records file), then starts the hosts.
+  Fleet(std::vector<HostLayout> hosts, const std::string& records);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// Every node holds the records and sees every target; false after `limit`.
+  bool WaitReady(std::chrono::milliseconds limit = std::chrono::seconds(20));
+
+  std::string CallerUrl(const std::string& node) const;
+  std::string AdminUrl(const std::string& node) const;
+  std::string StoreUrl() const;
+  std::string Address(const std::string& node) const;
+
+  /// A call through a node; `headers` are `Name: value`.
+  HttpAnswer Call(const std::string& node, const std::string& method, const std::string& path,
+                  std::vector<std::string> headers = {}, std::string body = "");
+
+  Process& NodeProcess(const std::string& node);
+  Process& TargetProcess(const std::string& node);
+  Process& StoreProcess() { return *this->store; }
+
+  /// Starts another process for a node or target that has ended.
+  void StartNode(const std::string& node);
+  void StartTarget(const std::string& node);
+
+  /// Switches a fault of the store stand-in, or of a node's target, on or off.
+  void SetStoreFault(const std::string& json) const;
+  void SetTargetFault(const std::string& node, const std::string& json) const;
+
+  /// What the target of a node has run: the text of its `GET /runs?full=1`.
+  std::string Runs(const std::string& node) const;
+  /// Runs of all targets of the fleet whose key is `key`.
+  int RunsOfKey(const std::string& key) const;
+
+  /// Runs `fireflyrun SUBCOMMAND ...` with the fleet's store; its exit status and output.
+  struct CommandResult {
+    int status = 0;
+    std::string output;
+    std::string errors;
+  };
+  CommandResult Command(std::vector<std::string> arguments) const;
+  /// Writes a file into the fleet's folder; its path.
+  std::string WriteFile(const std::string& name, const std::string& text) const;
+
+ private:
+  struct Host {
+    HostLayout layout;
+    std::string address;
+    std::unique_ptr<Process> node;
+    std::unique_ptr<Process> target;
+    std::string target_url;
+  };
+
+  void StartStore();
+  Host& Find(const std::string& node);
+  const Host& Find(const std::string& node) const;
+  std::string SeeAllTargets(const Host& host) const;
+  std::string Seeds() const;
+
+  std::string folder;
+  std::string address_prefix;
+  std::string store_address;
+  std::unique_ptr<Process> store;
+  std::vector<Host> hosts;
+  mutable int commands = 0;
+  int starts = 0;
+};
+
+/// Records for the three-service chain used by most tests: `entry` (idempotent, class `status`),
+/// `middle`, `deep`, and `filings` (not idempotent, class `critical`).
+std::string ChainRecords();
+
+}  // namespace fireflyrun::integration
