Declare the policy library's interfaces

Cause: the node is wired against the decisions while they are written. The headers name each decision as a pure class: time is passed in, random numbers and effects are hooks. Ruled out: a fixed queue order by arrival (does not keep whole requests), loans without ids (a duplicate return could mint retries).

--- /dev/null
+++ b/src/policy/admission_controller.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <unordered_set>
+#include <variant>
+
+#include "common/clock.h"
+#include "common/id128.h"
+#include "policy/admission_hooks.h"
+#include "policy/admission_level.h"
+#include "policy/admission_options.h"
+#include "policy/admission_queue.h"
+#include "policy/admission_request.h"
+#include "policy/concurrency_limit.h"
+
+namespace fireflyrun::policy {
+
+/// Decides at the target's node which calls run, wait or are refused.
+///
+/// Hooks are called from within the events below, after the state has changed; a hook may call the
+/// controller again but must not destroy it. `Tick` is due every `kTickInterval`.
+class AdmissionController {
+ public:
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+
+  AdmissionController(AdmissionOptions admission_options, AdmissionHooks admission_hooks,
+                      SteadyTime now);
+  AdmissionController(const AdmissionController&) = delete;
+  AdmissionController& operator=(const AdmissionController&) = delete;
+
+  /// The target's announced slots; 0 while there is none, when queued calls are refused
+  /// `kNoTarget`.
+  void SetSlots(std::uint32_t slots, SteadyTime now);
+  /// The target is leaving: queued and new calls are refused `kLeaving`; calls in flight finish.
+  void SetLeaving(bool is_leaving, SteadyTime now);
+
+  /// Leads to exactly one of `start` and `refuse`, at once or later, unless `Cancel` comes first.
+  void Offer(const AdmissionRequest& request, SteadyTime now);
+  /// A started call ended; `ok` is false for timeouts and broken exchanges. Unknown ids are
+  /// ignored.
+  void Finished(const Id128& id, Duration service_time, bool ok, SteadyTime now);
+  /// True if the call was queued: it is removed and no hook follows. A call in flight is not
+  /// affected and still has to be `Finished`.
+  bool Cancel(const Id128& id, SteadyTime now);
+  /// Drops queued calls that can't meet their deadline, and adapts the level.
+  void Tick(SteadyTime now);
+
+  PriorityKey Level() const { return this->level.Level(); }
+  std::uint32_t InFlight() const { return static_cast<std::uint32_t>(this->in_flight.size()); }
+  std::uint32_t Limit(SteadyTime now) const { return this->limit.Limit(now); }
+  std::size_t QueueLength() const { return this->queue.Size(); }
+  /// When a refused caller may reasonably try again, from now.
+  Duration RetryAfter() const;
+  /// What a call is expected to need at the target. Falls while no call completes, so that a long
+  /// estimate can't keep out the calls that would correct it.
+  Duration ExpectedService(SteadyTime now) const;
+
+ private:
+  struct Empty {};
+  using Queue = AdmissionQueue<Empty>;
+  struct Action {
+    Id128 id;
+    RefusalReason refusal = RefusalReason::kNone;  ///< kNone: start.
+  };
+
+  void StartQueued(SteadyTime now);
+  void RefuseAll(RefusalReason reason);
+  void RefuseEntries(const std::vector<Queue::Entry>& entries, RefusalReason reason);
+  void RunActions();
+  void EndInterval(SteadyTime now);
+  bool Overloaded() const;
+  void NoteQueue();
+
+  AdmissionOptions options;
+  AdmissionHooks hooks;
+  ConcurrencyLimit limit;
+  AdmissionLevel level;
+  Queue queue;
+  std::unordered_set<Id128> in_flight;
+  std::deque<Action> actions;
+  bool running_actions = false;
+  bool leaving = false;
+  SteadyTime interval_start;
+  std::size_t shortest_queue = 0;  ///< In this interval.
+  std::uint32_t offered_in_interval = 0;
+  double service_seconds = 0;  ///< Smoothed service time of successes; 0 before the first.
+  SteadyTime last_completion;
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/admission_level.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+
+#include "policy/priority_key.h"
+
+namespace fireflyrun::policy {
+
+/// A node's admission level, adapted once an interval from what was offered and completed (after
+/// the priority-based admission of DAGOR, Zhou et al. 2018).
+///
+/// The hash space of each rank is divided into buckets, and the demand offered in each is
+/// remembered, also while the level hides it. Under overload the level is cut to where the demand
+/// in order of favour equals the calls that the target completes; else it reopens in steps, each
+/// limited by the demand it lets in.
+class AdmissionLevel {
+ public:
+  /// Counts an offered call, whether it is admitted or not.
+  void OnOffered(const PriorityKey& key);
+  /// Counts a call that the target completed.
+  void OnCompleted() { this->completed_now += 1; }
+  /// Ends an interval of `seconds`.
+  void EndInterval(double seconds, bool overloaded);
+
+  const PriorityKey& Level() const { return this->level; }
+  bool Admits(const PriorityKey& key) const { return key <= this->level; }
+  /// Calls completed a second, smoothed.
+  double CompletedRate() const { return this->completed_rate; }
+
+ private:
+  struct Demand {
+    double rate = 0;  ///< Calls a second, smoothed.
+    std::uint32_t offered = 0;
+    std::uint32_t idle_intervals = 0;
+  };
+  using BucketId = std::uint64_t;
+
+  static BucketId BucketOf(const PriorityKey& key);
+  static PriorityKey LevelAfter(BucketId last_admitted);
+  void MeasureRates(double seconds);
+  double AdmittedDemand() const;
+  void Tighten();
+  void Loosen();
+  /// The bucket after `bucket`, or the first of the next known rank; kNoBucket if there is none.
+  BucketId NextBucket(BucketId bucket) const;
+
+  std::map<BucketId, Demand> demands;
+  PriorityKey level = kOpenLevel;
+  double completed_rate = 0;
+  std::uint32_t completed_now = 0;
+  std::uint32_t loosen_step = 1;
+  bool measured = false;
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/admission_options.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+
+#include "common/clock.h"
+
+namespace fireflyrun::policy {
+
+struct AdmissionOptions {
+  std::size_t queue_capacity = 256;
+  /// A standing queue that takes longer than this to drain tightens the level.
+  Duration queue_target = std::chrono::milliseconds(20);
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/claim_result.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "common/enum_names.h"
+#include "policy/ticket.h"
+
+namespace fireflyrun::policy {
+
+/// What a claim of a ticket found.
+enum class ClaimState {
+  kRun,               ///< First arrival: the claimant brings the call to admission.
+  kRunning,           ///< Already claimed or started: the claimant waits for its answer.
+  kAnswered,          ///< Ran; the answer is given.
+  kRanAnswerDropped,  ///< Ran; the answer is no longer retained.
+  kOutcomeUnknown,    ///< Started; what became of it is not known. Never run again.
+  kVoid,              ///< Refused before it ran, and never will; the successor, if any, may.
+  kForgotten,         ///< The window is too old or in the future; not run, but it may have been.
+  kWrongIncarnation,  ///< For another node or incarnation; never run here, but it may have been.
+  kLedgerFull,        ///< Did not run and never will. There is no successor to move to.
+};
+
+inline constexpr EnumNames kClaimStateNames(std::array{
+    std::pair{ClaimState::kRun, std::string_view("run")},
+    std::pair{ClaimState::kRunning, std::string_view("running")},
+    std::pair{ClaimState::kAnswered, std::string_view("answered")},
+    std::pair{ClaimState::kRanAnswerDropped, std::string_view("ran-answer-dropped")},
+    std::pair{ClaimState::kOutcomeUnknown, std::string_view("outcome-unknown")},
+    std::pair{ClaimState::kVoid, std::string_view("void")},
+    std::pair{ClaimState::kForgotten, std::string_view("forgotten")},
+    std::pair{ClaimState::kWrongIncarnation, std::string_view("wrong-incarnation")},
+    std::pair{ClaimState::kLedgerFull, std::string_view("ledger-full")},
+});
+
+struct ClaimResult {
+  ClaimState state = ClaimState::kForgotten;
+  std::optional<Ticket> successor;            ///< With kVoid, if one was ever proposed.
+  std::shared_ptr<const std::string> answer;  ///< With kAnswered, as given to `Complete`.
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/priority_key.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <limits>
+
+#include "common/id128.h"
+
+namespace fireflyrun::policy {
+
+/// The order in which calls are favoured under load: by rank, then by a hash of the root request,
+/// so that every hop favours the same requests. Lower is favoured.
+struct PriorityKey {
+  std::uint32_t rank = 0;
+  std::uint32_t hash = 0;
+
+  auto operator<=>(const PriorityKey&) const = default;
+};
+
+/// The level that admits every key. An admission level is the highest key that is still admitted.
+inline constexpr PriorityKey kOpenLevel{std::numeric_limits<std::uint32_t>::max(),
+                                        std::numeric_limits<std::uint32_t>::max()};
+
+/// The key of a call made for the root request `root_id`; the same at every hop.
+PriorityKey KeyFor(std::uint32_t rank, const Id128& root_id);
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/refusal_reason.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "common/enum_names.h"
+
+namespace fireflyrun::policy {
+
+/// Why a call was refused or failed without the target's own answer.
+enum class RefusalReason {
+  kNone,
+  kOverload,          ///< Dropped from the queue because the node's admission level tightened.
+  kQueueFull,         ///< Evicted from the admission queue as its least favoured entry.
+  kDeadline,          ///< The deadline passed, or could not be met any more.
+  kLeaving,           ///< The target takes no new calls.
+  kNoTarget,          ///< The service has no target that takes calls.
+  kUnreachable,       ///< The service has targets, but none can be reached from here.
+  kRetryExhausted,    ///< Neither the allotment nor the budget holds another retry.
+  kTicketVoid,        ///< The ticket was refused before and has a successor.
+  kTicketForgotten,   ///< The ticket's window is no longer, or not yet, remembered.
+  kTicketLimit,       ///< The ticket's window holds as many tickets as it may.
+  kWrongIncarnation,  ///< The ticket was issued for another node or incarnation.
+  kAnswerDropped,     ///< The call ran; its answer is no longer retained.
+  kOutcomeUnknown,    ///< The call was started and what became of it is not known.
+  kStoreUnavailable,  ///< A key could not be bound because the store did not answer.
+  kKeyLimit,          ///< The parent call holds as many key bindings as it may.
+  kAdmissionLevel,    ///< The call's key is beyond the admission level.
+  kCancelled,         ///< The caller went away.
+  kTargetFailed,      ///< The target closed, broke or garbled the exchange.
+  kLinkLost,          ///< The link to the target's node was lost.
+  kLinkBudget,        ///< The inter-region byte budget is spent.
+  kUnknownService,    ///< No record describes the service.
+  kNotReady,          ///< The node holds no configuration yet.
+  kBadRequest,        ///< The call itself is malformed.
+  kBodyTooLarge,
+};
+
+inline constexpr EnumNames kRefusalReasonNames(std::array{
+    std::pair{RefusalReason::kNone, std::string_view("none")},
+    std::pair{RefusalReason::kOverload, std::string_view("overload")},
+    std::pair{RefusalReason::kQueueFull, std::string_view("queue-full")},
+    std::pair{RefusalReason::kDeadline, std::string_view("deadline")},
+    std::pair{RefusalReason::kLeaving, std::string_view("leaving")},
+    std::pair{RefusalReason::kNoTarget, std::string_view("no-target")},
+    std::pair{RefusalReason::kUnreachable, std::string_view("unreachable")},
+    std::pair{RefusalReason::kRetryExhausted, std::string_view("retry-exhausted")},
+    std::pair{RefusalReason::kTicketVoid, std::string_view("ticket-void")},
+    std::pair{RefusalReason::kTicketForgotten, std::string_view("ticket-forgotten")},
+    std::pair{RefusalReason::kTicketLimit, std::string_view("ticket-limit")},
+    std::pair{RefusalReason::kWrongIncarnation, std::string_view("wrong-incarnation")},
+    std::pair{RefusalReason::kAnswerDropped, std::string_view("answer-dropped")},
+    std::pair{RefusalReason::kOutcomeUnknown, std::string_view("outcome-unknown")},
+    std::pair{RefusalReason::kStoreUnavailable, std::string_view("store-unavailable")},
+    std::pair{RefusalReason::kKeyLimit, std::string_view("key-limit")},
+    std::pair{RefusalReason::kAdmissionLevel, std::string_view("admission-level")},
+    std::pair{RefusalReason::kCancelled, std::string_view("cancelled")},
+    std::pair{RefusalReason::kTargetFailed, std::string_view("target-failed")},
+    std::pair{RefusalReason::kLinkLost, std::string_view("link-lost")},
+    std::pair{RefusalReason::kLinkBudget, std::string_view("link-budget")},
+    std::pair{RefusalReason::kUnknownService, std::string_view("unknown-service")},
+    std::pair{RefusalReason::kNotReady, std::string_view("not-ready")},
+    std::pair{RefusalReason::kBadRequest, std::string_view("bad-request")},
+    std::pair{RefusalReason::kBodyTooLarge, std::string_view("body-too-large")},
+});
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/retry_loan.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <cstdint>
+
+namespace fireflyrun::policy {
+
+/// Retries that one call lends to a call made for it.
+struct RetryLoan {
+  std::uint32_t id = 0;  ///< Unique among the loans of one `RetryAllotment`.
+  std::uint32_t amount = 0;
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/target_chooser.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "common/clock.h"
+#include "policy/call_outcome.h"
+#include "policy/candidate.h"
+#include "policy/heard_load.h"
+#include "policy/level_table.h"
+#include "policy/refusal_reason.h"
+#include "policy/target_choice.h"
+#include "policy/target_chooser_hooks.h"
+#include "policy/target_chooser_options.h"
+#include "policy/target_load.h"
+#include "policy/target_query.h"
+
+namespace fireflyrun::policy {
+
+/// Chooses the target node for each call.
+///
+/// The nearest tier with a target that admits the call's key and is not saturated is taken: own
+/// zone, then own region. If all are saturated, the nearest tier that admits the key at all. The
+/// other regions are considered only if none in the own one admits the key, for classes that may
+/// leave it and within the byte budget. Within a tier: a stable subset, and of two drawn at random
+/// the less loaded one (Mitzenmacher 2001). Targets seen first a short time ago count as more
+/// loaded than they are. Targets that fail are ejected, at most half of a subset and none if all of
+/// it fails.
+class TargetChooser {
+ public:
+  TargetChooser(TargetChooserOptions chooser_options, TargetChooserHooks chooser_hooks);
+
+  /// Errors: kNoTarget (no target that takes calls), kUnreachable (those that do are unreachable or
+  /// excluded), kAdmissionLevel (all permitted tiers refuse the key), kLinkBudget (only other
+  /// regions would take it and the budget is spent).
+  tl::expected<TargetChoice, RefusalReason> Choose(const TargetQuery& query,
+                                                   const std::vector<Candidate>& candidates,
+                                                   SteadyTime now);
+
+  /// A call was sent to `node`; `OnAnswered` must follow.
+  void OnSent(std::string_view node);
+  /// `level` is nullopt when the answer told none (a timeout, a lost link).
+  void OnAnswered(std::string_view service, std::string_view node, CallOutcome outcome,
+                  Duration latency, const HeardLoad& load, const std::optional<PriorityKey>& level,
+                  SteadyTime now);
+  /// Drops all that is known of a node that is gone for good.
+  void Forget(std::string_view node);
+
+  const LevelTable& Levels() const { return this->levels; }
+  /// Nullptr if nothing was sent to the node.
+  const TargetLoad* LoadOf(std::string_view node) const;
+
+ private:
+  struct Known {
+    std::uint64_t incarnation = 0;
+    TargetLoad load;
+  };
+  /// The targets of one tier that may get the call, from all to the best.
+  struct Pool {
+    std::vector<const Candidate*> usable;
+    std::vector<const Candidate*> admitting;
+    std::vector<const Candidate*> unsaturated;
+  };
+
+  TargetTier TierOf(const Candidate& candidate) const;
+  Pool PoolOf(TargetTier tier, const TargetQuery& query, const std::vector<Candidate>& candidates,
+              SteadyTime now);
+  std::vector<const Candidate*> WithoutEjected(std::vector<const Candidate*> subset,
+                                               SteadyTime now);
+  TargetChoice PickLessLoaded(const std::vector<const Candidate*>& targets, TargetTier tier,
+                              SteadyTime now);
+  double Score(const Candidate& candidate, SteadyTime now);
+  bool Saturated(const Candidate& candidate, SteadyTime now);
+  Known& KnownOf(const Candidate& candidate);
+
+  TargetChooserOptions options;
+  TargetChooserHooks hooks;
+  LevelTable levels;
+  std::map<std::string, Known, std::less<>> known_targets;
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/target_load.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+
+#include "common/clock.h"
+#include "policy/call_outcome.h"
+#include "policy/heard_load.h"
+
+namespace fireflyrun::policy {
+
+/// What this node has observed of one target node: calls in flight, load heard, failures, ejection.
+class TargetLoad {
+ public:
+  void OnSent() { this->in_flight += 1; }
+  void OnAnswered(CallOutcome outcome, Duration latency, const HeardLoad& heard, SteadyTime now);
+
+  /// Calls in flight as far as known: heard, corrected by what was sent and answered here since.
+  double InFlight(SteadyTime now) const;
+  std::uint32_t InFlightFromHere() const { return this->in_flight; }
+  /// The limit heard lately, otherwise `slots`.
+  double Limit(std::uint32_t slots, SteadyTime now) const;
+  /// Smoothed time of successes; 0 before the first.
+  double LatencySeconds() const { return this->latency_seconds; }
+
+  /// Ejected for its failures: it gets no calls, or after the ejection time one probe at a time,
+  /// until one succeeds.
+  bool Ejected() const { return this->ejected; }
+  bool ProbeDue(SteadyTime now) const;
+  SteadyTime EjectedUntil() const { return this->ejected_until; }
+
+ private:
+  void OnFailure(SteadyTime now);
+  void OnSuccess(Duration latency);
+  void Eject(SteadyTime now);
+
+  std::uint32_t in_flight = 0;
+  HeardLoad heard_load;
+  std::uint32_t in_flight_when_heard = 0;
+  SteadyTime heard_at;
+  double latency_seconds = 0;
+  double failure_share = 0;  ///< Smoothed over calls.
+  std::uint32_t observed = 0;
+  std::uint32_t consecutive_failures = 0;
+  std::uint32_t ejections = 0;
+  std::uint32_t successes_since_ejection = 0;
+  bool ejected = false;
+  SteadyTime ejected_until;
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/ticket.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "common/id128.h"
+
+namespace fireflyrun::policy {
+
+/// The right to run one non-idempotent call once, on one incarnation of one node.
+struct Ticket {
+  std::string node;
+  std::uint64_t incarnation = 0;
+  std::uint32_t window = 0;  ///< The node's ticket window when the ticket was minted.
+  Id128 nonce;
+
+  /// A new ticket with a random nonce.
+  static Ticket Mint(std::string node, std::uint64_t incarnation, std::uint32_t window);
+  /// Parses the form that `ToText` gives; anything else, also a variant spelling, gives nullopt.
+  static std::optional<Ticket> FromText(std::string_view text);
+
+  /// `ff1.INCARNATION.WINDOW.NONCE.NODE`, a valid HTTP token (RFC 9110): the incarnation and the
+  /// nonce in hexadecimal, the window in decimal, the node with `%XX` for all but letters, digits,
+  /// `.`, `_` and `-`.
+  std::string ToText() const;
+
+  auto operator<=>(const Ticket&) const = default;
+};
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/ticket_ledger_limits.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "common/clock.h"
+
+namespace fireflyrun::policy {
+
+/// Bounds of a `TicketLedger`'s memory.
+struct TicketLedgerLimits {
+  Duration window_length = std::chrono::minutes(10);
+  std::uint32_t remembered_windows = 4;  ///< The current one included; at least 2.
+  std::size_t entries_per_window = 200'000;
+  std::size_t answer_bytes = 8U << 20;  ///< All retained answers together.
+};
+
+}  // namespace fireflyrun::policy
