Define the policy decisions

Cause: the interfaces had no definitions. Ruled out: a baseline that drifts up under full use (a sustained overload would raise the limit without end); counting fast failures as fast calls; a mean service time without decay for the deadline check (a slow period would refuse every call that could correct it).

--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -1,16 +1,18 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <unordered_set>
-#include <variant>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/id128.h"
 #include "policy/admission_hooks.h"
 #include "policy/admission_level.h"
 #include "policy/admission_options.h"
+#include "policy/admission_pressure.h"
 #include "policy/admission_queue.h"
 #include "policy/admission_request.h"
 #include "policy/concurrency_limit.h"
@@ -34,7 +36,7 @@
   /// `kNoTarget`.
   void SetSlots(std::uint32_t slots, SteadyTime now);
   /// The target is leaving: queued and new calls are refused `kLeaving`; calls in flight finish.
-  void SetLeaving(bool is_leaving, SteadyTime now);
+  void SetLeaving(bool is_leaving);
 
   /// Leads to exactly one of `start` and `refuse`, at once or later, unless `Cancel` comes first.
   void Offer(const AdmissionRequest& request, SteadyTime now);
@@ -43,7 +45,7 @@
   void Finished(const Id128& id, Duration service_time, bool ok, SteadyTime now);
   /// True if the call was queued: it is removed and no hook follows. A call in flight is not
   /// affected and still has to be `Finished`.
-  bool Cancel(const Id128& id, SteadyTime now);
+  bool Cancel(const Id128& id);
   /// Drops queued calls that can't meet their deadline, and adapts the level.
   void Tick(SteadyTime now);
 
@@ -53,7 +55,7 @@
   std::size_t QueueLength() const { return this->queue.Size(); }
   /// When a refused caller may reasonably try again, from now.
   Duration RetryAfter() const;
-  /// What a call is expected to need at the target. Falls while no call completes, so that a long
+  /// What half of the calls need at the target. Falls while no call completes, so that a long
   /// estimate can't keep out the calls that would correct it.
   Duration ExpectedService(SteadyTime now) const;
 
@@ -65,12 +67,18 @@
     RefusalReason refusal = RefusalReason::kNone;  ///< kNone: start.
   };
 
+  /// Why the request is refused at once; kNone if it may wait.
+  RefusalReason Judge(const AdmissionRequest& request, SteadyTime now);
+  void Enqueue(const AdmissionRequest& request, SteadyTime now);
   void StartQueued(SteadyTime now);
-  void RefuseAll(RefusalReason reason);
   void RefuseEntries(const std::vector<Queue::Entry>& entries, RefusalReason reason);
   void RunActions();
+  void DropExpired(SteadyTime now);
   void EndInterval(SteadyTime now);
-  bool Overloaded() const;
+  AdmissionPressure Pressure() const;
+  /// Time that the calls queued need at the rate of completions.
+  double DrainSeconds(std::size_t queued) const;
+  void NoteServiceTime(double seconds);
   void NoteQueue();
 
   AdmissionOptions options;
@@ -83,9 +91,10 @@
   bool running_actions = false;
   bool leaving = false;
   SteadyTime interval_start;
-  std::size_t shortest_queue = 0;  ///< In this interval.
-  std::uint32_t offered_in_interval = 0;
-  double service_seconds = 0;  ///< Smoothed service time of successes; 0 before the first.
+  std::size_t shortest_queue = 0;     ///< In this interval.
+  bool limit_reached = false;         ///< In this interval.
+  std::uint32_t offered_count = 0;    ///< In this interval.
+  double median_service_seconds = 0;  ///< Of successes; 0 before the first.
   SteadyTime last_completion;
 };
 
--- a/src/policy/admission_level.h
+++ b/src/policy/admission_level.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 
+#include "policy/admission_pressure.h"
 #include "policy/priority_key.h"
 
 namespace fireflyrun::policy {
@@ -21,36 +21,36 @@
   void OnOffered(const PriorityKey& key);
   /// Counts a call that the target completed.
   void OnCompleted() { this->completed_now += 1; }
-  /// Ends an interval of `seconds`.
-  void EndInterval(double seconds, bool overloaded);
+  /// Ends an interval of `seconds`, which must be positive.
+  void EndInterval(double seconds, AdmissionPressure pressure);
 
   const PriorityKey& Level() const { return this->level; }
   bool Admits(const PriorityKey& key) const { return key <= this->level; }
   /// Calls completed a second, smoothed.
   double CompletedRate() const { return this->completed_rate; }
+  /// Calls offered a second, smoothed, as far as they are seen or remembered.
+  double OfferedRate() const;
 
  private:
   struct Demand {
     double rate = 0;  ///< Calls a second, smoothed.
     std::uint32_t offered = 0;
-    std::uint32_t idle_intervals = 0;
   };
   using BucketId = std::uint64_t;
 
   static BucketId BucketOf(const PriorityKey& key);
-  static PriorityKey LevelAfter(BucketId last_admitted);
+  /// The level that admits all of a bucket and nothing after it.
+  static PriorityKey LevelOf(BucketId bucket);
   void MeasureRates(double seconds);
-  double AdmittedDemand() const;
+  double AdmittedRate() const;
   void Tighten();
-  void Loosen();
-  /// The bucket after `bucket`, or the first of the next known rank; kNoBucket if there is none.
-  BucketId NextBucket(BucketId bucket) const;
+  void Loosen(double growth);
 
   std::map<BucketId, Demand> demands;
   PriorityKey level = kOpenLevel;
   double completed_rate = 0;
   std::uint32_t completed_now = 0;
-  std::uint32_t loosen_step = 1;
+  std::uint32_t loosen_step = 1;  ///< Buckets.
   bool measured = false;
 };
 
--- a/src/policy/admission_queue.h
+++ b/src/policy/admission_queue.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <set>
@@ -37,7 +38,8 @@
   std::optional<Entry> Push(Entry entry, SteadyTime now) {
     if (this->positions.contains(entry.id)) return entry;
     entry.queued_at = now;
-    const Position position{entry.key, this->next_sequence++};
+    const Position position{entry.key, this->next_sequence};
+    this->next_sequence += 1;
     this->positions.emplace(entry.id, position);
     this->by_latest_start.emplace(entry.LatestStart(), position);
     this->entries.emplace(position, std::move(entry));
@@ -76,6 +78,13 @@
     return dropped;
   }
 
+  /// Removes all entries, best first.
+  std::vector<Entry> TakeAll() {
+    std::vector<Entry> taken;
+    while (!this->entries.empty()) taken.push_back(this->Extract(this->entries.begin()));
+    return taken;
+  }
+
   /// Removes one entry, if it is queued.
   std::optional<Entry> Remove(const Id128& id) {
     const auto position = this->positions.find(id);
--- /dev/null
+++ b/src/policy/concurrency_limit.cc
@@ -0,0 +1,177 @@
+#include "policy/concurrency_limit.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace fireflyrun::policy {
+namespace {
+
+constexpr Duration kShortestWindow = std::chrono::milliseconds(100);
+constexpr Duration kLongWindow = std::chrono::seconds(1);
+constexpr Duration kLongestWindow = std::chrono::seconds(3);
+constexpr double kMinSamples = 5;
+constexpr double kMaxSamples = 60;
+/// A window that judges a reduction takes so many times the samples of another.
+constexpr double kJudgeSamples = 4;
+
+/// Times per success, relative to the baseline.
+constexpr double kFastGrowthBelow = 1.1;
+constexpr double kGrowthBelow = 1.2;
+constexpr double kTolerance = 1.5;
+
+constexpr double kStrongestReduction = 0.7;
+constexpr double kWeakestReduction = 0.8;
+/// A reduction is judged once the calls in flight fell to this share.
+constexpr double kJudgeInFlight = 0.9;
+/// The part of the fall in calls in flight that the time per success must show.
+constexpr double kResponse = 0.5;
+constexpr double kInUse = 0.9;
+constexpr double kLeastSuccessShare = 0.1;
+
+constexpr double kBaselineFall = 0.1;
+constexpr double kBaselineRise = 0.1;
+constexpr double kBaselineJump = 0.5;
+/// Below this share of the limit, calls in flight can't be the cause of a slower target.
+constexpr double kLittleUse = 0.5;
+
+constexpr Duration kRamp = std::chrono::seconds(5);
+constexpr double kRampStart = 0.1;
+
+double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+}  // namespace
+
+void ConcurrencyLimit::SetCeiling(std::uint32_t slots, SteadyTime now) {
+  if (slots == this->ceiling) return;
+  if (this->ceiling == 0) {
+    this->ramp_start = now;
+    this->limit = slots;
+    this->baseline_seconds = 0;
+    this->reduction = {};
+    this->StartWindow(now);
+  }
+  if (slots > this->ceiling && this->ceiling > 0) this->limit *= double{1} * slots / this->ceiling;
+  this->ceiling = slots;
+  this->limit = std::min<double>(this->limit, slots);
+}
+
+void ConcurrencyLimit::OnSample(Duration service_time, bool ok, std::uint32_t in_flight,
+                                SteadyTime now) {
+  // Calls started before a reduction say nothing of its effect.
+  if (now - service_time < this->reduced_at) return;
+  Window& current = this->window;
+  if (current.Count() == 0) current.start = now;
+  (ok ? current.ok_seconds : current.failed_seconds) += Seconds(service_time);
+  (ok ? current.ok_count : current.failed_count) += 1;
+  current.in_flight_sum += in_flight;
+  current.max_in_flight = std::max(current.max_in_flight, in_flight);
+  if (this->WindowComplete(now)) this->CloseWindow(now);
+}
+
+std::uint32_t ConcurrencyLimit::Limit(SteadyTime now) const {
+  if (this->ceiling == 0) return 0;
+  const double ramp = std::clamp(Seconds(now - this->ramp_start) / Seconds(kRamp), 0.0, 1.0);
+  const double ramp_limit = this->ceiling * (kRampStart + (1 - kRampStart) * ramp);
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::min(this->limit, ramp_limit)));
+}
+
+Duration ConcurrencyLimit::Baseline() const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(this->baseline_seconds));
+}
+
+bool ConcurrencyLimit::WindowComplete(SteadyTime now) const {
+  const Duration age = now - this->window.start;
+  const double judging = this->reduction.pending ? kJudgeSamples : 1;
+  const double wanted = judging * std::clamp(2 * this->limit, kMinSamples, kMaxSamples);
+  const double count = this->window.Count();
+  if (age >= kShortestWindow && count >= wanted) return true;
+  if (age >= kLongWindow && count >= kMinSamples) return true;
+  return age >= kLongestWindow;
+}
+
+void ConcurrencyLimit::CloseWindow(SteadyTime now) {
+  const Window closed = this->window;
+  this->StartWindow(now);
+  if (closed.ok_count == 0) {
+    this->reduction = {};
+    this->limit = std::max(1.0, this->limit * kStrongestReduction);
+    return;
+  }
+  const double seconds = this->SecondsPerSuccess(closed);
+  const double in_flight = closed.in_flight_sum / closed.Count();
+  if (this->baseline_seconds == 0) this->baseline_seconds = seconds;
+  if (this->UndoUselessReduction(seconds, in_flight)) return;
+  this->AdaptBaseline(seconds, in_flight);
+  const double ratio = seconds / this->baseline_seconds;
+  if (ratio > kTolerance) {
+    this->Reduce(kTolerance / ratio, seconds, in_flight, now);
+    return;
+  }
+  this->reduction = {};
+  if (closed.max_in_flight >= kInUse * this->limit) this->Grow(ratio);
+}
+
+double ConcurrencyLimit::SecondsPerSuccess(const Window& closed) const {
+  // A quick failure must not make the target look fast.
+  const double failed_seconds =
+      std::max(closed.failed_seconds, closed.failed_count * this->baseline_seconds);
+  const double count = closed.Count();
+  const double success_share = std::max(closed.ok_count / count, kLeastSuccessShare);
+  return (closed.ok_seconds + failed_seconds) / count / success_share;
+}
+
+void ConcurrencyLimit::AdaptBaseline(double seconds, double mean_in_flight) {
+  if (seconds < this->baseline_seconds * kBaselineJump) {
+    this->baseline_seconds = seconds;
+    return;
+  }
+  const double change = seconds - this->baseline_seconds;
+  if (change < 0) {
+    this->baseline_seconds += kBaselineFall * change;
+    return;
+  }
+  if (mean_in_flight <= 1) {
+    // A single call has nothing to queue behind.
+    this->baseline_seconds = seconds;
+    return;
+  }
+  if (mean_in_flight <= kLittleUse * this->limit) this->baseline_seconds += kBaselineRise * change;
+}
+
+void ConcurrencyLimit::Reduce(double factor, double seconds, double mean_in_flight,
+                              SteadyTime now) {
+  if (!this->reduction.pending) {
+    this->reduction = {true, this->limit, mean_in_flight, seconds};
+  }
+  // A limit well above the use would take many steps to have an effect.
+  const double used = std::min(this->limit, mean_in_flight);
+  const double share = std::clamp(factor, kStrongestReduction, kWeakestReduction);
+  this->limit = std::max(1.0, std::floor(used * share));
+  this->reduced_at = now;
+}
+
+bool ConcurrencyLimit::UndoUselessReduction(double seconds, double mean_in_flight) {
+  if (!this->reduction.pending) return false;
+  const double in_flight_share = mean_in_flight / this->reduction.in_flight;
+  if (in_flight_share > kJudgeInFlight) return false;
+  const Reduction judged = this->reduction;
+  this->reduction = {};
+  const double most_seconds = judged.seconds * (1 - kResponse * (1 - in_flight_share));
+  if (seconds <= most_seconds) return false;
+  this->limit = std::min<double>(judged.limit, this->ceiling);
+  this->baseline_seconds = seconds;
+  return true;
+}
+
+void ConcurrencyLimit::Grow(double ratio) {
+  if (ratio > kGrowthBelow) return;
+  const double speed = ratio < kFastGrowthBelow ? 2 : 1;
+  const double step = std::max(1.0, speed * std::sqrt(this->limit));
+  this->limit = std::min<double>(this->ceiling, this->limit + step);
+}
+
+void ConcurrencyLimit::StartWindow(SteadyTime now) { this->window = {.start = now}; }
+
+}  // namespace fireflyrun::policy
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -55,12 +55,12 @@
 
   bool WindowComplete(SteadyTime now) const;
   void CloseWindow(SteadyTime now);
-  double SecondsPerSuccess() const;
+  double SecondsPerSuccess(const Window& closed) const;
   void AdaptBaseline(double seconds, double mean_in_flight);
   void Reduce(double factor, double seconds, double mean_in_flight, SteadyTime now);
   /// True if the reduction was judged and undone.
   bool UndoUselessReduction(double seconds, double mean_in_flight);
-  void Grow(double seconds);
+  void Grow(double ratio);
   void StartWindow(SteadyTime now);
 
   std::uint32_t ceiling = 0;
--- /dev/null
+++ b/src/policy/target_chooser.cc
@@ -0,0 +1,180 @@
+#include "policy/target_chooser.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "policy/target_subset.h"
+
+namespace fireflyrun::policy {
+namespace {
+
+constexpr Duration kWarmUp = std::chrono::seconds(5);
+constexpr double kLeastWarmth = 0.1;
+
+bool TakesCalls(const Candidate& candidate) { return !candidate.leaving && candidate.slots > 0; }
+
+double Warmth(const Candidate& candidate, SteadyTime now) {
+  const std::chrono::duration<double> age = now - candidate.first_seen;
+  return std::clamp(age / std::chrono::duration<double>(kWarmUp), kLeastWarmth, 1.0);
+}
+
+bool IsExcluded(const TargetQuery& query, const Candidate& candidate) {
+  return std::find(query.excluded.begin(), query.excluded.end(), candidate.node) !=
+         query.excluded.end();
+}
+
+}  // namespace
+
+TargetChooser::TargetChooser(TargetChooserOptions chooser_options, TargetChooserHooks chooser_hooks)
+    : options(std::move(chooser_options)), hooks(std::move(chooser_hooks)) {}
+
+tl::expected<TargetChoice, RefusalReason> TargetChooser::Choose(
+    const TargetQuery& query, const std::vector<Candidate>& candidates, SteadyTime now) {
+  if (std::none_of(candidates.begin(), candidates.end(), TakesCalls)) {
+    return tl::unexpected(RefusalReason::kNoTarget);
+  }
+  const Pool zone = this->PoolOf(TargetTier::kZone, query, candidates, now);
+  if (!zone.unsaturated.empty()) {
+    return this->PickLessLoaded(zone.unsaturated, TargetTier::kZone, now);
+  }
+  const Pool region = this->PoolOf(TargetTier::kRegion, query, candidates, now);
+  if (!region.unsaturated.empty()) {
+    return this->PickLessLoaded(region.unsaturated, TargetTier::kRegion, now);
+  }
+  if (!zone.admitting.empty()) return this->PickLessLoaded(zone.admitting, TargetTier::kZone, now);
+  if (!region.admitting.empty()) {
+    return this->PickLessLoaded(region.admitting, TargetTier::kRegion, now);
+  }
+  bool refused = !zone.usable.empty() || !region.usable.empty();
+  if (query.call_class.may_leave_region) {
+    const Pool beyond = this->PoolOf(TargetTier::kBeyond, query, candidates, now);
+    if (!beyond.admitting.empty()) {
+      if (!this->hooks.take_link_bytes(query.bytes, now)) {
+        return tl::unexpected(RefusalReason::kLinkBudget);
+      }
+      const auto& targets = beyond.unsaturated.empty() ? beyond.admitting : beyond.unsaturated;
+      return this->PickLessLoaded(targets, TargetTier::kBeyond, now);
+    }
+    refused = refused || !beyond.usable.empty();
+  }
+  return tl::unexpected(refused ? RefusalReason::kAdmissionLevel : RefusalReason::kUnreachable);
+}
+
+void TargetChooser::OnSent(std::string_view node) {
+  const auto known = this->known_targets.find(node);
+  if (known != this->known_targets.end()) known->second.load.OnSent();
+}
+
+void TargetChooser::OnAnswered(std::string_view service, std::string_view node, CallOutcome outcome,
+                               Duration latency, const HeardLoad& load,
+                               const std::optional<PriorityKey>& level, SteadyTime now) {
+  const auto known = this->known_targets.find(node);
+  if (known == this->known_targets.end()) return;
+  known->second.load.OnAnswered(outcome, latency, load, now);
+  if (level) this->levels.OnHeard(service, node, *level, now);
+}
+
+void TargetChooser::Forget(std::string_view node) {
+  const auto known = this->known_targets.find(node);
+  if (known != this->known_targets.end()) this->known_targets.erase(known);
+  this->levels.Forget(node);
+}
+
+const TargetLoad* TargetChooser::LoadOf(std::string_view node) const {
+  const auto known = this->known_targets.find(node);
+  return known == this->known_targets.end() ? nullptr : &known->second.load;
+}
+
+TargetTier TargetChooser::TierOf(const Candidate& candidate) const {
+  if (candidate.region != this->options.region) return TargetTier::kBeyond;
+  return candidate.zone == this->options.zone ? TargetTier::kZone : TargetTier::kRegion;
+}
+
+TargetChooser::Pool TargetChooser::PoolOf(TargetTier tier, const TargetQuery& query,
+                                          const std::vector<Candidate>& candidates,
+                                          SteadyTime now) {
+  std::vector<const Candidate*> all;
+  for (const Candidate& candidate : candidates) {
+    const bool eligible = candidate.reachable && TakesCalls(candidate);
+    if (eligible && this->TierOf(candidate) == tier) all.push_back(&candidate);
+  }
+  const auto excluded = [&](const Candidate* candidate) { return IsExcluded(query, *candidate); };
+  Pool pool;
+  pool.usable = this->WithoutEjected(
+      TargetSubset(all, query.service, this->options.node, this->options.subset_size), now);
+  std::erase_if(pool.usable, excluded);
+  if (pool.usable.empty()) {
+    pool.usable = this->WithoutEjected(std::move(all), now);
+    std::erase_if(pool.usable, excluded);
+  }
+  for (const Candidate* candidate : pool.usable) {
+    if (!this->levels.Admits(query.service, candidate->node, query.key, now)) continue;
+    pool.admitting.push_back(candidate);
+    if (!this->Saturated(*candidate, now)) pool.unsaturated.push_back(candidate);
+  }
+  return pool;
+}
+
+std::vector<const Candidate*> TargetChooser::WithoutEjected(std::vector<const Candidate*> subset,
+                                                            SteadyTime now) {
+  std::vector<const Candidate*> ejected;
+  for (const Candidate* candidate : subset) {
+    if (this->KnownOf(*candidate).load.Ejected()) ejected.push_back(candidate);
+  }
+  // When every target fails, the cause is beyond them, and fewer targets would only add to the
+  // load.
+  if (ejected.size() == subset.size()) return subset;
+  const auto longer = [&](const Candidate* one, const Candidate* other) {
+    return this->KnownOf(*one).load.EjectedUntil() > this->KnownOf(*other).load.EjectedUntil();
+  };
+  std::sort(ejected.begin(), ejected.end(), longer);
+  ejected.resize(std::min(ejected.size(), subset.size() / 2));
+  std::erase_if(ejected, [&](const Candidate* candidate) {
+    return this->KnownOf(*candidate).load.ProbeDue(now);
+  });
+  std::erase_if(subset, [&](const Candidate* candidate) {
+    return std::find(ejected.begin(), ejected.end(), candidate) != ejected.end();
+  });
+  return subset;
+}
+
+TargetChoice TargetChooser::PickLessLoaded(const std::vector<const Candidate*>& targets,
+                                           TargetTier tier, SteadyTime now) {
+  const std::size_t first = this->hooks.random_below(targets.size());
+  const Candidate* chosen = targets[first];
+  if (targets.size() > 1) {
+    const std::size_t offset = 1 + this->hooks.random_below(targets.size() - 1);
+    const Candidate* other = targets[(first + offset) % targets.size()];
+    if (this->IsBetter(*other, *chosen, now)) chosen = other;
+  }
+  return {chosen->node, chosen->incarnation, tier};
+}
+
+bool TargetChooser::IsBetter(const Candidate& one, const Candidate& other, SteadyTime now) {
+  const double one_score = this->Score(one, now);
+  const double other_score = this->Score(other, now);
+  if (one_score != other_score) return one_score < other_score;
+  return this->KnownOf(one).load.LatencySeconds() < this->KnownOf(other).load.LatencySeconds();
+}
+
+double TargetChooser::Score(const Candidate& candidate, SteadyTime now) {
+  const TargetLoad& load = this->KnownOf(candidate).load;
+  const double limit = load.Limit(candidate.slots, now) * Warmth(candidate, now);
+  return (load.InFlight(now) + 1) / limit;
+}
+
+bool TargetChooser::Saturated(const Candidate& candidate, SteadyTime now) {
+  const TargetLoad& load = this->KnownOf(candidate).load;
+  return load.InFlight(now) >= load.Limit(candidate.slots, now);
+}
+
+TargetChooser::Known& TargetChooser::KnownOf(const Candidate& candidate) {
+  Known& known = this->known_targets[candidate.node];
+  if (known.incarnation == candidate.incarnation) return known;
+  if (known.incarnation != 0) this->levels.Forget(candidate.node);
+  known = Known{candidate.incarnation, TargetLoad{}};
+  return known;
+}
+
+}  // namespace fireflyrun::policy
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -74,6 +74,7 @@
                                                SteadyTime now);
   TargetChoice PickLessLoaded(const std::vector<const Candidate*>& targets, TargetTier tier,
                               SteadyTime now);
+  bool IsBetter(const Candidate& one, const Candidate& other, SteadyTime now);
   double Score(const Candidate& candidate, SteadyTime now);
   bool Saturated(const Candidate& candidate, SteadyTime now);
   Known& KnownOf(const Candidate& candidate);
--- a/src/policy/ticket_ledger.h
+++ b/src/policy/ticket_ledger.h
@@ -65,26 +65,24 @@
     std::unique_ptr<Ticket> successor;
     std::shared_ptr<const std::string> answer;
   };
-  struct Window {
-    std::unordered_map<Id128, Entry> entries;
-    bool closed = false;
-  };
+  using Window = std::unordered_map<Id128, Entry>;
 
   void Advance(SteadyTime now);
-  void OpenWindow(std::uint32_t number, SteadyTime now);
+  void ForgetWindows();
+  std::uint32_t OldestWindow() const;
   bool IsOwn(const Ticket& ticket) const;
+  bool IsRemembered(const Ticket& ticket) const;
   Entry* Find(const Ticket& ticket);
-  ClaimResult ClaimNew(Window* window, const Ticket& ticket,
-                       const std::optional<Ticket>& proposed_successor);
+  ClaimResult ClaimNew(const Ticket& ticket, const std::optional<Ticket>& proposed_successor);
   void DropOldAnswers();
-  void DropAnswersOf(const Window& window);
+  static void Propose(const std::optional<Ticket>& successor, Entry* entry);
   static ClaimResult Describe(const Entry& entry);
 
   std::string node;
   std::uint64_t incarnation;
   TicketLedgerLimits limits;
   SteadyTime window_start;
-  std::uint32_t current_window = 0;
+  std::uint32_t current_window = 1;
   std::map<std::uint32_t, Window> windows;
   /// Retained answers by age: (window, nonce).
   std::deque<std::pair<std::uint32_t, Id128>> answer_order;
