Lay the headers of records, store and operator commands

Cause: other parts are written against them at the same time. The change: public headers only, nothing implemented.

--- /dev/null
+++ b/src/cli/retire_command.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace fireflyrun::cli {
+
+/// `fireflyrun retire`; `argv[0]` is the subcommand's name. Returns the process's exit code: 0
+/// done, 1 findings, a lost race or a failure, 2 wrong usage.
+int RunRetire(int argc, char** argv);
+
+}  // namespace fireflyrun::cli
--- /dev/null
+++ b/src/records/priority_record.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace fireflyrun::records {
+
+/// A class of calls.
+struct PriorityRecord {
+  std::string name;
+  int rank = 0;  ///< 0 to 63; 0 is shed last.
+  bool may_leave_region = false;
+};
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/record_key.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "records/record_kind.h"
+
+namespace fireflyrun::records {
+
+/// Names one record; schemas of one name stand side by side.
+struct RecordKey {
+  RecordKind kind = RecordKind::kService;
+  std::string name;
+  int schema = 1;
+
+  auto operator<=>(const RecordKey&) const = default;
+};
+
+/// `KIND/NAME/vSCHEMA`.
+std::string FormatRecordKey(const RecordKey& key);
+
+/// The inverse of FormatRecordKey(); accepts schemas that this build does not know.
+std::optional<RecordKey> ParseRecordKey(std::string_view text);
+
+/// True for `[a-z][a-z0-9-]{0,62}`.
+bool IsRecordName(std::string_view name);
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/record_kind.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "common/enum_names.h"
+
+namespace fireflyrun::records {
+
+/// What a record describes.
+enum class RecordKind {
+  kService,         ///< A service: its priority, retry allowance and deadline.
+  kPriority,        ///< A class of calls and when it is shed.
+  kRetryAllowance,  ///< Bounds on retries.
+};
+
+inline constexpr EnumNames kRecordKindNames(std::array{
+    std::pair{RecordKind::kService, std::string_view("service")},
+    std::pair{RecordKind::kPriority, std::string_view("priority")},
+    std::pair{RecordKind::kRetryAllowance, std::string_view("retry_allowance")},
+});
+
+/// The highest schema of `kind` that this build understands; schemas count from 1.
+constexpr int HighestSchema(RecordKind kind) { return kind == RecordKind::kService ? 2 : 1; }
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/service_route.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+namespace fireflyrun::records {
+
+/// What differs from the rest of the service for some of its calls. Unset fields keep the
+/// service's.
+struct ServiceRoute {
+  std::string method;  ///< An HTTP method, or "*" for any.
+  std::string path;    ///< Prefix at segment boundaries, below the service's own path segment.
+  std::optional<std::string> priority;
+  std::optional<bool> idempotent;
+  std::optional<std::chrono::milliseconds> deadline;
+};
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/store/key_binder.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "store/store_error.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+
+namespace fireflyrun::store {
+
+class Store;
+
+/// Binds callers' idempotency keys to tickets in the store, so that every node runs a key's call
+/// under the same ticket. Bindings of one node share a lease of 24 hours that is renewed hourly.
+class KeyBinder {
+ public:
+  /// The ticket that stands after the call, or why it is not known.
+  using Handler = std::function<void(tl::expected<std::string, StoreError>)>;
+
+  KeyBinder(Store& store, TimerService& timers, std::string cluster);
+  ~KeyBinder();
+  KeyBinder(const KeyBinder&) = delete;
+  KeyBinder& operator=(const KeyBinder&) = delete;
+
+  /// Binds `key` to `proposed` unless it is bound already, and hands over the ticket that stands.
+  /// kUnknown means that the binding may exist.
+  void Bind(std::string_view service, std::string_view key, std::string proposed, Handler handler);
+
+  /// Replaces `from_ticket` by `to_ticket` if the former stands, and hands over what stands then.
+  void Move(std::string_view service, std::string_view key, std::string from_ticket,
+            std::string to_ticket, Handler handler);
+
+ private:
+  class Implementation;
+  std::shared_ptr<Implementation> implementation;
+};
+
+}  // namespace fireflyrun::store
--- /dev/null
+++ b/src/store/record_store.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "records/change_set.h"
+#include "records/record.h"
+#include "records/transfer.h"
+#include "store/apply_outcome.h"
+#include "store/record_listing.h"
+#include "store/store_error.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+
+namespace fireflyrun::store {
+
+class Store;
+
+/// The records of one cluster in the store. Handlers and hooks run on the event loop, never inside
+/// the call that takes them, and not after this object is destroyed.
+class RecordStore {
+ public:
+  using ReadHandler = std::function<void(tl::expected<RecordListing, StoreError>)>;
+  using ApplyHandler = std::function<void(ApplyOutcome)>;
+  using ChangeSetHook = std::function<void(records::ChangeSet)>;
+  using TransferHook = std::function<void(records::Transfer)>;
+
+  RecordStore(Store& store, TimerService& timers, std::string cluster);
+  ~RecordStore();
+  RecordStore(const RecordStore&) = delete;
+  RecordStore& operator=(const RecordStore&) = delete;
+
+  void Read(ReadHandler handler);
+
+  /// Writes the records that differ from `read`, all in one transaction, if they still stand as
+  /// read. A write of other records in between is a conflict too, because it may have changed what
+  /// these refer to: read and check again. A lost answer is settled by reading back.
+  void Apply(std::vector<records::Record> records, const RecordListing& read, ApplyHandler handler);
+
+  /// Marks records retired under the same conditions as Apply(); those absent from `read` or
+  /// already retired are left alone.
+  void Retire(std::vector<records::RecordKey> keys, const RecordListing& read,
+              ApplyHandler handler);
+
+  /// Reports every change after `revision`, a book's, in order and without end: change sets while
+  /// the watch holds, and a transfer of all records whenever it had to be made anew or the store
+  /// no longer holds the history. A revision of 0 starts with a transfer. Replaces an earlier
+  /// watch.
+  void WatchFrom(Revision revision, ChangeSetHook on_change_set, TransferHook on_transfer);
+
+  void StopWatch();
+
+ private:
+  class Implementation;
+  std::shared_ptr<Implementation> implementation;
+};
+
+}  // namespace fireflyrun::store
