Check records, keep them in a book and resolve them by call

Cause: nodes need one state of the records that the store once held, and operators need every mistake in a file at once.

--- /dev/null
+++ b/src/records/configuration.cc
@@ -0,0 +1,168 @@
+#include "records/configuration.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "records/json_reader.h"
+#include "records/record_book.h"
+#include "records/record_parser.h"
+
+namespace fireflyrun::records {
+namespace {
+
+bool MatchesPath(std::string_view path, std::string_view prefix) {
+  if (prefix == "/") return true;
+  if (!path.starts_with(prefix)) return false;
+  return path.size() == prefix.size() || path[prefix.size()] == '/';
+}
+
+std::optional<Record> ParseEntry(const RecordEntry& entry, Findings& problems) {
+  const std::string key_text = FormatRecordKey(entry.key);
+  const std::size_t problems_before = problems.size();
+  const auto value = ReadJson(key_text, entry.body, problems);
+  if (!value || problems.size() != problems_before) return std::nullopt;
+  auto record = ParseRecord(*value, key_text + ":/", problems);
+  if (!record) return std::nullopt;
+  if (record->key == entry.key) return record;
+  problems.push_back({key_text, "its body is that of " + FormatRecordKey(record->key)});
+  return std::nullopt;
+}
+
+}  // namespace
+
+/// Resolves a book's records into a configuration.
+class ConfigurationBuilder {
+ public:
+  explicit ConfigurationBuilder(const RecordBook& source)
+      : book(source), result(std::make_shared<Configuration>()) {}
+
+  std::shared_ptr<const Configuration> Build() {
+    this->result->revision = this->book.Revision();
+    this->ChooseRecords();
+    for (const auto& [name, service] : this->chosen_services) {
+      this->AddService(service);
+    }
+    return this->result;
+  }
+
+ private:
+  void Report(const RecordKey& key, std::string message) {
+    this->result->problems.push_back({FormatRecordKey(key), std::move(message)});
+  }
+
+  /// Takes the highest usable schema of each name.
+  void ChooseRecords() {
+    std::set<std::pair<RecordKind, std::string>> chosen;
+    std::map<std::pair<RecordKind, std::string>, RecordKey> too_new;
+    const std::vector<RecordEntry> entries = this->book.Entries();
+    for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
+      const std::pair name(entry->key.kind, entry->key.name);
+      if (entry->retired || chosen.contains(name)) continue;
+      if (entry->key.schema > HighestSchema(entry->key.kind)) {
+        too_new.emplace(name, entry->key);
+        continue;
+      }
+      auto record = ParseEntry(*entry, this->result->problems);
+      if (!record) continue;
+      chosen.insert(name);
+      this->Choose(std::move(*record));
+    }
+    for (const auto& [name, key] : too_new) {
+      if (!chosen.contains(name)) this->Report(key, "no schema of this name is understood");
+    }
+  }
+
+  void Choose(Record record) {
+    if (auto* service = std::get_if<ServiceRecord>(&record.content)) {
+      this->chosen_services.emplace(record.key.name, std::move(*service));
+    } else if (auto* priority = std::get_if<PriorityRecord>(&record.content)) {
+      this->priorities.emplace(record.key.name, std::move(*priority));
+    } else if (auto* allowance = std::get_if<RetryAllowanceRecord>(&record.content)) {
+      this->allowances.emplace(record.key.name, std::move(*allowance));
+    }
+  }
+
+  bool SetPriority(const ServiceRecord& service, const std::string& name, RoutePolicy& policy) {
+    const auto found = this->priorities.find(name);
+    if (found == this->priorities.end()) {
+      this->Report({RecordKind::kService, service.name, service.schema},
+                   "names the priority \"" + name + "\", which is not in force");
+      return false;
+    }
+    policy.class_name = name;
+    policy.rank = found->second.rank;
+    policy.may_leave_region = found->second.may_leave_region;
+    return true;
+  }
+
+  bool SetRetry(const ServiceRecord& service, RoutePolicy& policy) {
+    const auto found = this->allowances.find(service.retry_allowance);
+    if (found == this->allowances.end()) {
+      this->Report(
+          {RecordKind::kService, service.name, service.schema},
+          "names the retry_allowance \"" + service.retry_allowance + "\", which is not in force");
+      return false;
+    }
+    const RetryAllowanceRecord& allowance = found->second;
+    policy.retry = RetryPolicy{allowance.name, allowance.retries_per_request,
+                               allowance.success_ratio, allowance.burst};
+    return true;
+  }
+
+  /// A service is left out whole: a part of its routes would mean another policy than its author's.
+  void AddService(const ServiceRecord& record) {
+    Configuration::Service service;
+    RoutePolicy& policy = service.policy;
+    policy.service = record.name;
+    policy.idempotent = record.idempotent;
+    policy.deadline = record.deadline;
+    policy.max_body_bytes = record.max_body_bytes.value_or(kDefaultMaxBodyBytes);
+    bool usable = this->SetPriority(record, record.priority, policy);
+    usable = this->SetRetry(record, policy) && usable;
+    for (const ServiceRoute& route : record.routes) {
+      RoutePolicy route_policy = policy;
+      if (route.priority) {
+        usable = this->SetPriority(record, *route.priority, route_policy) && usable;
+      }
+      route_policy.idempotent = route.idempotent.value_or(policy.idempotent);
+      route_policy.deadline = route.deadline.value_or(policy.deadline);
+      service.routes.push_back({route.method, route.path, std::move(route_policy)});
+    }
+    if (!usable) return;
+    std::sort(service.routes.begin(), service.routes.end(), ComesFirst);
+    this->result->services.emplace(record.name, std::move(service));
+    this->result->service_names.push_back(record.name);
+  }
+
+  static bool ComesFirst(const Configuration::Route& a, const Configuration::Route& b) {
+    if (a.path.size() != b.path.size()) return a.path.size() > b.path.size();
+    return a.method != "*" && b.method == "*";
+  }
+
+  const RecordBook& book;
+  std::shared_ptr<Configuration> result;
+  std::map<std::string, ServiceRecord> chosen_services;
+  std::map<std::string, PriorityRecord> priorities;
+  std::map<std::string, RetryAllowanceRecord> allowances;
+};
+
+std::shared_ptr<const Configuration> Configuration::Build(const RecordBook& book) {
+  return ConfigurationBuilder(book).Build();
+}
+
+const RoutePolicy* Configuration::Find(std::string_view service, std::string_view method,
+                                       std::string_view path) const {
+  const auto found = this->services.find(service);
+  if (found == this->services.end()) return nullptr;
+  path = path.substr(0, path.find('?'));
+  for (const Route& route : found->second.routes) {
+    const bool has_method = route.method == "*" || route.method == method;
+    if (has_method && MatchesPath(path, route.path)) return &route.policy;
+  }
+  return &found->second.policy;
+}
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/record_book.cc
@@ -0,0 +1,60 @@
+#include "records/record_book.h"
+
+#include <algorithm>
+
+namespace fireflyrun::records {
+
+ChangeResult RecordBook::ApplyChangeSet(const ChangeSet& change_set) {
+  if (change_set.revision <= this->revision) return ChangeResult::kStale;
+  if (change_set.previous_revision > this->revision) return ChangeResult::kGap;
+  for (const RecordEntry& entry : change_set.entries) {
+    RecordEntry& standing = this->entries[entry.key];
+    standing = entry;
+    standing.revision = change_set.revision;
+  }
+  this->Advance(change_set.revision);
+  return ChangeResult::kApplied;
+}
+
+bool RecordBook::MergeTransfer(const Transfer& transfer) {
+  if (transfer.from_revision > this->revision) return false;
+  if (transfer.to_revision <= this->revision) return false;
+  const auto is_outside = [&transfer](const RecordEntry& entry) {
+    return entry.revision <= transfer.from_revision || entry.revision > transfer.to_revision;
+  };
+  if (std::any_of(transfer.entries.begin(), transfer.entries.end(), is_outside)) return false;
+  for (const RecordEntry& entry : transfer.entries) {
+    this->entries[entry.key] = entry;
+  }
+  this->Advance(transfer.to_revision);
+  return true;
+}
+
+Transfer RecordBook::ChangesSince(std::int64_t since) const {
+  Transfer transfer{since, this->revision, {}};
+  for (const auto& [key, entry] : this->entries) {
+    if (entry.revision > since) transfer.entries.push_back(entry);
+  }
+  return transfer;
+}
+
+std::vector<RecordEntry> RecordBook::Entries() const {
+  std::vector<RecordEntry> list;
+  list.reserve(this->entries.size());
+  for (const auto& [key, entry] : this->entries) {
+    list.push_back(entry);
+  }
+  return list;
+}
+
+const RecordEntry* RecordBook::Find(const RecordKey& key) const {
+  const auto found = this->entries.find(key);
+  return found == this->entries.end() ? nullptr : &found->second;
+}
+
+void RecordBook::Advance(std::int64_t to_revision) {
+  this->revision = to_revision;
+  if (this->on_change) this->on_change(*this);
+}
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/tests/records/record_book_test.cc
@@ -0,0 +1,99 @@
+#include "records/record_book.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace fireflyrun::records {
+namespace {
+
+RecordEntry MakeEntry(int name, std::int64_t revision, bool retired = false) {
+  const RecordKey key{RecordKind::kPriority, "p" + std::to_string(name), 1};
+  return {key, "body" + std::to_string(revision), revision, retired, "w"};
+}
+
+/// Every state that a store went through, and what it said on the way.
+struct History {
+  std::map<std::int64_t, RecordBook> states;
+  std::vector<ChangeSet> change_sets;
+};
+
+History MakeHistory() {
+  History history;
+  RecordBook book;
+  history.states[0] = book;
+  std::int64_t revision = 0;
+  const int length = *rc::gen::inRange(1, 12);
+  for (int i = 0; i < length; ++i) {
+    ChangeSet change_set{revision, revision + *rc::gen::inRange(1, 4), {}};
+    revision = change_set.revision;
+    const auto names =
+        *rc::gen::nonEmpty(rc::gen::unique<std::vector<int>>(rc::gen::inRange(0, 5)));
+    for (const int name : names) {
+      change_set.entries.push_back(MakeEntry(name, revision, *rc::gen::arbitrary<bool>()));
+    }
+    RC_ASSERT(book.ApplyChangeSet(change_set) == ChangeResult::kApplied);
+    history.states[revision] = book;
+    history.change_sets.push_back(change_set);
+  }
+  return history;
+}
+
+/// Delivers one message, chosen at random, to one of several books that also serve each other.
+void DeliverOne(const History& history, std::vector<RecordBook>& books) {
+  RecordBook& book = books[*rc::gen::inRange<std::size_t>(0, books.size())];
+  if (*rc::gen::arbitrary<bool>()) {
+    book.ApplyChangeSet(*rc::gen::elementOf(history.change_sets));
+    return;
+  }
+  const RecordBook& source = books[*rc::gen::inRange<std::size_t>(0, books.size())];
+  const auto state = *rc::gen::elementOf(history.states);
+  const RecordBook& giver = *rc::gen::arbitrary<bool>() ? source : state.second;
+  book.MergeTransfer(giver.ChangesSince(*rc::gen::inRange<std::int64_t>(0, 40)));
+}
+
+RC_GTEST_PROP(RecordBookTest, IsAlwaysAStateOfTheStoreAndNeverGoesBack, ()) {
+  const History history = MakeHistory();
+  std::vector<RecordBook> books(3);
+  for (int step = 0; step < 40; ++step) {
+    std::vector<std::int64_t> before;
+    for (const RecordBook& book : books) before.push_back(book.Revision());
+    DeliverOne(history, books);
+    for (std::size_t i = 0; i < books.size(); ++i) {
+      RC_ASSERT(books[i].Revision() >= before[i]);
+      RC_ASSERT(history.states.contains(books[i].Revision()));
+      RC_ASSERT(books[i].Entries() == history.states.at(books[i].Revision()).Entries());
+    }
+  }
+}
+
+TEST(RecordBookTest, TellsGapFromStale) {
+  RecordBook book;
+  EXPECT_EQ(book.ApplyChangeSet({4, 7, {MakeEntry(1, 7)}}), ChangeResult::kGap);
+  EXPECT_EQ(book.ApplyChangeSet({0, 4, {MakeEntry(1, 4)}}), ChangeResult::kApplied);
+  EXPECT_EQ(book.ApplyChangeSet({0, 4, {MakeEntry(1, 4)}}), ChangeResult::kStale);
+  EXPECT_EQ(book.ApplyChangeSet({4, 7, {MakeEntry(1, 7)}}), ChangeResult::kApplied);
+  EXPECT_EQ(book.Revision(), 7);
+}
+
+TEST(RecordBookTest, RefusesATransferWithEntriesOutsideItsSpan) {
+  RecordBook book;
+  EXPECT_FALSE(book.MergeTransfer({0, 5, {MakeEntry(1, 3), MakeEntry(2, 6)}}));
+  EXPECT_EQ(book.Revision(), 0);
+  EXPECT_TRUE(book.Entries().empty());
+}
+
+TEST(RecordBookTest, RunsItsHookOnlyOnChange) {
+  RecordBook book;
+  int changes = 0;
+  book.OnChange([&](const RecordBook&) { ++changes; });
+  book.ApplyChangeSet({0, 4, {MakeEntry(1, 4)}});
+  book.ApplyChangeSet({0, 4, {MakeEntry(1, 4)}});
+  book.MergeTransfer({0, 4, {MakeEntry(1, 4)}});
+  EXPECT_EQ(changes, 1);
+}
+
+}  // namespace
+}  // namespace fireflyrun::records
