--- a/src/http/client.h
+++ b/src/http/client.h
@@ -15,8 +15,9 @@
 namespace fireflyrun::http {
 
 /// An HTTP client on the given event loop (libcurl's multi interface underneath). Connections are
-/// kept and reused by address. Handlers run on the loop, never inside Send(), exactly once, and not
-/// at all after the client is destroyed.
+/// kept and reused by address. A response must tell its length or come in chunks: one that ends
+/// with its connection can't be told from a broken one and gives kConnectionLost. Handlers run on
+/// the loop, never inside Send(), exactly once, and not at all after the client is destroyed.
 class Client {
  public:
   using RequestId = std::uint64_t;
@@ -31,8 +32,8 @@
 
   RequestId Send(ClientRequest request, Handler handler);
 
-  /// Like Send(), but hands over the body in pieces as they arrive; the response's body is empty.
-  /// A zero timeout means none.
+  /// Like Send(), but hands over the body in pieces as they arrive; the response's body is empty
+  /// and its size not limited. A zero timeout means none.
   RequestId Stream(ClientRequest request, ChunkHandler on_chunk, Handler on_end);
 
   /// Ends the request; its handler gets kCancelled. Unknown ids are ignored.
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -18,4 +18,19 @@
 /// The first value of a header, whatever the case of its name.
 std::optional<std::string_view> FindHeader(const Headers& headers, std::string_view name);
 
+/// Compares header names without regard to the case of ASCII letters.
+bool SameHeaderName(std::string_view left, std::string_view right);
+
+/// True for headers that describe one connection or the framing of one message (RFC 9110, section
+/// 7.6.1, and Content-Length). Client and Server set these themselves and drop those they are
+/// given.
+bool IsConnectionHeader(std::string_view name);
+
+/// True when the name is a token and the value has no control character but tab (RFC 9110,
+/// section 5), so that the field cannot end its line early.
+bool IsValidHeader(const Header& header);
+
+/// True for a non-empty token (RFC 9110, section 5.6.2), such as a method or a header's name.
+bool IsToken(std::string_view text);
+
 }  // namespace fireflyrun::http
