Speak etcd's JSON gateway and keep records, roster and key bindings in it

Cause: the platform's store has to be reached without another coordination service, and a lost answer must never be taken for a failed write. Ruled out: a lease that is renewed hourly for all key bindings of a node, because the bindings would then never end while the node runs; a lease an hour, never renewed, ends each binding after 24 to 26 hours. Ruled out: conditions on the written records alone, because a reference could be retired in between; every write also moves one guard key, whose value lists the last write ids and settles lost answers.

--- /dev/null
+++ b/src/store/base64.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace fireflyrun::store {
+
+/// Base64 with padding (RFC 4648, section 4).
+std::string EncodeBase64(std::string_view bytes);
+
+/// The inverse; nullopt for text that is not padded base64.
+std::optional<std::string> DecodeBase64(std::string_view text);
+
+}  // namespace fireflyrun::store
--- a/src/store/key_binder.h
+++ b/src/store/key_binder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,8 +17,13 @@
 
 class Store;
 
+/// How long a binding stands, unless the store loses it.
+inline constexpr std::chrono::hours kBindingLifetime{24};
+
 /// Binds callers' idempotency keys to tickets in the store, so that every node runs a key's call
-/// under the same ticket. Bindings of one node share a lease of 24 hours that is renewed hourly.
+/// under the same ticket. The bindings that a node makes in one hour share a lease, whose time to
+/// live makes each of them last for at least kBindingLifetime; nothing prolongs it, so bindings do
+/// not pile up while the node runs.
 class KeyBinder {
  public:
   /// The ticket that stands after the call, or why it is not known.
--- /dev/null
+++ b/src/store/key_binding.cc
@@ -0,0 +1,143 @@
+#include "store/key_binding.h"
+
+#include <utility>
+
+#include "common/timer_service.h"
+#include "store/binding_lease.h"
+#include "store/store.h"
+
+namespace fireflyrun::store {
+namespace {
+
+/// Repeated writes and readings together.
+constexpr int kMaxAttempts = 6;
+constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
+
+}  // namespace
+
+KeyBinding::KeyBinding(Store& key_value_store, TimerService& timer_service,
+                       std::shared_ptr<BindingLease> binding_lease, std::string store_key,
+                       Handler end_handler)
+    : store(key_value_store),
+      timers(timer_service),
+      lease(std::move(binding_lease)),
+      key(std::move(store_key)),
+      on_end(std::move(end_handler)),
+      attempts_left(kMaxAttempts) {}
+
+KeyBinding::~KeyBinding() = default;
+
+void KeyBinding::Create(std::string ticket) {
+  this->new_ticket = std::move(ticket);
+  this->Write();
+}
+
+void KeyBinding::Replace(std::string from_ticket, std::string to_ticket) {
+  this->replaced_ticket = std::move(from_ticket);
+  this->new_ticket = std::move(to_ticket);
+  this->ReadBack();
+}
+
+void KeyBinding::Write() {
+  this->lease->Get(
+      [self = this->shared_from_this()](const tl::expected<LeaseId, StoreError>& granted) {
+        self->OnLease(granted);
+      });
+}
+
+void KeyBinding::OnLease(const tl::expected<LeaseId, StoreError>& granted) {
+  if (!granted) {
+    // A lost grant leaves an unused lease behind and no binding.
+    const bool lost = granted.error().kind == StoreErrorKind::kUnknown;
+    this->Fail({lost ? StoreErrorKind::kNotSent : granted.error().kind, granted.error().message});
+    return;
+  }
+  Transaction transaction;
+  transaction.conditions.push_back({this->key, this->expected_revision});
+  transaction.writes.push_back({this->key, this->new_ticket, *granted});
+  this->store.Commit(std::move(transaction),
+                     [self = this->shared_from_this(), used = *granted](auto result) {
+                       self->OnWritten(used, std::move(result));
+                     });
+}
+
+void KeyBinding::OnWritten(LeaseId used, tl::expected<TransactionResult, StoreError> result) {
+  if (result && result->committed) {
+    this->End(this->new_ticket);
+    return;
+  }
+  if (result) {
+    this->Decide(result->standing.empty() ? nullptr : &result->standing.front());
+    return;
+  }
+  if (result.error().kind == StoreErrorKind::kUnknown) {
+    this->may_have_written = true;
+    this->RetryLater();
+    return;
+  }
+  if (result.error().kind == StoreErrorKind::kRejected && this->attempts_left > 1) {
+    this->lease->Forget(used);
+    this->RetryLater();
+    return;
+  }
+  this->Fail(std::move(result.error()));
+}
+
+void KeyBinding::RetryLater() {
+  if (--this->attempts_left <= 0) {
+    this->Fail({StoreErrorKind::kRejected, "the store did not take the binding in time"});
+    return;
+  }
+  this->retry_timer =
+      this->timers.After(kRetryDelay, [self = this->shared_from_this()] { self->ReadBack(); });
+}
+
+void KeyBinding::ReadBack() {
+  this->store.List(this->key, [self = this->shared_from_this()](auto result) {
+    self->OnRead(std::move(result));
+  });
+}
+
+void KeyBinding::OnRead(tl::expected<Listing, StoreError> result) {
+  if (result) {
+    this->Decide(result->entries.empty() ? nullptr : &result->entries.front());
+    return;
+  }
+  if (this->may_have_written) {
+    this->RetryLater();
+    return;
+  }
+  // Nothing was written yet, so a lost answer to a read leaves nothing behind.
+  this->Fail({StoreErrorKind::kNotSent, result.error().message});
+}
+
+void KeyBinding::Decide(const KeyValue* standing) {
+  const bool creates = this->replaced_ticket.empty();
+  if (standing == nullptr && !creates) {
+    this->Fail({StoreErrorKind::kRejected, "the key is not bound"});
+    return;
+  }
+  const bool can_write = creates ? standing == nullptr : standing->value == this->replaced_ticket;
+  if (!can_write) {
+    this->End(standing->value);
+    return;
+  }
+  if (--this->attempts_left <= 0) {
+    this->Fail({StoreErrorKind::kRejected, "the binding changed during each attempt"});
+    return;
+  }
+  this->expected_revision = standing == nullptr ? 0 : standing->revision;
+  this->Write();
+}
+
+void KeyBinding::Fail(StoreError error) {
+  if (this->may_have_written) error.kind = StoreErrorKind::kUnknown;
+  this->End(tl::unexpected(std::move(error)));
+}
+
+void KeyBinding::End(tl::expected<std::string, StoreError> result) {
+  const Handler handler = std::exchange(this->on_end, nullptr);
+  handler(std::move(result));
+}
+
+}  // namespace fireflyrun::store
--- /dev/null
+++ b/src/store/key_binding.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "common/timer_subscription.h"
+#include "store/key_value.h"
+#include "store/store_error.h"
+#include "store/transaction.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+
+namespace fireflyrun::store {
+
+class BindingLease;
+class Store;
+
+/// One operation on one key binding, repeated until its outcome is known or the attempts are used
+/// up. Keeps itself alive until then.
+class KeyBinding : public std::enable_shared_from_this<KeyBinding> {
+ public:
+  using Handler = std::function<void(tl::expected<std::string, StoreError>)>;
+
+  KeyBinding(Store& key_value_store, TimerService& timer_service,
+             std::shared_ptr<BindingLease> binding_lease, std::string store_key,
+             Handler end_handler);
+  ~KeyBinding();
+  KeyBinding(const KeyBinding&) = delete;
+  KeyBinding& operator=(const KeyBinding&) = delete;
+
+  /// Creates the binding unless there is one.
+  void Create(std::string ticket);
+
+  /// Replaces the binding if it is `from_ticket`.
+  void Replace(std::string from_ticket, std::string to_ticket);
+
+ private:
+  void Write();
+  void OnLease(const tl::expected<LeaseId, StoreError>& granted);
+  void OnWritten(LeaseId lease, tl::expected<TransactionResult, StoreError> result);
+  void ReadBack();
+  void OnRead(tl::expected<Listing, StoreError> result);
+  void Decide(const KeyValue* standing);
+  void RetryLater();
+  void Fail(StoreError error);
+  void End(tl::expected<std::string, StoreError> result);
+
+  Store& store;
+  TimerService& timers;
+  std::shared_ptr<BindingLease> lease;
+  std::string key;
+  Handler on_end;
+  std::string replaced_ticket;  ///< Empty for a create.
+  std::string new_ticket;
+  Revision expected_revision = 0;
+  int attempts_left = 0;
+  bool may_have_written = false;
+  TimerSubscription retry_timer;
+};
+
+}  // namespace fireflyrun::store
--- a/src/store/record_listing.h
+++ b/src/store/record_listing.h
@@ -14,7 +14,7 @@
   records::Transfer transfer;   ///< From 0 to the last change of a record.
   Revision store_revision = 0;  ///< The store's; other keys may have been written since.
   Revision guard_revision = 0;  ///< Of the key that every write of records also writes.
-  std::string guard_value;      ///< The write id of the last write of records.
+  std::string guard_value;      ///< The ids of the last writes of records, newest first.
   Findings problems;            ///< Values that could not be read.
 };
 
