Number the links of a caller and count what links do

Cause: a called node that voids a call id must know that no older connection of the caller can still deliver it; an old connection whose Hello is still on its way can't be told by its socket. Change: Hello carries a rising link number; counters and a give-up limit join the options.

--- a/src/peer/link_error.h
+++ b/src/peer/link_error.h
@@ -11,7 +11,7 @@
 
 /// How a call over a link failed, by whether the far node may have run it.
 enum class LinkErrorKind {
-  kNotSent,       ///< No byte of it was handed to the operating system.
+  kNotSent,       ///< Its last byte was not handed to the operating system and never will be.
   kNeverArrived,  ///< The far node said that it never saw it, and voided its id.
   kUnknown,       ///< It may have run; the far node cannot be asked any more.
 };
--- a/src/peer/link_options.h
+++ b/src/peer/link_options.h
@@ -21,6 +21,8 @@
   Duration heartbeat_period = std::chrono::milliseconds(250);
   Duration silence_limit = std::chrono::milliseconds(1000);  ///< Then the link is replaced.
   Duration connect_limit = std::chrono::milliseconds(1000);
+  /// Calls already sent end with kUnknown when nothing was heard from their node for so long.
+  Duration give_up_limit = std::chrono::milliseconds(2000);
   Duration idle_limit = std::chrono::seconds(60);
 };
 
--- a/src/peer/link_server.h
+++ b/src/peer/link_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -8,6 +9,7 @@
 
 #include "common/id128.h"
 #include "peer/call.h"
+#include "peer/link_counters.h"
 #include "peer/link_options.h"
 
 namespace fireflyrun {
@@ -37,11 +39,13 @@
   std::size_t RetainedAnswers() const;
   /// Calls handed to the hook and not yet answered.
   std::size_t OpenCalls() const;
+  std::size_t OpenLinks() const;
+  const LinkCounters& Counters() const;
   void Close();
 
  private:
   class Implementation;
-  std::unique_ptr<Implementation> implementation;
+  std::shared_ptr<Implementation> implementation;
 };
 
 }  // namespace fireflyrun::peer
