Carry calls over framed links that ask what became of a call

Cause: calls between nodes need one multiplexed stream a pair whose silence proves nothing. Change: LinkPool, LinkServer and their parts. kNotSent now also says: partly handed over on a connection that was closed, since the rest can never come.

--- /dev/null
+++ b/src/peer/connection_hooks.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "common/id128.h"
+
+namespace fireflyrun::peer::pb {
+class Frame;
+}
+
+namespace fireflyrun::peer {
+
+/// What a Connection tells its owner. None is called after Connection::Close().
+struct ConnectionHooks {
+  /// May move the frame's parts out.
+  std::function<void(pb::Frame&)> on_frame;
+  /// The kernel accepted the last byte of a call. Called also inside Connection::Flush().
+  std::function<void(const Id128& call_id)> on_call_handed_over;
+  /// The stream ended, failed or was malformed. Never called inside a member of Connection.
+  std::function<void(const std::string& reason)> on_closed;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/frame_reader.cc
@@ -0,0 +1,51 @@
+#include "peer/frame_reader.h"
+
+#include <google/protobuf/io/coded_stream.h>
+
+#include <cstdint>
+#include <cstring>
+
+#include "peer/frame_codec.h"
+
+namespace fireflyrun::peer {
+namespace {
+
+constexpr std::size_t kReadBytes = std::size_t{64} << 10;
+
+std::size_t ReadLength(const char* bytes) {
+  std::uint32_t length = 0;
+  google::protobuf::io::CodedInputStream::ReadLittleEndian32FromArray(
+      reinterpret_cast<const std::uint8_t*>(bytes), &length);
+  return length;
+}
+
+}  // namespace
+
+FrameReader::FrameReader(std::size_t max_frame_size) : max_frame_bytes(max_frame_size) {}
+
+std::span<char> FrameReader::Prepare() {
+  if (this->begin > 0) {
+    std::memmove(this->buffer.data(), this->buffer.data() + this->begin, this->end - this->begin);
+    this->end -= this->begin;
+    this->begin = 0;
+  }
+  if (this->buffer.size() < this->end + kReadBytes) this->buffer.resize(this->end + kReadBytes);
+  return {this->buffer.data() + this->end, this->buffer.size() - this->end};
+}
+
+void FrameReader::Commit(std::size_t size) { this->end += size; }
+
+std::optional<std::string_view> FrameReader::Next() {
+  if (this->malformed || this->end - this->begin < kLengthBytes) return std::nullopt;
+  const std::size_t length = ReadLength(this->buffer.data() + this->begin);
+  if (length == 0 || length > this->max_frame_bytes) {
+    this->malformed = true;
+    return std::nullopt;
+  }
+  if (this->end - this->begin < kLengthBytes + length) return std::nullopt;
+  const std::string_view frame(this->buffer.data() + this->begin + kLengthBytes, length);
+  this->begin += kLengthBytes + length;
+  return frame;
+}
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/frame_reader.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace fireflyrun::peer {
+
+/// Cuts a stream of bytes into frames; holds at most one incomplete frame and one read.
+class FrameReader {
+ public:
+  explicit FrameReader(std::size_t max_frame_size);
+
+  /// Space for the next read; valid until the next call of any member.
+  std::span<char> Prepare();
+  /// Takes over the first `size` bytes of the prepared space.
+  void Commit(std::size_t size);
+
+  /// The next whole frame without its length, or nothing when more bytes are needed or Malformed().
+  std::optional<std::string_view> Next();
+  /// True once a length of 0 or over the limit was read.
+  bool Malformed() const { return this->malformed; }
+
+ private:
+  std::size_t max_frame_bytes;
+  std::vector<char> buffer;
+  std::size_t begin = 0;
+  std::size_t end = 0;
+  bool malformed = false;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/inbound_link.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "common/clock.h"
+#include "common/id128.h"
+#include "common/timer_subscription.h"
+#include "peer/body_assembly.h"
+#include "peer/call.h"
+#include "peer/inbound_caller.h"
+
+namespace fireflyrun::peer {
+
+class Connection;
+
+/// One accepted connection and the calls that have arrived on it in part.
+struct InboundLink {
+  struct PartialCall {
+    Call call;
+    BodyAssembly assembly;
+    SteadyTime deadline;
+    std::size_t body_length = 0;
+  };
+
+  std::shared_ptr<Connection> connection;
+  std::shared_ptr<InboundCaller> caller;  ///< Null before its Hello.
+  std::uint64_t number = 0;
+  std::unordered_map<Id128, PartialCall> partial_calls;
+  std::size_t partial_bytes = 0;
+  TimerSubscription hello_timer;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/link.cc
@@ -0,0 +1,291 @@
+#include "peer/link.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "peer/checksum.h"
+#include "peer/peer.pb.h"
+
+namespace fireflyrun::peer {
+namespace {
+
+/// Acknowledgements wait so long for another frame to leave with.
+constexpr Duration kAcknowledgeDelay = std::chrono::milliseconds(5);
+
+LinkError ErrorOf(LinkErrorKind kind, std::string message) { return {kind, std::move(message)}; }
+
+}  // namespace
+
+Link::Link(TimerService& timer_service, const LinkOptions& link_options, PeerAddress peer_address,
+           std::shared_ptr<LinkCounters> link_counters, NumberSource number_source)
+    : timers(timer_service),
+      options(link_options),
+      address(std::move(peer_address)),
+      counters(std::move(link_counters)),
+      next_number(std::move(number_source)) {}
+
+void Link::Send(const Id128& call_id, Call call, SteadyTime deadline,
+                LinkPool::AnswerHandler handler) {
+  const auto now = SteadyClock::now();
+  if (this->calls.empty()) this->waiting_since = now;
+  this->last_used = now;
+  PendingCall& pending = this->calls[call_id];
+  pending.call = std::make_unique<Call>(std::move(call));
+  pending.sent_at = now;
+  pending.handler = std::move(handler);
+  pending.deadline_timer = this->timers.After(std::max(deadline - now, Duration::zero()),
+                                              [this, call_id] { this->OnDeadline(call_id); });
+  if (!this->tick_running) this->StartTicking();
+  if (this->state == State::kClosed) return this->Connect();
+  if (this->state != State::kOpen) return;
+  this->Queue(call_id, pending);
+  this->connection->Flush();
+}
+
+bool Link::Cancel(const Id128& call_id) {
+  const auto call = this->calls.find(call_id);
+  if (call == this->calls.end()) return false;
+  const bool waiting = call->second.phase == PendingCall::Phase::kWaiting;
+  this->calls.erase(call);
+  if (waiting || this->state != State::kOpen) return true;
+  const auto removal = this->connection->Remove(call_id);
+  if (removal != FrameQueue::Removal::kNotBegun) this->PushCancel(call_id);
+  this->connection->Flush();
+  return true;
+}
+
+void Link::Close() {
+  this->CloseConnection();
+  this->tick_timer.Reset();
+  this->state = State::kClosed;
+  for (auto& [call_id, pending] : std::exchange(this->calls, {})) {
+    const bool sent = pending.phase == PendingCall::Phase::kHandedOver;
+    const auto kind = sent ? LinkErrorKind::kUnknown : LinkErrorKind::kNotSent;
+    asio::post(this->timers.Loop(), [handler = std::move(pending.handler), kind] {
+      handler(tl::make_unexpected(ErrorOf(kind, "the link was closed")));
+    });
+  }
+}
+
+void Link::Drop() {
+  this->calls.clear();
+  this->Close();
+}
+
+void Link::Queue(const Id128& call_id, PendingCall& pending) {
+  OutgoingMessage message;
+  message.call_id = call_id;
+  message.call = std::move(pending.call);
+  message.queued_at = pending.sent_at;
+  pending.phase = PendingCall::Phase::kQueued;
+  this->connection->Push(std::move(message));
+}
+
+void Link::OnHandedOver(const Id128& call_id) {
+  const auto call = this->calls.find(call_id);
+  if (call != this->calls.end()) call->second.phase = PendingCall::Phase::kHandedOver;
+}
+
+void Link::OnDeadline(const Id128& call_id) {
+  const auto call = this->calls.find(call_id);
+  if (call == this->calls.end()) return;
+  const auto phase = call->second.phase;
+  if (phase == PendingCall::Phase::kWaiting) {
+    return this->FinishError(call, LinkErrorKind::kNotSent, "deadline passed before sending");
+  }
+  const bool open = this->state == State::kOpen;
+  const auto removal = open ? this->connection->Remove(call_id) : FrameQueue::Removal::kNotFound;
+  if (removal == FrameQueue::Removal::kBegun) this->PushCancel(call_id);
+  if (removal != FrameQueue::Removal::kNotFound) {
+    return this->FinishError(call, LinkErrorKind::kNotSent, "deadline passed while sending");
+  }
+  this->Acknowledge(call_id);
+  this->FinishError(call, LinkErrorKind::kUnknown, "deadline passed");
+}
+
+void Link::OnFrame(pb::Frame& frame) {
+  if (this->state == State::kGreeting) {
+    if (frame.has_hello()) return this->OnGreeted(frame.hello());
+    return this->OnConnectionLost("no Hello first");
+  }
+  switch (frame.body_case()) {
+    case pb::Frame::kAnswerHead:
+      return this->OnAnswerHead(*frame.mutable_answer_head());
+    case pb::Frame::kAnswerChunk:
+      return this->OnAnswerChunk(*frame.mutable_answer_chunk());
+    case pb::Frame::kStateReport:
+      return this->OnStateReport(frame.state_report());
+    case pb::Frame::kHeartbeatReply:
+      return this->OnHeartbeatReply(frame.heartbeat_reply());
+    default:
+      return this->OnConnectionLost("unexpected frame");
+  }
+}
+
+void Link::OnAnswerHead(pb::AnswerHead& head) {
+  const auto call_id = Id128::FromBytes(head.call_id());
+  if (!call_id) return this->OnConnectionLost("bad call id");
+  const auto call = this->calls.find(*call_id);
+  if (call == this->calls.end()) {
+    ++this->counters->late_answers_dropped;
+    return this->Acknowledge(*call_id);
+  }
+  PendingCall& pending = call->second;
+  pending.answer = std::make_unique<Answer>();
+  pending.answer->head.Swap(&head);
+  const pb::AnswerHead& answer_head = pending.answer->head;
+  if (answer_head.body_length() > this->options.max_body_bytes) {
+    this->Acknowledge(*call_id);
+    return this->FinishError(call, LinkErrorKind::kUnknown, "the answer's body is too long");
+  }
+  pending.assembly = BodyAssembly(answer_head.body_length(), answer_head.body_crc32());
+  if (answer_head.body_length() > 0) return;
+  this->Acknowledge(*call_id);
+  this->Finish(call, std::move(*pending.answer));
+}
+
+void Link::OnAnswerChunk(pb::BodyChunk& chunk) {
+  const auto call_id = Id128::FromBytes(chunk.call_id());
+  if (!call_id) return this->OnConnectionLost("bad call id");
+  const auto call = this->calls.find(*call_id);
+  if (call == this->calls.end() || !call->second.answer) return;
+  PendingCall& pending = call->second;
+  const auto body_state = pending.assembly.Add(std::move(*chunk.mutable_data()));
+  if (body_state == BodyAssembly::State::kIncomplete) return;
+  this->Acknowledge(*call_id);
+  if (body_state == BodyAssembly::State::kDamaged) {
+    return this->FinishError(call, LinkErrorKind::kUnknown, "the answer's body is damaged");
+  }
+  pending.answer->body = pending.assembly.TakeBody();
+  this->Finish(call, std::move(*pending.answer));
+}
+
+void Link::OnStateReport(const pb::StateReport& report) {
+  const auto call_id = Id128::FromBytes(report.call_id());
+  if (!call_id) return this->OnConnectionLost("bad call id");
+  const auto call = this->calls.find(*call_id);
+  if (call == this->calls.end()) return;
+  switch (report.state()) {
+    case pb::CALL_STATE_NEVER_ARRIVED:
+      return this->FinishError(call, LinkErrorKind::kNeverArrived, "the call was lost on its way");
+    case pb::CALL_STATE_IN_PROGRESS:
+    case pb::CALL_STATE_ANSWERED:
+      return;
+    default:
+      return this->FinishError(call, LinkErrorKind::kUnknown, "the far node forgot the call");
+  }
+}
+
+void Link::OnHeartbeatReply(const pb::Heartbeat& heartbeat) {
+  constexpr int kOldShare = 7;
+  constexpr int kAllShares = 8;
+  const auto sent_at = SteadyTime(std::chrono::microseconds(heartbeat.sent_us()));
+  const Duration sample = std::max(SteadyClock::now() - sent_at, Duration::zero());
+  if (this->round_trip == Duration::zero()) {
+    this->round_trip = sample;
+  } else {
+    this->round_trip = (this->round_trip * kOldShare + sample) / kAllShares;
+  }
+}
+
+void Link::PushHeartbeat() {
+  const auto now = SteadyClock::now().time_since_epoch();
+  pb::Heartbeat heartbeat;
+  heartbeat.set_sent_us(static_cast<std::uint64_t>(ToMicroseconds(now).count()));
+  this->connection->PushFrame(pb::Frame::kHeartbeatFieldNumber, heartbeat);
+}
+
+void Link::PushQuery(const Id128& call_id) {
+  pb::StateQuery query;
+  query.set_call_id(call_id.ToBytes());
+  this->connection->PushFrame(pb::Frame::kStateQueryFieldNumber, query);
+}
+
+void Link::PushCancel(const Id128& call_id) {
+  pb::Cancel cancel;
+  cancel.set_call_id(call_id.ToBytes());
+  this->connection->PushFrame(pb::Frame::kCancelFieldNumber, cancel);
+  this->connection->Flush();
+}
+
+/// Costs no write of its own while calls follow one another.
+void Link::Acknowledge(const Id128& call_id) {
+  if (this->state != State::kOpen) return;
+  pb::AnswerAck ack;
+  ack.set_call_id(call_id.ToBytes());
+  this->connection->PushFrame(pb::Frame::kAnswerAckFieldNumber, ack);
+  if (this->acknowledge_pending) return;
+  this->acknowledge_pending = true;
+  this->acknowledge_timer = this->timers.After(kAcknowledgeDelay, [this] {
+    this->acknowledge_pending = false;
+    if (this->state == State::kOpen) this->connection->Flush();
+  });
+}
+
+void Link::StartTicking() {
+  this->tick_running = true;
+  this->tick_timer = this->timers.Every(this->options.heartbeat_period, [this] {
+    const auto self = this->shared_from_this();
+    this->Tick();
+  });
+}
+
+void Link::Tick() {
+  const auto now = SteadyClock::now();
+  if (this->calls.empty()) return this->Rest();
+  const Duration silence = now - std::max(this->LastHeard(), this->waiting_since);
+  if (this->state != State::kOpen) {
+    if (silence < this->options.give_up_limit) return;
+    return this->FinishAll(LinkErrorKind::kUnknown, "the far node can't be reached");
+  }
+  if (silence >= this->options.silence_limit) {
+    ++this->counters->links_replaced;
+    return this->OnConnectionLost("the link was silent");
+  }
+  this->PushHeartbeat();
+  this->connection->Flush();
+}
+
+void Link::Rest() {
+  if (this->state != State::kOpen) {
+    this->tick_running = false;
+    this->tick_timer.Reset();
+    return;
+  }
+  if (SteadyClock::now() - this->last_used < this->options.idle_limit) return;
+  this->CloseConnection();
+  this->state = State::kClosed;
+}
+
+SteadyTime Link::LastHeard() const {
+  return this->connection ? std::max(this->connection->LastHeard(), this->last_heard)
+                          : this->last_heard;
+}
+
+void Link::Finish(Calls::iterator call, Result result) {
+  const auto handler = std::move(call->second.handler);
+  this->calls.erase(call);
+  handler(std::move(result));
+}
+
+void Link::FinishError(Calls::iterator call, LinkErrorKind kind, std::string message) {
+  this->Finish(call, tl::make_unexpected(ErrorOf(kind, std::move(message))));
+}
+
+void Link::FinishAll(LinkErrorKind kind, const std::string& message) {
+  const bool sent_ones = kind == LinkErrorKind::kUnknown;
+  std::vector<LinkPool::AnswerHandler> handlers;
+  for (auto call = this->calls.begin(); call != this->calls.end();) {
+    const bool sent = call->second.phase == PendingCall::Phase::kHandedOver;
+    if (sent != sent_ones) {
+      ++call;
+      continue;
+    }
+    handlers.push_back(std::move(call->second.handler));
+    call = this->calls.erase(call);
+  }
+  for (const auto& handler : handlers) handler(tl::make_unexpected(ErrorOf(kind, message)));
+}
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/link.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/timer_service.h"
+#include "common/timer_subscription.h"
+#include "peer/backoff.h"
+#include "peer/connection.h"
+#include "peer/pending_call.h"
+
+namespace fireflyrun::peer {
+
+/// The calling side's link to one incarnation of one node: at most one connection at a time, opened
+/// when needed and replaced when silent, and the calls that wait for answers.
+class Link : public std::enable_shared_from_this<Link> {
+ public:
+  /// A number higher than that of each connection before.
+  using NumberSource = std::function<std::uint64_t()>;
+
+  Link(TimerService& timer_service, const LinkOptions& link_options, PeerAddress peer_address,
+       std::shared_ptr<LinkCounters> link_counters, NumberSource number_source);
+
+  void Send(const Id128& call_id, Call call, SteadyTime deadline, LinkPool::AnswerHandler handler);
+  /// Drops a call without running its handler; false when it is not pending here.
+  bool Cancel(const Id128& call_id);
+  /// The next connection goes there.
+  void MoveTo(const PeerAddress& new_address) { this->address = new_address; }
+  /// Closes the connection; handlers of pending calls run later on the loop.
+  void Close();
+  /// Closes the connection and drops the handlers.
+  void Drop();
+
+  const PeerAddress& Address() const { return this->address; }
+  bool HasCall(const Id128& call_id) const { return this->calls.contains(call_id); }
+  std::size_t PendingCalls() const { return this->calls.size(); }
+  bool IsOpen() const { return this->state == State::kOpen; }
+  bool IsUnused() const { return this->state == State::kClosed && this->calls.empty(); }
+  Duration OneWayDelay() const { return this->round_trip / 2; }
+
+ private:
+  enum class State { kClosed, kConnecting, kGreeting, kOpen, kPausing };
+  using Calls = std::unordered_map<Id128, PendingCall>;
+  using Result = tl::expected<Answer, LinkError>;
+
+  void Connect();
+  void OnConnected(asio::ip::tcp::socket socket);
+  void OnConnectFailed(const std::string& reason);
+  void OnConnectionLost(const std::string& reason);
+  void OnGreeted(const pb::Hello& hello);
+  void CloseConnection();
+  void Rest();
+
+  void OnFrame(pb::Frame& frame);
+  void OnAnswerHead(pb::AnswerHead& head);
+  void OnAnswerChunk(pb::BodyChunk& chunk);
+  void OnStateReport(const pb::StateReport& report);
+  void OnHeartbeatReply(const pb::Heartbeat& heartbeat);
+  void OnHandedOver(const Id128& call_id);
+  void OnDeadline(const Id128& call_id);
+
+  void Queue(const Id128& call_id, PendingCall& pending);
+  void PushHeartbeat();
+  void PushQuery(const Id128& call_id);
+  void PushCancel(const Id128& call_id);
+  void Acknowledge(const Id128& call_id);
+  void Tick();
+  void StartTicking();
+  SteadyTime LastHeard() const;
+
+  void Finish(Calls::iterator call, Result result);
+  void FinishError(Calls::iterator call, LinkErrorKind kind, std::string message);
+  /// Ends every call that `kind` may be said of: unsent ones, or with kUnknown the handed over.
+  void FinishAll(LinkErrorKind kind, const std::string& message);
+
+  TimerService& timers;
+  const LinkOptions& options;
+  PeerAddress address;
+  std::shared_ptr<LinkCounters> counters;
+  NumberSource next_number;
+  State state = State::kClosed;
+  std::shared_ptr<Connection> connection;
+  std::shared_ptr<asio::ip::tcp::socket> connecting_socket;
+  TimerSubscription connect_timer;
+  TimerSubscription tick_timer;
+  TimerSubscription acknowledge_timer;
+  Backoff backoff;
+  Calls calls;
+  SteadyTime last_heard;     ///< On earlier connections.
+  SteadyTime waiting_since;  ///< Since then calls have been pending without a break.
+  SteadyTime last_used;
+  Duration round_trip{};
+  bool tick_running = false;
+  bool acknowledge_pending = false;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/link_connecting.cc
@@ -0,0 +1,120 @@
+// The part of Link that opens, greets on, and replaces its connection.
+#include <algorithm>
+#include <asio/ip/address.hpp>
+#include <utility>
+
+#include "peer/link.h"
+#include "peer/peer.pb.h"
+
+namespace fireflyrun::peer {
+
+void Link::Connect() {
+  this->state = State::kConnecting;
+  asio::error_code error;
+  const auto ip = asio::ip::make_address(this->address.ip, error);
+  const std::weak_ptr<Link> weak = this->weak_from_this();
+  if (error) {
+    this->connect_timer = this->timers.After(
+        Duration::zero(), [this] { this->OnConnectFailed("bad address " + this->address.ip); });
+    return;
+  }
+  auto socket = std::make_shared<asio::ip::tcp::socket>(this->timers.Loop());
+  this->connecting_socket = socket;
+  this->connect_timer = this->timers.After(
+      this->options.connect_limit, [this] { this->OnConnectFailed("no connection in time"); });
+  socket->async_connect({ip, this->address.port}, [weak, socket](const asio::error_code& failure) {
+    const auto self = weak.lock();
+    if (!self || self->connecting_socket != socket) return;
+    if (failure) return self->OnConnectFailed(failure.message());
+    self->OnConnected(std::move(*socket));
+  });
+}
+
+void Link::OnConnected(asio::ip::tcp::socket socket) {
+  this->connecting_socket.reset();
+  this->state = State::kGreeting;
+  this->connection = std::make_shared<Connection>(std::move(socket), this->options, this->counters);
+  const std::weak_ptr<Link> weak = this->weak_from_this();
+  this->connection->Start({
+      .on_frame =
+          [weak](pb::Frame& frame) {
+            if (const auto self = weak.lock()) self->OnFrame(frame);
+          },
+      .on_call_handed_over =
+          [weak](const Id128& call_id) {
+            if (const auto self = weak.lock()) self->OnHandedOver(call_id);
+          },
+      .on_closed =
+          [weak](const std::string& reason) {
+            if (const auto self = weak.lock()) self->OnConnectionLost(reason);
+          },
+  });
+  pb::Hello hello;
+  hello.set_cluster(this->options.cluster);
+  hello.set_node(this->options.node);
+  hello.set_incarnation(this->options.incarnation);
+  hello.set_link_number(this->next_number());
+  this->connection->PushFrame(pb::Frame::kHelloFieldNumber, hello);
+  this->connection->Flush();
+}
+
+void Link::OnGreeted(const pb::Hello& hello) {
+  if (hello.cluster() != this->options.cluster || hello.node() != this->address.node) {
+    return this->OnConnectFailed("another node answers at the address");
+  }
+  if (hello.incarnation() != this->address.incarnation) {
+    this->OnConnectFailed("another incarnation answers at the address");
+    return this->FinishAll(LinkErrorKind::kUnknown, "the far node was started anew");
+  }
+  this->connect_timer.Reset();
+  this->backoff.Reset();
+  this->state = State::kOpen;
+  this->PushHeartbeat();
+  for (auto& [call_id, pending] : this->calls) {
+    if (pending.phase == PendingCall::Phase::kHandedOver) {
+      this->PushQuery(call_id);
+    } else {
+      this->Queue(call_id, pending);
+    }
+  }
+  this->connection->Flush();
+}
+
+/// What was not sent goes elsewhere at once; what was sent is worth asking about again.
+void Link::OnConnectFailed(const std::string& reason) {
+  const auto self = this->shared_from_this();
+  this->CloseConnection();
+  this->state = State::kPausing;
+  this->connect_timer = this->timers.After(this->backoff.Next(), [this] {
+    this->state = State::kClosed;
+    if (!this->calls.empty()) this->Connect();
+  });
+  this->FinishAll(LinkErrorKind::kNotSent, reason);
+}
+
+void Link::OnConnectionLost(const std::string& reason) {
+  if (this->state != State::kOpen) return this->OnConnectFailed(reason);
+  const auto self = this->shared_from_this();
+  this->CloseConnection();
+  this->state = State::kClosed;
+  // An answer that had come in part comes again as a whole.
+  for (auto& [call_id, pending] : this->calls) pending.answer.reset();
+  this->FinishAll(LinkErrorKind::kNotSent, reason);
+  if (this->state == State::kClosed && !this->calls.empty()) this->Connect();
+}
+
+void Link::CloseConnection() {
+  this->connect_timer.Reset();
+  this->acknowledge_timer.Reset();
+  this->acknowledge_pending = false;
+  if (const auto socket = std::exchange(this->connecting_socket, nullptr)) {
+    asio::error_code ignored;
+    socket->close(ignored);
+  }
+  if (!this->connection) return;
+  this->last_heard = std::max(this->last_heard, this->connection->LastHeard());
+  this->connection->Close();
+  this->connection.reset();
+}
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/link_server_implementation.cc
@@ -0,0 +1,307 @@
+#include "peer/link_server_implementation.h"
+
+#include <asio/ip/address.hpp>
+#include <vector>
+
+#include "peer/checksum.h"
+#include "peer/frame_codec.h"
+#include "peer/peer.pb.h"
+
+namespace fireflyrun::peer {
+namespace {
+
+constexpr std::size_t kMaxSeenIds = std::size_t{1} << 18;
+constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+/// Pause after accept() failed, as for want of file descriptors.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+/// A caller's newest link number outlives any connection accepted before it.
+constexpr Duration kCallerMemory = std::chrono::minutes(10);
+/// Bodies of one connection that have arrived in part, in units of the longest body.
+constexpr std::size_t kPartialBodies = 8;
+
+constexpr std::string_view kBodyDamaged = "body-damaged";
+constexpr std::string_view kBodyTooLong = "body-too-long";
+constexpr std::string_view kAnswerTooLong = "answer-too-long";
+
+/// Stands for an answer that is over a limit.
+Answer WithoutContent(const pb::AnswerHead& head) {
+  const bool answered = head.outcome() == pb::OUTCOME_ANSWERED;
+  Answer answer;
+  answer.head.set_outcome(answered ? pb::OUTCOME_RAN : head.outcome());
+  answer.head.set_reason(std::string(kAnswerTooLong));
+  answer.head.set_unused_retries(head.unused_retries());
+  return answer;
+}
+
+}  // namespace
+
+LinkServer::Implementation::Implementation(TimerService& timer_service, LinkOptions link_options,
+                                           CallHook call_hook, CancelHook cancel_hook)
+    : timers(timer_service),
+      options(std::move(link_options)),
+      on_call(std::move(call_hook)),
+      on_cancel(std::move(cancel_hook)),
+      acceptor(timer_service.Loop()),
+      calls(this->options.retained_answer_bytes, kMaxSeenIds) {}
+
+tl::expected<void, std::string> LinkServer::Implementation::Start() {
+  asio::error_code error;
+  const auto address = asio::ip::make_address(this->options.ip, error);
+  if (error) return tl::make_unexpected(this->options.ip + ": " + error.message());
+  const asio::ip::tcp::endpoint endpoint(address, this->options.port);
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error) this->acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true), error);
+  if (!error) this->acceptor.bind(endpoint, error);
+  if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return tl::make_unexpected("can't listen for peers: " + error.message());
+  this->port = this->acceptor.local_endpoint().port();
+  this->sweep_timer = this->timers.Every(kSweepPeriod, [this] { this->Sweep(); });
+  this->Accept();
+  return {};
+}
+
+void LinkServer::Implementation::Close() {
+  this->closed = true;
+  asio::error_code ignored;
+  this->acceptor.close(ignored);
+  this->sweep_timer.Reset();
+  this->accept_timer.Reset();
+  for (const Link& link : this->links) {
+    link->hello_timer.Reset();
+    link->connection->Close();
+  }
+  this->links.clear();
+}
+
+void LinkServer::Implementation::Accept() {
+  this->acceptor.async_accept([weak = this->weak_from_this()](const asio::error_code& error,
+                                                              asio::ip::tcp::socket socket) {
+    const auto self = weak.lock();
+    if (!self || self->closed) return;
+    if (!error) {
+      self->Open(std::move(socket));
+      return self->Accept();
+    }
+    self->accept_timer = self->timers.After(kAcceptPause, [raw = self.get()] { raw->Accept(); });
+  });
+}
+
+void LinkServer::Implementation::Open(asio::ip::tcp::socket socket) {
+  auto link = std::make_shared<InboundLink>();
+  link->connection = std::make_shared<Connection>(std::move(socket), this->options, this->counters);
+  this->links.insert(link);
+  const auto weak = this->weak_from_this();
+  const std::weak_ptr<InboundLink> weak_link = link;
+  link->connection->Start({
+      .on_frame =
+          [weak, weak_link](pb::Frame& frame) {
+            const auto self = weak.lock();
+            const auto target = weak_link.lock();
+            if (self && target) self->OnFrame(target, frame);
+          },
+      .on_call_handed_over = nullptr,
+      .on_closed =
+          [weak, weak_link](const std::string&) {
+            const auto self = weak.lock();
+            const auto target = weak_link.lock();
+            if (self && target) self->CloseLink(target);
+          },
+  });
+  link->hello_timer = this->timers.After(this->options.connect_limit, [this, weak_link] {
+    const auto target = weak_link.lock();
+    if (target && !target->caller) this->CloseLink(target);
+  });
+}
+
+void LinkServer::Implementation::CloseLink(const Link& link) {
+  const Link kept = link;
+  kept->hello_timer.Reset();
+  kept->connection->Close();
+  kept->partial_calls.clear();
+  this->links.erase(kept);
+}
+
+void LinkServer::Implementation::Sweep() {
+  const auto now = SteadyClock::now();
+  this->calls.DropExpired(now);
+  std::vector<Link> silent;
+  for (const Link& link : this->links) {
+    const Duration silence = now - link->connection->LastHeard();
+    if (link->caller && silence > this->options.idle_limit * 2) silent.push_back(link);
+  }
+  for (const Link& link : silent) this->CloseLink(link);
+  std::erase_if(this->callers, [&](const auto& entry) {
+    const InboundCaller& caller = *entry.second;
+    return caller.connection.expired() && now - caller.last_hello > kCallerMemory;
+  });
+}
+
+void LinkServer::Implementation::OnFrame(const Link& link, pb::Frame& frame) {
+  if (frame.has_hello()) return this->OnHello(link, frame.hello());
+  if (!link->caller) return this->CloseLink(link);
+  switch (frame.body_case()) {
+    case pb::Frame::kCallHead:
+      return this->OnCallHead(link, *frame.mutable_call_head());
+    case pb::Frame::kCallChunk:
+      return this->OnCallChunk(link, *frame.mutable_call_chunk());
+    case pb::Frame::kCancel:
+      return this->OnCancel(link, frame.cancel());
+    case pb::Frame::kAnswerAck:
+      return this->OnAnswerAck(frame.answer_ack());
+    case pb::Frame::kStateQuery:
+      return this->OnStateQuery(link, frame.state_query());
+    case pb::Frame::kHeartbeat:
+      return link->connection->PushFrame(pb::Frame::kHeartbeatReplyFieldNumber, frame.heartbeat());
+    default:
+      return this->CloseLink(link);
+  }
+}
+
+void LinkServer::Implementation::OnHello(const Link& link, const pb::Hello& hello) {
+  if (link->caller || hello.cluster() != this->options.cluster || hello.node().empty()) {
+    return this->CloseLink(link);
+  }
+  auto& caller = this->callers[CallerKey(hello.node(), hello.incarnation())];
+  if (!caller) caller = std::make_shared<InboundCaller>();
+  if (hello.link_number() <= caller->newest_link) return this->CloseLink(link);
+  std::vector<Link> superseded;
+  for (const Link& other : this->links) {
+    if (other->caller == caller) superseded.push_back(other);
+  }
+  for (const Link& other : superseded) this->CloseLink(other);
+  this->counters->links_replaced += superseded.size();
+  link->hello_timer.Reset();
+  link->caller = caller;
+  link->number = hello.link_number();
+  caller->newest_link = hello.link_number();
+  caller->connection = link->connection;
+  caller->last_hello = SteadyClock::now();
+  // Sent only now, so that a caller takes the link as open when both directions work.
+  pb::Hello reply;
+  reply.set_cluster(this->options.cluster);
+  reply.set_node(this->options.node);
+  reply.set_incarnation(this->options.incarnation);
+  link->connection->PushFrame(pb::Frame::kHelloFieldNumber, reply);
+}
+
+void LinkServer::Implementation::OnCallHead(const Link& link, pb::CallHead& head) {
+  const auto call_id = Id128::FromBytes(head.call_id());
+  if (!call_id || link->partial_calls.contains(*call_id)) return this->CloseLink(link);
+  const auto deadline = SteadyClock::now() + std::chrono::microseconds(head.deadline_us());
+  const std::uint64_t length = head.body_length();
+  const std::size_t partial_limit = this->options.max_body_bytes * kPartialBodies;
+  if (length > this->options.max_body_bytes || link->partial_bytes + length > partial_limit) {
+    return this->Refuse(link, *call_id, kBodyTooLong);
+  }
+  if (length == 0) {
+    Call call;
+    call.head.Swap(&head);
+    return this->Run(link, *call_id, std::move(call), deadline);
+  }
+  InboundLink::PartialCall partial;
+  partial.call.head.Swap(&head);
+  partial.assembly = BodyAssembly(length, partial.call.head.body_crc32());
+  partial.deadline = deadline;
+  partial.body_length = length;
+  link->partial_bytes += length;
+  link->partial_calls.emplace(*call_id, std::move(partial));
+}
+
+void LinkServer::Implementation::OnCallChunk(const Link& link, pb::BodyChunk& chunk) {
+  const auto call_id = Id128::FromBytes(chunk.call_id());
+  if (!call_id) return this->CloseLink(link);
+  const auto found = link->partial_calls.find(*call_id);
+  if (found == link->partial_calls.end()) return;
+  InboundLink::PartialCall& partial = found->second;
+  const auto state = partial.assembly.Add(std::move(*chunk.mutable_data()));
+  if (state == BodyAssembly::State::kIncomplete) return;
+  Call call = std::move(partial.call);
+  call.body = partial.assembly.TakeBody();
+  const SteadyTime deadline = partial.deadline;
+  this->DropPartial(link, *call_id);
+  if (state == BodyAssembly::State::kDamaged) return this->Refuse(link, *call_id, kBodyDamaged);
+  this->Run(link, *call_id, std::move(call), deadline);
+}
+
+void LinkServer::Implementation::DropPartial(const Link& link, const Id128& call_id) {
+  const auto found = link->partial_calls.find(call_id);
+  if (found == link->partial_calls.end()) return;
+  link->partial_bytes -= found->second.body_length;
+  link->partial_calls.erase(found);
+}
+
+void LinkServer::Implementation::OnCancel(const Link& link, const pb::Cancel& cancel) {
+  const auto call_id = Id128::FromBytes(cancel.call_id());
+  if (!call_id) return this->CloseLink(link);
+  this->DropPartial(link, *call_id);
+  const bool open = this->calls.IsOpen(*call_id);
+  this->calls.Acknowledge(*call_id, SteadyClock::now());
+  if (open && this->on_cancel) this->on_cancel(*call_id);
+}
+
+void LinkServer::Implementation::OnAnswerAck(const pb::AnswerAck& ack) {
+  const auto call_id = Id128::FromBytes(ack.call_id());
+  if (call_id) this->calls.Acknowledge(*call_id, SteadyClock::now());
+}
+
+void LinkServer::Implementation::OnStateQuery(const Link& link, const pb::StateQuery& query) {
+  const auto call_id = Id128::FromBytes(query.call_id());
+  if (!call_id) return this->CloseLink(link);
+  this->DropPartial(link, *call_id);
+  auto result = this->calls.Query(*call_id, link->number, SteadyClock::now());
+  if (result.state == pb::CALL_STATE_NEVER_ARRIVED) ++this->counters->voided_ids;
+  pb::StateReport report;
+  report.set_call_id(query.call_id());
+  report.set_state(result.state);
+  link->connection->PushFrame(pb::Frame::kStateReportFieldNumber, report);
+  if (!result.answer) return;
+  OutgoingMessage message;
+  message.call_id = *call_id;
+  message.answer = std::move(result.answer);
+  link->connection->Push(std::move(message));
+}
+
+void LinkServer::Implementation::Run(const Link& link, const Id128& call_id, Call call,
+                                     SteadyTime deadline) {
+  if (!this->calls.Begin(call_id, link->caller, deadline, SteadyClock::now())) {
+    ++this->counters->calls_dropped;
+    return;
+  }
+  ++this->counters->calls;
+  this->on_call(std::move(call), [weak = this->weak_from_this(), call_id](Answer answer) {
+    if (const auto self = weak.lock()) self->Finish(call_id, std::move(answer));
+  });
+}
+
+void LinkServer::Implementation::Refuse(const Link& link, const Id128& call_id,
+                                        std::string_view reason) {
+  const auto now = SteadyClock::now();
+  ++this->counters->calls_dropped;
+  if (!this->calls.Begin(call_id, link->caller, now, now)) return;
+  Answer answer;
+  answer.head.set_outcome(pb::OUTCOME_NOT_RUN);
+  answer.head.set_reason(std::string(reason));
+  this->Finish(call_id, std::move(answer));
+}
+
+void LinkServer::Implementation::Finish(const Id128& call_id, Answer answer) {
+  if (this->closed) return;
+  const bool head_fits = answer.head.ByteSizeLong() <= kMaxHeadBytes;
+  if (!head_fits || answer.body.size() > this->options.max_body_bytes) {
+    answer = WithoutContent(answer.head);
+  }
+  answer.head.set_call_id(call_id.ToBytes());
+  answer.head.set_body_length(answer.body.size());
+  answer.head.set_body_crc32(Checksum(answer.body));
+  auto result = this->calls.Finish(call_id, std::move(answer), SteadyClock::now());
+  if (!result.answer) return;
+  const auto connection = result.caller->connection.lock();
+  if (!connection || !connection->IsOpen()) return;
+  OutgoingMessage message;
+  message.call_id = call_id;
+  message.answer = std::move(result.answer);
+  connection->Push(std::move(message));
+  connection->Flush();
+}
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/src/peer/link_server_implementation.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "common/timer_service.h"
+#include "common/timer_subscription.h"
+#include "peer/call_table.h"
+#include "peer/connection.h"
+#include "peer/inbound_link.h"
+#include "peer/link_server.h"
+
+namespace fireflyrun::peer {
+
+/// The state of a LinkServer, shared with the hooks of its connections and with open replies.
+class LinkServer::Implementation : public std::enable_shared_from_this<Implementation> {
+ public:
+  Implementation(TimerService& timer_service, LinkOptions link_options, CallHook call_hook,
+                 CancelHook cancel_hook);
+
+  tl::expected<void, std::string> Start();
+  void Close();
+
+  std::uint16_t Port() const { return this->port; }
+  const CallTable& Calls() const { return this->calls; }
+  std::size_t OpenLinks() const { return this->links.size(); }
+  const LinkCounters& Counters() const { return *this->counters; }
+
+ private:
+  using Link = std::shared_ptr<InboundLink>;
+  using CallerKey = std::pair<std::string, std::uint64_t>;
+
+  void Accept();
+  void Open(asio::ip::tcp::socket socket);
+  void CloseLink(const Link& link);
+  void Sweep();
+
+  void OnFrame(const Link& link, pb::Frame& frame);
+  void OnHello(const Link& link, const pb::Hello& hello);
+  void OnCallHead(const Link& link, pb::CallHead& head);
+  void OnCallChunk(const Link& link, pb::BodyChunk& chunk);
+  void OnCancel(const Link& link, const pb::Cancel& cancel);
+  void OnAnswerAck(const pb::AnswerAck& ack);
+  void OnStateQuery(const Link& link, const pb::StateQuery& query);
+
+  void DropPartial(const Link& link, const Id128& call_id);
+  void Run(const Link& link, const Id128& call_id, Call call, SteadyTime deadline);
+  void Refuse(const Link& link, const Id128& call_id, std::string_view reason);
+  void Finish(const Id128& call_id, Answer answer);
+
+  TimerService& timers;
+  LinkOptions options;
+  CallHook on_call;
+  CancelHook on_cancel;
+  std::shared_ptr<LinkCounters> counters = std::make_shared<LinkCounters>();
+  asio::ip::tcp::acceptor acceptor;
+  std::uint16_t port = 0;
+  std::set<Link> links;
+  std::map<CallerKey, std::shared_ptr<InboundCaller>> callers;
+  CallTable calls;
+  TimerSubscription sweep_timer;
+  TimerSubscription accept_timer;
+  bool closed = false;
+};
+
+}  // namespace fireflyrun::peer
