--- /dev/null
+++ b/bench/peer.cmake
@@ -0,0 +1,2 @@
+add_executable(peer_link_bench peer_link_bench.cc)
+target_link_libraries(peer_link_bench PRIVATE fireflyrun_peer)
--- /dev/null
+++ b/tests/peer/link_faults_test.cc
@@ -0,0 +1,193 @@
+#include <gtest/gtest.h>
+
+#include "tests/peer/peer_harness.h"
+
+namespace fireflyrun::peer {
+namespace {
+
+using standins::FaultProxy;
+using Direction = standins::FaultProxy::Direction;
+using Scope = standins::FaultProxy::Scope;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Answer AnswerWith(std::string body) {
+  Answer answer;
+  answer.head.set_outcome(pb::OUTCOME_ANSWERED);
+  answer.body = std::move(body);
+  return answer;
+}
+
+TEST(LinkFaultsTest, SmallCallsPassALongBodyOnASlowLink) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.proxy->SetFaults(Direction::kToServer, Scope::kAll, {.bytes_per_second = 2'000'000});
+  const std::string long_body(std::size_t{4} << 20, 'x');
+  const auto long_call = harness.Send(long_body);
+  for (int round = 0; round < 3; ++round) {
+    const auto small = harness.Send("small");
+    ASSERT_TRUE(harness.RunUntilDone(small));
+    EXPECT_TRUE(small->Answered("small"));
+    EXPECT_EQ(long_call->results, 0);
+  }
+  ASSERT_TRUE(harness.RunUntilDone(long_call));
+  EXPECT_TRUE(long_call->Answered(long_body));
+  EXPECT_EQ(harness.pool->Counters().links_replaced, 0U);
+}
+
+TEST(LinkFaultsTest, AnswerBehindASilentConnectionIsFetchedWithinTwoSeconds) {
+  LinkOptions options;
+  options.cluster = "test";
+  PeerHarness harness(options);
+  ASSERT_TRUE(harness.Warm());
+  LinkServer::Reply reply;
+  harness.on_call = [&](const Call&, LinkServer::Reply kept) { reply = std::move(kept); };
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return reply != nullptr; }));
+  harness.proxy->SilenceExisting();
+  const SteadyTime start = SteadyClock::now();
+  reply(AnswerWith("computed"));
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_TRUE(call->Answered("computed"));
+  EXPECT_LT(SteadyClock::now() - start, seconds(2));
+  EXPECT_EQ(harness.ran.size(), 2U);
+  EXPECT_EQ(harness.pool->Counters().links_replaced, 1U);
+}
+
+TEST(LinkFaultsTest, CallInProgressAnswersOverTheNewestConnection) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  LinkServer::Reply reply;
+  harness.on_call = [&](const Call&, LinkServer::Reply kept) { reply = std::move(kept); };
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return reply != nullptr; }));
+  harness.proxy->SilenceExisting();
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.server->Counters().links_replaced == 1; }));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->OpenLinks() == 1; }));
+  reply(AnswerWith("late"));
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_TRUE(call->Answered("late"));
+}
+
+TEST(LinkFaultsTest, DropToTheServerEndsAsNeverArrivedAndTheLateCopyIsNotRun) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.proxy->SetFaults(Direction::kToServer, Scope::kExisting, {.hold = true});
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_EQ(call->Error(), LinkErrorKind::kNeverArrived);
+  ASSERT_GT(harness.proxy->HeldBytes(Direction::kToServer), 0U);
+  harness.proxy->SetFaults(Direction::kToServer, Scope::kExisting, {});
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.proxy->HeldBytes(Direction::kToServer) == 0; }));
+  ASSERT_TRUE(harness.Warm());
+  EXPECT_EQ(harness.ran.size(), 2U) << "only the two calls of Warm() ran";
+  EXPECT_EQ(harness.server->Counters().voided_ids, 1U);
+}
+
+TEST(LinkFaultsTest, DropToTheServerOfExistingConnections) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.proxy->SetFaults(Direction::kToServer, Scope::kExisting, {.drop = true});
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_EQ(call->Error(), LinkErrorKind::kNeverArrived);
+}
+
+TEST(LinkFaultsTest, DropToTheCallerOfExistingConnections) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.proxy->SetFaults(Direction::kToClient, Scope::kExisting, {.drop = true});
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_TRUE(call->Answered("x"));
+  EXPECT_EQ(harness.ran.size(), 2U);
+}
+
+TEST(LinkFaultsTest, DropInEitherDirectionOfAllConnectionsEndsAsUnknownOnceSent) {
+  for (const auto direction : {Direction::kToServer, Direction::kToClient}) {
+    PeerHarness harness;
+    ASSERT_TRUE(harness.Warm());
+    harness.proxy->SetFaults(direction, Scope::kAll, {.drop = true});
+    const auto sent = harness.Send("x");
+    ASSERT_TRUE(harness.RunUntilDone(sent));
+    EXPECT_EQ(sent->Error(), LinkErrorKind::kUnknown);
+    const auto unsent = harness.Send("x");
+    ASSERT_TRUE(harness.RunUntilDone(unsent));
+    EXPECT_EQ(unsent->Error(), LinkErrorKind::kNotSent);
+  }
+}
+
+TEST(LinkFaultsTest, ResetInMidCallBodyEndsAsNotSentAndIsNotRun) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.proxy->SetFaults(Direction::kToServer, Scope::kExisting, {.bytes_per_second = 500'000});
+  const auto before = harness.server->Counters().bytes_in;
+  const auto call = harness.Send(std::string(std::size_t{8} << 20, 'x'));
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.server->Counters().bytes_in > before + 50'000; }));
+  harness.proxy->ResetExisting();
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_EQ(call->Error(), LinkErrorKind::kNotSent);
+  ASSERT_TRUE(harness.Warm());
+  EXPECT_EQ(harness.ran.size(), 2U);
+}
+
+TEST(LinkFaultsTest, ResetInMidAnswerBodyFetchesTheWholeAnswer) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.proxy->SetFaults(Direction::kToClient, Scope::kExisting, {.bytes_per_second = 500'000});
+  const std::string body(std::size_t{4} << 20, 'y');
+  harness.on_call = [&](const Call&, const LinkServer::Reply& reply) { reply(AnswerWith(body)); };
+  const auto before = harness.pool->Counters().bytes_in;
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(
+      harness.RunUntil([&] { return harness.pool->Counters().bytes_in > before + 50'000; }));
+  harness.proxy->ResetExisting();
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_TRUE(call->Answered(body));
+  EXPECT_EQ(harness.ran.size(), 2U);
+}
+
+TEST(LinkFaultsTest, AnotherIncarnationRunsNothingAndSentCallsAreUnknown) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.on_call = [](const Call&, const LinkServer::Reply&) {};
+  const auto sent = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.ran.size() == 2; }));
+  harness.StopServer();
+  harness.StartServer(PeerHarness::kIncarnation + 1);
+  harness.proxy->Retarget({asio::ip::address_v4::loopback(), harness.server->Port()});
+  ASSERT_TRUE(harness.RunUntilDone(sent));
+  EXPECT_EQ(sent->Error(), LinkErrorKind::kUnknown);
+  const auto unsent = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntilDone(unsent));
+  EXPECT_EQ(unsent->Error(), LinkErrorKind::kNotSent);
+  EXPECT_EQ(harness.ran.size(), 2U);
+  harness.on_call = nullptr;
+  ++harness.address.incarnation;
+  EXPECT_TRUE(harness.Warm());
+}
+
+TEST(LinkFaultsTest, DeadNodeLeavesSentCallsUnknownAndUnsentCallsNotSent) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  harness.on_call = [](const Call&, const LinkServer::Reply&) {};
+  const auto sent = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.ran.size() == 2; }));
+  harness.proxy->SetCut(true);
+  const SteadyTime start = SteadyClock::now();
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->OpenLinks() == 0; }));
+  const auto unsent = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntilDone(unsent));
+  EXPECT_EQ(unsent->Error(), LinkErrorKind::kNotSent);
+  ASSERT_TRUE(harness.RunUntilDone(sent));
+  EXPECT_EQ(sent->Error(), LinkErrorKind::kUnknown);
+  EXPECT_LT(SteadyClock::now() - start, seconds(2));
+  harness.proxy->SetCut(false);
+  harness.on_call = nullptr;
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.Warm(); }));
+}
+
+}  // namespace
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/tests/peer/link_server_test.cc
@@ -0,0 +1,123 @@
+#include "peer/link_server.h"
+
+#include <gtest/gtest.h>
+
+#include "peer/checksum.h"
+#include "peer/frame_codec.h"
+#include "tests/peer/raw_link.h"
+
+namespace fireflyrun::peer {
+namespace {
+
+const Id128 kCall(1, 1);
+const Id128 kOtherCall(1, 2);
+
+TEST(LinkServerTest, LateCopyOfAVoidedCallNeverReachesTheHook) {
+  PeerHarness harness;
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  link.SendQuery(kCall);
+  const auto report = link.Await(pb::Frame::kStateReport);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->state_report().state(), pb::CALL_STATE_NEVER_ARRIVED);
+  link.SendCall(kCall, "", 0);
+  link.SendCall(kOtherCall, "", 0);
+  ASSERT_TRUE(link.Await(pb::Frame::kAnswerHead));
+  EXPECT_EQ(harness.ran, std::vector{kOtherCall});
+}
+
+TEST(LinkServerTest, NothingArrivesOnASupersededLink) {
+  PeerHarness harness;
+  RawLink old_link(harness, harness.server->Port());
+  old_link.SendHello("c", 1, 1);
+  ASSERT_TRUE(old_link.Await(pb::Frame::kHello));
+  RawLink new_link(harness, harness.server->Port());
+  new_link.SendHello("c", 1, 2);
+  new_link.SendQuery(kOtherCall);
+  ASSERT_TRUE(new_link.Await(pb::Frame::kStateReport));
+  old_link.SendCall(kCall, "", 0);
+  EXPECT_TRUE(old_link.AwaitEnd());
+  EXPECT_TRUE(harness.ran.empty());
+}
+
+TEST(LinkServerTest, HelloThatComesAfterThatOfANewerLinkIsRefused) {
+  PeerHarness harness;
+  RawLink old_link(harness, harness.server->Port());
+  RawLink new_link(harness, harness.server->Port());
+  new_link.SendHello("c", 1, 2);
+  new_link.SendQuery(kOtherCall);
+  ASSERT_TRUE(new_link.Await(pb::Frame::kStateReport));
+  old_link.SendHello("c", 1, 1);
+  old_link.SendCall(kCall, "", 0);
+  EXPECT_TRUE(old_link.AwaitEnd());
+  EXPECT_TRUE(harness.ran.empty());
+}
+
+TEST(LinkServerTest, DamagedBodyIsRefusedAndNotRun) {
+  PeerHarness harness;
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  link.SendCall(kCall, "body", Checksum("body") + 1);
+  const auto answer = link.Await(pb::Frame::kAnswerHead);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->answer_head().outcome(), pb::OUTCOME_NOT_RUN);
+  EXPECT_TRUE(harness.ran.empty());
+}
+
+TEST(LinkServerTest, BodyOverTheLimitIsRefusedByItsHead) {
+  PeerHarness harness;
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  pb::CallHead head;
+  head.set_call_id(kCall.ToBytes());
+  head.set_body_length(harness.options.max_body_bytes + 1);
+  link.Send(pb::Frame::kCallHeadFieldNumber, head);
+  const auto answer = link.Await(pb::Frame::kAnswerHead);
+  ASSERT_TRUE(answer);
+  EXPECT_EQ(answer->answer_head().outcome(), pb::OUTCOME_NOT_RUN);
+}
+
+TEST(LinkServerTest, MalformedFramesAndStrangersAreCutOff) {
+  PeerHarness harness;
+  for (const std::string& bytes :
+       {std::string(64, '\xff'), std::string(64, '\0'), std::string("\x02\0\0\0\xff\xff", 6)}) {
+    RawLink link(harness, harness.server->Port());
+    link.SendHello("c", 1, 1);
+    link.Write(bytes);
+    EXPECT_TRUE(link.AwaitEnd());
+  }
+  RawLink stranger(harness, harness.server->Port());
+  pb::Hello hello;
+  hello.set_cluster("another");
+  hello.set_node("c");
+  hello.set_link_number(9);
+  stranger.Send(pb::Frame::kHelloFieldNumber, hello);
+  EXPECT_TRUE(stranger.AwaitEnd());
+  RawLink silent(harness, harness.server->Port());
+  EXPECT_TRUE(silent.AwaitEnd());
+}
+
+TEST(LinkServerTest, RetainedAnswersAreBoundedAndHeldUntilAcknowledged) {
+  LinkOptions options = PeerHarness::ShortLimits();
+  options.retained_answer_bytes = 1000;
+  PeerHarness harness(options);
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  const std::string body(600, 'x');
+  for (const Id128& id : {kCall, kOtherCall}) {
+    link.SendCall(id, body, Checksum(body));
+    ASSERT_TRUE(link.Await(pb::Frame::kAnswerChunk));
+  }
+  EXPECT_EQ(harness.server->RetainedAnswers(), 1U);
+  link.SendQuery(kCall);
+  const auto report = link.Await(pb::Frame::kStateReport);
+  ASSERT_TRUE(report);
+  EXPECT_EQ(report->state_report().state(), pb::CALL_STATE_FORGOTTEN);
+  pb::AnswerAck ack;
+  ack.set_call_id(kOtherCall.ToBytes());
+  link.Send(pb::Frame::kAnswerAckFieldNumber, ack);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
+}
+
+}  // namespace
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/tests/peer/link_test.cc
@@ -0,0 +1,162 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "peer/checksum.h"
+#include "peer/frame_codec.h"
+#include "tests/peer/raw_link.h"
+
+namespace fireflyrun::peer {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string BodyOf(std::size_t size, std::size_t seed) {
+  std::string body(size, '\0');
+  for (std::size_t index = 0; index < size; ++index) {
+    body[index] = static_cast<char>(index * 31 + seed * 7);
+  }
+  return body;
+}
+
+RC_GTEST_PROP(LinkTest, EveryCallerGetsTheBodyOfItsOwnCall, ()) {
+  LinkOptions options = PeerHarness::ShortLimits();
+  options.chunk_bytes = 512;
+  PeerHarness harness(options);
+  std::vector<std::pair<LinkServer::Reply, Answer>> held;
+  harness.on_call = [&](Call call, LinkServer::Reply reply) {
+    Answer answer;
+    answer.body = std::move(call.body);
+    held.emplace_back(std::move(reply), std::move(answer));
+    // Answers leave in reverse order, a few at a time.
+    if (held.size() < 3) return;
+    for (; !held.empty(); held.pop_back()) held.back().first(std::move(held.back().second));
+  };
+  const auto sizes = *rc::gen::container<std::vector<std::size_t>>(rc::gen::oneOf(
+      rc::gen::inRange<std::size_t>(0, 100), rc::gen::inRange<std::size_t>(0, 200'000)));
+  std::vector<std::shared_ptr<SentCall>> calls;
+  for (std::size_t index = 0; index < sizes.size(); ++index) {
+    calls.push_back(harness.Send(BodyOf(sizes[index], index)));
+  }
+  RC_ASSERT(harness.RunUntil([&] { return harness.ran.size() == sizes.size(); }));
+  for (; !held.empty(); held.pop_back()) held.back().first(std::move(held.back().second));
+  RC_ASSERT(harness.RunUntil([&] { return harness.pool->PendingCalls() == 0; }));
+  for (std::size_t index = 0; index < sizes.size(); ++index) {
+    RC_ASSERT(calls[index]->results == 1);
+    RC_ASSERT(calls[index]->Answered(BodyOf(sizes[index], index)));
+  }
+  RC_ASSERT(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
+}
+
+TEST(LinkTest, HandlerNeverRunsInsideSend) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  EXPECT_EQ(harness.Send("x")->results, 0);
+  const auto too_long = harness.Send(std::string(harness.options.max_body_bytes + 1, 'x'));
+  EXPECT_EQ(too_long->results, 0);
+  ASSERT_TRUE(harness.RunUntilDone(too_long));
+  EXPECT_EQ(too_long->Error(), LinkErrorKind::kNotSent);
+}
+
+TEST(LinkTest, CancelReachesTheFarNodeAndNothingIsRetained) {
+  PeerHarness harness;
+  LinkServer::Reply kept;
+  harness.on_call = [&](const Call&, LinkServer::Reply reply) { kept = std::move(reply); };
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return kept != nullptr; }));
+  harness.pool->Cancel(call->id);
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{call->id});
+  kept(Answer{});
+  EXPECT_EQ(harness.server->RetainedAnswers(), 0U);
+  EXPECT_EQ(harness.server->OpenCalls(), 0U);
+  EXPECT_EQ(harness.pool->PendingCalls(), 0U);
+  EXPECT_EQ(call->results, 0);
+}
+
+TEST(LinkTest, DeadlineEndsTheCallAndItsLateAnswerIsNotRetained) {
+  PeerHarness harness;
+  LinkServer::Reply kept;
+  harness.on_call = [&](const Call&, LinkServer::Reply reply) { kept = std::move(reply); };
+  const auto call = harness.Send("x", milliseconds(50));
+  ASSERT_TRUE(harness.RunUntilDone(call));
+  EXPECT_EQ(call->Error(), LinkErrorKind::kUnknown);
+  ASSERT_TRUE(kept);
+  harness.on_call = nullptr;
+  ASSERT_TRUE(harness.Warm());
+  kept(Answer{});
+  EXPECT_EQ(harness.server->OpenCalls(), 0U);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
+  EXPECT_EQ(call->results, 1);
+}
+
+TEST(LinkTest, DuplicateLateAndDamagedAnswersAreDropped) {
+  PeerHarness harness;
+  asio::ip::tcp::acceptor acceptor(harness.loop, {asio::ip::address_v4::loopback(), 0});
+  harness.address.port = acceptor.local_endpoint().port();
+  std::optional<RawLink> far;
+  acceptor.async_accept([&](const asio::error_code&, asio::ip::tcp::socket socket) {
+    far.emplace(harness, std::move(socket));
+  });
+  const auto good = harness.Send("");
+  const auto damaged = harness.Send("");
+  ASSERT_TRUE(harness.RunUntil([&] { return far.has_value(); }));
+  far->SendHello("b", PeerHarness::kIncarnation, 0);
+  ASSERT_TRUE(far->Await(pb::Frame::kCallHead));
+  const auto answer = [&](const Id128& id, std::uint32_t crc32) {
+    pb::AnswerHead head;
+    head.set_call_id(id.ToBytes());
+    head.set_body_length(4);
+    head.set_body_crc32(crc32);
+    far->Send(pb::Frame::kAnswerHeadFieldNumber, head);
+    std::string chunk;
+    AppendChunkFrame(pb::Frame::kAnswerChunkFieldNumber, id, "body", &chunk);
+    far->Write(chunk);
+  };
+  answer(good->id, Checksum("body"));
+  answer(good->id, Checksum("body"));
+  answer(damaged->id, Checksum("body") + 1);
+  ASSERT_TRUE(harness.RunUntilDone(damaged));
+  EXPECT_TRUE(good->Answered("body"));
+  EXPECT_EQ(good->results, 1);
+  EXPECT_EQ(damaged->Error(), LinkErrorKind::kUnknown);
+  EXPECT_EQ(harness.pool->Counters().late_answers_dropped, 1U);
+}
+
+TEST(LinkTest, MeasuresTheOneWayDelay) {
+  PeerHarness harness;
+  harness.proxy->SetFaults(standins::FaultProxy::Direction::kToServer,
+                           standins::FaultProxy::Scope::kAll, {.delay = milliseconds(30)});
+  ASSERT_TRUE(harness.Warm());
+  EXPECT_EQ(harness.pool->OneWayDelay("nobody"), Duration::zero());
+  EXPECT_GE(harness.pool->OneWayDelay("b"), milliseconds(15));
+  EXPECT_LT(harness.pool->OneWayDelay("b"), milliseconds(150));
+}
+
+TEST(LinkTest, IdleLinkIsClosedAndHeartbeatsOnlyWhileCallsArePending) {
+  LinkOptions options = PeerHarness::ShortLimits();
+  options.idle_limit = milliseconds(200);
+  PeerHarness harness(options);
+  ASSERT_TRUE(harness.Warm());
+  EXPECT_EQ(harness.pool->OpenLinks(), 1U);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
+  const auto bytes_out = harness.pool->Counters().bytes_out;
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->OpenLinks() == 0; }));
+  EXPECT_EQ(harness.pool->Counters().bytes_out, bytes_out);
+  EXPECT_TRUE(harness.Warm());
+}
+
+TEST(LinkTest, CloseEndsPendingCallsOnce) {
+  PeerHarness harness;
+  harness.on_call = [](const Call&, const LinkServer::Reply&) {};
+  const auto sent = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.ran.size() == 1; }));
+  harness.pool->Close();
+  const auto late = harness.Send("x");
+  EXPECT_EQ(sent->results, 0);
+  ASSERT_TRUE(harness.RunUntilDone(late));
+  EXPECT_EQ(sent->Error(), LinkErrorKind::kUnknown);
+  EXPECT_EQ(late->Error(), LinkErrorKind::kNotSent);
+}
+
+}  // namespace
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/tests/peer/raw_link.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "peer/frame_reader.h"
+#include "peer/peer.pb.h"
+#include "tests/peer/peer_harness.h"
+
+namespace fireflyrun::peer {
+
+/// A hand-driven end of a link, for frames that a LinkPool or LinkServer never sends.
+class RawLink {
+ public:
+  RawLink(PeerHarness& peer_harness, std::uint16_t port);
+  RawLink(PeerHarness& peer_harness, asio::ip::tcp::socket accepted);
+
+  void Write(const std::string& bytes);
+  void Send(int field_number, const google::protobuf::MessageLite& message);
+  void SendHello(const std::string& node, std::uint64_t incarnation, std::uint64_t link_number);
+  void SendCall(const Id128& call_id, const std::string& body, std::uint32_t crc32);
+  void SendQuery(const Id128& call_id);
+  /// Runs the loop until a frame with this body has come; drops others. Nothing when the stream
+  /// ends.
+  std::optional<pb::Frame> Await(pb::Frame::BodyCase body_case);
+  /// Runs the loop until the far end has closed the stream.
+  bool AwaitEnd();
+
+ private:
+  bool ReadSome();
+
+  PeerHarness& harness;
+  asio::ip::tcp::socket socket;
+  FrameReader reader{std::size_t{1} << 24};
+  bool ended = false;
+};
+
+}  // namespace fireflyrun::peer
--- /dev/null
+++ b/tests/standins/fault_proxy.cmake
@@ -0,0 +1,6 @@
+add_library(fireflyrun_fault_proxy STATIC fault_proxy.cc fault_proxy_session.cc)
+target_include_directories(fireflyrun_fault_proxy PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(fireflyrun_fault_proxy PUBLIC fireflyrun_common fireflyrun_asio)
+
+add_executable(fault_proxy fault_proxy_main.cc)
+target_link_libraries(fault_proxy PRIVATE fireflyrun_fault_proxy)
