--- a/src/http/exchange.h
+++ b/src/http/exchange.h
@@ -17,7 +17,8 @@
   /// Sends the response. Later calls, and calls after the caller has gone, do nothing.
   virtual void Respond(Response response) = 0;
 
-  /// Sets the hook that runs when the caller's connection closes before the response is sent.
+  /// Sets the hook that runs, from the event loop, when the caller's connection closes before the
+  /// response is sent. A caller that closes only its sending side counts as gone.
   virtual void OnCallerGone(std::function<void()> hook) = 0;
 };
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -30,13 +30,15 @@
   /// The bound port, valid after Start().
   std::uint16_t Port() const;
 
-  /// Accepts no further connection; open ones go on.
+  /// Accepts no further connection; open ones go on until their next response, which says
+  /// `Connection: close`.
   void StopAccepting();
 
-  /// Requests received and not yet answered.
+  /// Requests received whose responses are not yet written to the operating system.
   std::size_t OpenExchanges() const;
 
-  /// Closes every connection. Call when OpenExchanges() is 0 for a graceful stop.
+  /// Closes every connection; hooks for gone callers do not run. Call when OpenExchanges() is 0 for
+  /// a graceful stop.
   void Close();
 
  private:
--- /dev/null
+++ b/tests/http/client_error_test.cc
@@ -0,0 +1,151 @@
+#include <gtest/gtest.h>
+
+#include "tests/http/test_support.h"
+
+namespace fireflyrun::http {
+namespace {
+
+ClientRequest Get(std::uint16_t port) {
+  ClientRequest request;
+  request.url = Url(port);
+  return request;
+}
+
+ClientErrorKind KindOf(const std::optional<Result>& result) { return result.value().error().kind; }
+
+/// Answers the first request and closes the kept connection as the second one arrives on it.
+void CloseOnSecondRequest(RawConnection& connection, int number) {
+  if (number == 2) {
+    connection.Close();
+  } else {
+    connection.Write(kWholeResponse);
+  }
+}
+
+/// Fetches from a far end that answers with `text` and closes.
+std::optional<Result> FetchText(const std::string& text, ClientRequest request = {}) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer server(loop, [&](RawConnection& connection, int) {
+    asio::write(connection.socket, asio::buffer(text));
+    connection.Close();
+  });
+  request.url = Url(server.Port());
+  return Fetch(loop, client, request);
+}
+
+TEST(ClientErrorTest, RepeatableRequestIsSilentlyRepeatedWhenItsKeptConnectionCloses) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer server(loop, CloseOnSecondRequest);
+  ASSERT_TRUE(Fetch(loop, client, Get(server.Port()))->has_value());
+  EXPECT_TRUE(Fetch(loop, client, Get(server.Port()))->has_value());
+  EXPECT_EQ(server.requests, 3);
+}
+
+TEST(ClientErrorTest, RequestOnAFreshConnectionIsNeverRepeated) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer server(loop, CloseOnSecondRequest);
+  ASSERT_TRUE(Fetch(loop, client, Get(server.Port()))->has_value());
+  ClientRequest fresh = Get(server.Port());
+  fresh.fresh_connection = true;
+  EXPECT_EQ(KindOf(Fetch(loop, client, fresh)), ClientErrorKind::kConnectionLost);
+  EXPECT_EQ(server.requests, 2);
+  EXPECT_EQ(server.connections, 2);
+}
+
+TEST(ClientErrorTest, FailedRepeatIsNotCalledNotSent) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer* far_end = nullptr;
+  RawServer server(loop, [&](RawConnection& connection, int number) {
+    if (number == 2) far_end->acceptor.close();
+    CloseOnSecondRequest(connection, number);
+  });
+  far_end = &server;
+  ASSERT_TRUE(Fetch(loop, client, Get(server.Port()))->has_value());
+  EXPECT_EQ(KindOf(Fetch(loop, client, Get(server.Port()))), ClientErrorKind::kConnectionLost);
+  EXPECT_EQ(server.requests, 2);
+}
+
+TEST(ClientErrorTest, RefusedConnectionIsNotSent) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer server(loop, nullptr);
+  server.acceptor.close();
+  EXPECT_EQ(KindOf(Fetch(loop, client, Get(server.Port()))), ClientErrorKind::kNotSent);
+}
+
+TEST(ClientErrorTest, ConnectionClosedBeforeAResponseIsLost) {
+  EXPECT_EQ(KindOf(FetchText("")), ClientErrorKind::kConnectionLost);
+}
+
+TEST(ClientErrorTest, NoResponseInTimeIsTimedOut) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer server(loop, [](RawConnection&, int) {});
+  ClientRequest request = Get(server.Port());
+  request.timeout = std::chrono::milliseconds(20);
+  EXPECT_EQ(KindOf(Fetch(loop, client, request)), ClientErrorKind::kTimedOut);
+  EXPECT_EQ(server.requests, 1);
+}
+
+TEST(ClientErrorTest, TruncatedBodyIsNeverAShortBody) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& text : {
+           head + "Content-Length: 10\r\n\r\nshort",
+           head + "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
+           head + "\r\nends with its connection",
+       }) {
+    EXPECT_EQ(KindOf(FetchText(text)), ClientErrorKind::kConnectionLost) << text;
+  }
+}
+
+TEST(ClientErrorTest, BodyOverTheLimitIsTooLarge) {
+  ClientRequest request;
+  request.max_response_bytes = 4;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string sized = head + "Content-Length: 5\r\n\r\n12345";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n0\r\n\r\n";
+  EXPECT_EQ(KindOf(FetchText(sized, request)), ClientErrorKind::kTooLarge);
+  EXPECT_EQ(KindOf(FetchText(chunked, request)), ClientErrorKind::kTooLarge);
+  request.max_response_bytes = 5;
+  EXPECT_EQ(FetchText(sized, request)->value().body, "12345");
+}
+
+TEST(ClientErrorTest, LineBreaksInHeadersAreNotSent) {
+  ClientRequest request;
+  request.headers = {{"X-Tag", "a\r\nInjected: 1"}};
+  EXPECT_EQ(KindOf(FetchText(kWholeResponse, request)), ClientErrorKind::kNotSent);
+}
+
+TEST(ClientErrorTest, CancelledRequestGetsItsResultFromTheLoop) {
+  asio::io_context loop;
+  Client client(loop, 4);
+  RawServer server(loop, [](RawConnection&, int) {});
+  std::optional<Result> result;
+  const auto id = client.Send(Get(server.Port()), [&](Result ended) { result = ended; });
+  ASSERT_TRUE(RunUntil(loop, [&] { return server.requests == 1; }));
+  client.Cancel(id);
+  EXPECT_FALSE(result);
+  ASSERT_TRUE(RunUntil(loop, [&] { return result.has_value(); }));
+  EXPECT_EQ(KindOf(result), ClientErrorKind::kCancelled);
+}
+
+TEST(ClientErrorTest, DestroyedClientCallsNoHandler) {
+  asio::io_context loop;
+  bool called = false;
+  RawServer server(loop, [](RawConnection&, int) {});
+  auto client = std::make_unique<Client>(loop, 4);
+  client->Send(Get(server.Port()), [&](const Result&) { called = true; });
+  const auto cancelled = client->Send(Get(server.Port()), [&](const Result&) { called = true; });
+  ASSERT_TRUE(RunUntil(loop, [&] { return server.requests == 2; }));
+  client->Cancel(cancelled);
+  client.reset();
+  loop.poll();
+  EXPECT_FALSE(called);
+}
+
+}  // namespace
+}  // namespace fireflyrun::http
