--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -1,6 +1,7 @@
 #include "node/dispatch.h"
 
 #include <algorithm>
+#include <asio/post.hpp>
 #include <utility>
 
 #include "common/random.h"
@@ -79,9 +80,13 @@
   }
 }
 
+policy::TargetQuery Dispatch::MakeQuery() const {
+  return {this->call.route->service, LevelKey(*this->call.route), this->call.call_class,
+          this->call.key,            this->tried,                 this->call.body.size()};
+}
+
 void Dispatch::SendIdempotent() {
-  policy::TargetQuery query{LevelKey(*this->call.route), this->call.call_class, this->call.key,
-                            this->tried, this->call.body.size()};
+  auto query = this->MakeQuery();
   const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
   auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
   if (!choice && !this->tried.empty()) {
@@ -103,8 +108,7 @@
 }
 
 std::optional<policy::Ticket> Dispatch::ProposeTicket() {
-  const policy::TargetQuery query{LevelKey(*this->call.route), this->call.call_class,
-                                  this->call.key, this->tried, this->call.body.size()};
+  const auto query = this->MakeQuery();
   const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
   const auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
   if (!choice) return std::nullopt;
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -14,6 +14,7 @@
 #include "node/call_result.h"
 #include "node/dispatch_services.h"
 #include "node/outbound_call.h"
+#include "policy/target_query.h"
 #include "policy/ticket.h"
 
 namespace fireflyrun::node {
@@ -37,6 +38,7 @@
 
  private:
   void Step();
+  policy::TargetQuery MakeQuery() const;
   void SendIdempotent();
   void ResolveTicket();
   void ResolveCallersTicket();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,6 +1,6 @@
 #include "node/node.h"
 
-#include <fmt/format.h>
+#include <asio/post.hpp>
 
 #include <chrono>
 #include <optional>
@@ -18,6 +18,7 @@
 #include "node/call_dispatcher.h"
 #include "node/caller_service.h"
 #include "node/context_table.h"
+#include "node/level_key.h"
 #include "node/node_drain.h"
 #include "node/node_metrics.h"
 #include "node/record_keeper.h"
@@ -369,7 +370,7 @@
   const auto key = policy::KeyFor(static_cast<std::uint32_t>(route.rank), Id128::Random());
   const policy::CallClass call_class{route.class_name, static_cast<std::uint32_t>(route.rank),
                                      route.may_leave_region};
-  const policy::TargetQuery query{route.service, call_class, key, {}, 0};
+  const policy::TargetQuery query{route.service, LevelKey(route), call_class, key, {}, 0};
   const auto choice = this->chooser.Choose(
       query, this->directory->CandidatesOf(route.service), SteadyClock::now());
   if (!choice) return std::nullopt;
--- a/src/policy/admission_controller.cc
+++ b/src/policy/admission_controller.cc
@@ -73,6 +73,13 @@
   this->RunActions();
 }
 
+void AdmissionController::Abandoned(const Id128& id, SteadyTime now) {
+  if (this->in_flight.erase(id) == 0) return;
+  this->DropExpired(now);
+  this->StartQueued(now);
+  this->RunActions();
+}
+
 bool AdmissionController::Cancel(const Id128& id) {
   const bool was_queued = this->queue.Remove(id).has_value();
   this->NoteQueue();
--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -43,6 +43,9 @@
   /// A started call ended; `ok` is false for timeouts and broken exchanges. Unknown ids are
   /// ignored.
   void Finished(const Id128& id, Duration service_time, bool ok, SteadyTime now);
+  /// A started call ended in a way that says nothing about the target's speed, such as a
+  /// cancellation. Unknown ids are ignored.
+  void Abandoned(const Id128& id, SteadyTime now);
   /// True if the call was queued: it is removed and no hook follows. A call in flight is not
   /// affected and still has to be `Finished`.
   bool Cancel(const Id128& id);
--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -66,13 +66,13 @@
   if (known != this->known_targets.end()) known->second.load.OnSent();
 }
 
-void TargetChooser::OnAnswered(std::string_view service, std::string_view node, CallOutcome outcome,
+void TargetChooser::OnAnswered(std::string_view level_scope, std::string_view node, CallOutcome outcome,
                                Duration latency, const HeardLoad& load,
                                const std::optional<PriorityKey>& level, SteadyTime now) {
   const auto known = this->known_targets.find(node);
   if (known == this->known_targets.end()) return;
   known->second.load.OnAnswered(outcome, latency, load, now);
-  if (level) this->levels.OnHeard(service, node, *level, now);
+  if (level) this->levels.OnHeard(level_scope, node, *level, now);
 }
 
 void TargetChooser::Forget(std::string_view node) {
@@ -109,7 +109,7 @@
     std::erase_if(pool.usable, excluded);
   }
   for (const Candidate* candidate : pool.usable) {
-    if (!this->levels.Admits(query.service, candidate->node, query.key, now)) continue;
+    if (!this->levels.Admits(query.level_scope, candidate->node, query.key, now)) continue;
     pool.admitting.push_back(candidate);
     if (!this->Saturated(*candidate, now)) pool.unsaturated.push_back(candidate);
   }
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -45,7 +45,7 @@
   /// A call was sent to `node`; `OnAnswered` must follow.
   void OnSent(std::string_view node);
   /// `level` is nullopt when the answer told none (a timeout, a lost link).
-  void OnAnswered(std::string_view service, std::string_view node, CallOutcome outcome,
+  void OnAnswered(std::string_view level_scope, std::string_view node, CallOutcome outcome,
                   Duration latency, const HeardLoad& load, const std::optional<PriorityKey>& level,
                   SteadyTime now);
   /// Drops all that is known of a node that is gone for good.
--- a/src/policy/ticket_ledger.cc
+++ b/src/policy/ticket_ledger.cc
@@ -70,6 +70,13 @@
   entry->state = EntryState::kUnknown;
 }
 
+bool TicketLedger::WithdrawUnsent(const Ticket& ticket) {
+  Entry* const entry = this->Find(ticket);
+  if (entry == nullptr || entry->state != EntryState::kStarted) return false;
+  entry->state = EntryState::kClaimed;
+  return true;
+}
+
 std::size_t TicketLedger::Entries() const {
   std::size_t total = 0;
   for (const auto& [number, window] : this->windows) total += window.size();
--- a/src/policy/ticket_ledger.h
+++ b/src/policy/ticket_ledger.h
@@ -55,6 +55,9 @@
   /// The started call's outcome cannot be known. A later `Complete` replaces it.
   void FailUnknown(const Ticket& ticket);
 
+  /// The started call was never handed to the target: nothing of it left this node. The ticket is
+  /// claimed again and may be voided. False for any other state.
+  bool WithdrawUnsent(const Ticket& ticket);
   std::size_t Entries() const;
   std::size_t RetainedAnswerBytes() const { return this->retained_bytes; }
 
--- /dev/null
+++ b/tests/node/node_setting_table_test.cc
@@ -0,0 +1,70 @@
+#include "node/node_setting_table.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace fireflyrun::node {
+namespace {
+
+using Environment = std::map<std::string, std::string>;
+
+ParsedNodeSettings Parse(std::vector<std::string> arguments, const Environment& environment = {}) {
+  arguments.insert(arguments.begin(), "node");
+  std::vector<char*> pointers;
+  for (auto& argument : arguments) pointers.push_back(argument.data());
+  pointers.push_back(nullptr);
+  return ParseNodeSettings(static_cast<int>(arguments.size()), pointers.data(),
+                           [&](const std::string& name) -> std::optional<std::string> {
+                             const auto found = environment.find(name);
+                             if (found == environment.end()) return std::nullopt;
+                             return found->second;
+                           });
+}
+
+std::vector<std::string> Required() {
+  return {"--node", "n1", "--region", "east", "--zone", "east-a", "--seeds", "127.0.0.1:7403"};
+}
+
+TEST(NodeSettingTableTest, TakesFlagsBeforeVariables) {
+  auto arguments = Required();
+  arguments.insert(arguments.end(), {"--caller-port", "8000"});
+  const auto parsed =
+      Parse(arguments, {{"FIREFLYRUN_CALLER_PORT", "9000"}, {"FIREFLYRUN_ADMIN_PORT", "9001"}});
+  EXPECT_TRUE(parsed.findings.empty()) << FormatFindings(parsed.findings);
+  EXPECT_EQ(parsed.settings.caller_port, 8000);
+  EXPECT_EQ(parsed.settings.admin_port, 9001);
+}
+
+TEST(NodeSettingTableTest, ReportsEveryWrongValueWithItsPlace) {
+  const auto parsed = Parse({"--node", "Not A Name", "--caller-port", "70000", "--store", "nowhere"},
+                            {{"FIREFLYRUN_STOP_LIMIT", "-1"}});
+  const std::string text = FormatFindings(parsed.findings);
+  EXPECT_NE(text.find("--node: "), std::string::npos) << text;
+  EXPECT_NE(text.find("--caller-port: "), std::string::npos) << text;
+  EXPECT_NE(text.find("--store: "), std::string::npos) << text;
+  EXPECT_NE(text.find("FIREFLYRUN_STOP_LIMIT: "), std::string::npos) << text;
+  EXPECT_NE(text.find("--region: is required"), std::string::npos) << text;
+}
+
+TEST(NodeSettingTableTest, TwoPortsMustDiffer) {
+  auto arguments = Required();
+  arguments.insert(arguments.end(), {"--caller-port", "7401"});
+  EXPECT_FALSE(Parse(arguments).findings.empty());
+}
+
+TEST(NodeSettingTableTest, UnknownFlagsAndBareWordsAreWrongUsage) {
+  EXPECT_TRUE(Parse({"--no-such-flag"}).wrong_usage);
+  EXPECT_TRUE(Parse({"word"}).wrong_usage);
+}
+
+TEST(NodeSettingTableTest, HelpNamesEverySetting) {
+  const std::string help = NodeHelp();
+  for (const auto& spec : NodeSettingTable()) {
+    EXPECT_NE(help.find(std::string(spec.flag)), std::string::npos);
+    EXPECT_NE(help.find(std::string(spec.variable)), std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace fireflyrun::node
