Add call metrics by class and tenant, and their exposition

Cause: operators need histograms for each tenant or class. Ruled out: a histogram for every pair that callers present (the exposition alone would pass the memory budget); label text built for each call.

--- /dev/null
+++ b/src/metrics/call_metrics.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <boost/histogram.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <utility>
+#include <vector>
+
+#include "common/clock.h"
+#include "metrics/call_counter.h"
+#include "metrics/call_timing.h"
+#include "metrics/series_id.h"
+
+namespace fireflyrun::metrics {
+
+/// Counts and times calls by class and tenant. Counting takes no allocation and builds no text:
+/// resolve a class and tenant once and keep the id. Memory is bounded whatever callers present.
+class CallMetrics {
+ public:
+  static constexpr std::size_t kMaxTenants = 32;
+  static constexpr std::size_t kMaxClasses = 64;
+  /// Pairs of a class and a tenant, beside one pair of each class with the folded tenants.
+  static constexpr std::size_t kMaxPairs = 512;
+  /// The name under which tenants and classes over the limits are folded.
+  static constexpr std::string_view kOther = "other";
+
+  /// `refusal_reasons` are the values of the label `reason`, in the order of CountRefusal().
+  explicit CallMetrics(std::vector<std::string> refusal_reasons);
+
+  /// The series of a class and tenant; made when first asked for. Ids stay valid.
+  SeriesId Resolve(std::string_view call_class, std::string_view tenant);
+
+  void Count(SeriesId series, CallCounter counter);
+
+  /// `reason` is an index into the constructor's list; one outside it is counted as the last.
+  void CountRefusal(SeriesId series, std::size_t reason);
+
+  /// Durations below 0 count as 0.
+  void Observe(SeriesId series, CallTiming timing, Duration duration);
+
+  /// Appends all series in the Prometheus text format.
+  void Render(std::string* out) const;
+
+ private:
+  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+  using Histogram =
+      boost::histogram::histogram<std::tuple<Axis>, boost::histogram::dense_storage<std::uint64_t>>;
+
+  struct Timing {
+    Timing();
+
+    Histogram histogram;
+    double sum_seconds = 0;
+  };
+
+  struct Series {
+    std::string call_class;
+    std::string tenant;
+    std::vector<Timing> timings;
+    std::vector<std::uint64_t> counters;
+    std::vector<std::uint64_t> refusals;
+  };
+
+  using Names = std::vector<std::string>;
+
+  static std::string_view Fold(std::string_view name, std::size_t limit, Names* known);
+  SeriesId Add(std::pair<std::string, std::string> pair);
+  void RenderCounters(std::string* out) const;
+  void RenderRefusals(std::string* out) const;
+  void RenderTimings(std::string* out) const;
+  void RenderTiming(const Series& series, CallTiming timing, std::string* out) const;
+
+  std::vector<std::string> reasons;
+  Names classes;
+  Names tenants;
+  std::map<std::pair<std::string, std::string>, SeriesId> pairs;
+  std::vector<Series> all_series;
+};
+
+}  // namespace fireflyrun::metrics
