Let a node advertise another address than it listens on, and call from its own

Cause: a host behind address translation is reached by another IP number; and on a host with several, the far end saw whichever the system chose.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -64,13 +64,17 @@
   return ip + ':' + std::to_string(port);
 }
 
+const std::string& AdvertisedAddress(const NodeSettings& settings) {
+  return settings.advertised_address.empty() ? settings.address : settings.advertised_address;
+}
+
 membership::Member SelfMember(const NodeSettings& settings, std::uint64_t incarnation) {
   membership::Member self;
   self.node = settings.node;
   self.incarnation = incarnation;
   self.region = settings.region;
   self.zone = settings.zone;
-  self.ip = settings.address;
+  self.ip = AdvertisedAddress(settings);
   self.caller_port = settings.caller_port;
   self.peer_port = settings.peer_port;
   self.control_port = settings.control_port;
@@ -79,7 +83,8 @@
 }
 
 store::RosterEntry SelfRosterEntry(const NodeSettings& settings) {
-  return {settings.zone, settings.node, Endpoint(settings.address, settings.control_port),
+  return {settings.zone, settings.node,
+          Endpoint(AdvertisedAddress(settings), settings.control_port),
           Endpoint(settings.address, settings.admin_port)};
 }
 
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -103,12 +103,16 @@
           }};
 }
 
-Problem StoreAddress(std::string_view value, NodeSettings& settings) {
-  asio::error_code error;
-  asio::ip::make_address(std::string(value), error);
-  if (error) return fmt::format("\"{}\" is not an IP number", value);
-  settings.address = std::string(value);
-  return std::nullopt;
+Spec IpSpec(std::string_view flag, std::string_view variable, std::string_view help,
+            std::string NodeSettings::*field) {
+  return {flag, variable, "IP", help,
+          [field](std::string_view value, NodeSettings& settings) -> Problem {
+            asio::error_code error;
+            asio::ip::make_address(std::string(value), error);
+            if (error) return fmt::format("\"{}\" is not an IP number", value);
+            settings.*field = std::string(value);
+            return std::nullopt;
+          }};
 }
 
 Problem StoreLogLevel(std::string_view value, NodeSettings& settings) {
@@ -143,7 +147,11 @@
 
 std::vector<Spec> AddressSpecs() {
   return {
-      {"address", "FIREFLYRUN_ADDRESS", "IP", "IP number of this host [127.0.0.1]", StoreAddress},
+      IpSpec("address", "FIREFLYRUN_ADDRESS", "IP number that the node listens on [127.0.0.1]",
+             &NodeSettings::address),
+      IpSpec("advertised-address", "FIREFLYRUN_ADVERTISED_ADDRESS",
+             "IP number by which other nodes reach this one [the address]",
+             &NodeSettings::advertised_address),
       PortSpec("caller-port", "FIREFLYRUN_CALLER_PORT", "takes callers' HTTP requests [7400]",
                &NodeSettings::caller_port),
       PortSpec("admin-port", "FIREFLYRUN_ADMIN_PORT",
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -17,6 +17,7 @@
   std::string region;
   std::string zone;
   std::string address = "127.0.0.1";
+  std::string advertised_address;  ///< Empty: `address`.
   std::uint16_t caller_port = 7400;
   std::uint16_t admin_port = 7401;
   std::uint16_t peer_port = 7402;
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -7,6 +7,20 @@
 #include "peer/peer.pb.h"
 
 namespace fireflyrun::peer {
+namespace {
+
+/// Makes the far end see this host's own address, on hosts that have several. Without it the system
+/// chooses, so a failure is left to the connection attempt.
+void BindToOwnAddress(asio::ip::tcp::socket& socket, const asio::ip::address& far,
+                      const std::string& own_ip) {
+  asio::error_code error;
+  const auto own = asio::ip::make_address(own_ip, error);
+  if (error || own.is_unspecified() || own.is_v4() != far.is_v4()) return;
+  socket.open(far.is_v4() ? asio::ip::tcp::v4() : asio::ip::tcp::v6(), error);
+  if (!error) socket.bind({own, 0}, error);
+}
+
+}  // namespace
 
 void Link::Connect() {
   this->state = State::kConnecting;
@@ -20,6 +34,7 @@
   }
   auto socket = std::make_shared<asio::ip::tcp::socket>(this->timers.Loop());
   this->connecting_socket = socket;
+  BindToOwnAddress(*socket, ip, this->options.ip);
   this->connect_timer = this->timers.After(
       this->options.connect_limit, [this] { this->OnConnectFailed("no connection in time"); });
   socket->async_connect({ip, this->address.port}, [weak, socket](const asio::error_code& failure) {
