--- a/src/policy/target_query.h
+++ b/src/policy/target_query.h
@@ -11,12 +11,12 @@
 
 /// A call for which a target is wanted.
 struct TargetQuery {
-  std::string service;
-  std::string level_scope;  ///< Under which admission levels are remembered.
-  CallClass call_class;
-  PriorityKey key;
-  std::vector<std::string> excluded;  ///< Nodes that this call was sent to already.
-  std::uint64_t bytes = 0;            ///< What the call would put on the inter-region link.
+  std::string service = {};
+  std::string level_scope = {};  ///< Under which admission levels are remembered.
+  CallClass call_class = {};
+  PriorityKey key = {};
+  std::vector<std::string> excluded = {};  ///< Nodes that this call was sent to already.
+  std::uint64_t bytes = 0;                 ///< What the call would put on the inter-region link.
 };
 
 }  // namespace fireflyrun::policy
