--- a/src/http/request.h
+++ b/src/http/request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "http/headers.h"
@@ -12,7 +13,9 @@
   std::string target;  ///< Path and query, undecoded.
   Headers headers;
   std::string body;
-  std::string remote_address;  ///< IP number of the connection's far end.
+  std::string remote_address;       ///< IP number of the connection's far end.
+  std::uint64_t connection_id = 0;  ///< For Server::CloseConnection().
+  std::uint64_t sequence = 0;       ///< Requests received before on the same connection.
 };
 
 }  // namespace fireflyrun::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -125,6 +125,7 @@
   void Written(const OpenExchangePointer& exchange);
   void PostHook(const OpenExchangePointer& exchange) const;
   void StopAccepting();
+  void CloseConnection(restinio::connection_id_t id);
   void Close();
 
   asio::io_context& loop;
@@ -185,6 +186,8 @@
     request.headers.push_back({field.name(), field.value()});
   });
   request.body = received.body();
+  request.connection_id = received.connection_id();
+  request.sequence = received.request_id();
   request.remote_address = received.remote_endpoint().address().to_string();
   return request;
 }
@@ -318,6 +321,14 @@
   if (this->server) this->server->close_sync();
 }
 
+void ServerCore::CloseConnection(restinio::connection_id_t id) {
+  const auto found = this->connections.find(id);
+  if (found == this->connections.end()) return;
+  asio::error_code ignored;
+  found->second->socket->close(ignored);
+  this->Closed(id);
+}
+
 void ServerCore::Close() {
   this->StopAccepting();
   this->open_exchanges = 0;
@@ -363,6 +374,10 @@
 
 void Server::StopAccepting() { this->implementation->core->StopAccepting(); }
 
+void Server::CloseConnection(std::uint64_t connection_id) {
+  this->implementation->core->CloseConnection(connection_id);
+}
+
 std::size_t Server::OpenExchanges() const { return this->implementation->core->open_exchanges; }
 
 void Server::Close() { this->implementation->core->Close(); }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -34,6 +35,9 @@
   /// `Connection: close`.
   void StopAccepting();
 
+  /// Closes one connection without answering its open exchanges; their callers count as gone.
+  void CloseConnection(std::uint64_t connection_id);
+
   /// Requests received whose responses are not yet written to the operating system.
   std::size_t OpenExchanges() const;
 
--- a/tests/http/server_test.cc
+++ b/tests/http/server_test.cc
@@ -170,6 +170,23 @@
   EXPECT_FALSE(gone);
 }
 
+TEST_F(ServerTest, CloseConnectionClosesThatOneOnly) {
+  const auto closed = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitForRequests(1));
+  const auto kept = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitForRequests(2));
+  bool gone = false;
+  this->exchanges[0]->OnCallerGone([&] { gone = true; });
+  this->server->CloseConnection(this->requests[0].connection_id);
+  EXPECT_TRUE(RunUntil(this->loop, [&] { return closed->closed && gone; }));
+  this->exchanges[1]->Respond({200, {}, "whole"});
+  EXPECT_TRUE(this->WaitFor(kept, "whole"));
+  EXPECT_EQ(this->requests[1].sequence, 0U);
+  kept->Write(kGet);
+  ASSERT_TRUE(this->WaitForRequests(3));
+  EXPECT_EQ(this->requests[2].sequence, 1U);
+}
+
 TEST_F(ServerTest, FurtherConnectionsWaitForAFreeOne) {
   this->options.max_connections = 1;
   this->Restart();
