--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -96,7 +96,7 @@
 
 void TargetService::SetLeaving(bool is_leaving) {
   this->leaving = is_leaving;
-  this->admission.SetLeaving(is_leaving, SteadyClock::now());
+  this->admission.SetLeaving(is_leaving);
 }
 
 std::uint32_t TargetService::TicketWindow() {
@@ -368,7 +368,7 @@
   const bool queued = !inbound->context;
   if (queued) {
     // Whoever joined the call still waits for it.
-    if (!inbound->joined.empty() || !this->admission.Cancel(call_id, now)) return;
+    if (!inbound->joined.empty() || !this->admission.Cancel(call_id)) return;
     if (inbound->ticket) {
       this->ledger.Void(*inbound->ticket, now);
       this->running_tickets.erase(inbound->ticket->nonce);
