Test membership; keep a cut-off node's verdicts to itself

Ruled out: a shorter isolation limit (with one ping a period, a lost pair of pings would count). Change: who is asked to ping for another answers at once; when not even these answer, the verdict is kept from the others and dropped at the next answer. Conclusion: no accusation spreads from a node that nobody answers.

--- a/src/membership/delegates.cc
+++ b/src/membership/delegates.cc
@@ -30,9 +30,8 @@
 bool IsDelegate(const View& view, std::string_view node, const std::string& zone,
                 std::size_t count) {
   const View::StatePointers delegates = RankDelegates(view, zone, count);
-  return std::any_of(delegates.begin(), delegates.end(), [node](const MemberState* state) {
-    return state->member.node == node;
-  });
+  return std::any_of(delegates.begin(), delegates.end(),
+                     [node](const MemberState* state) { return state->member.node == node; });
 }
 
 }  // namespace fireflyrun::membership
--- a/src/membership/failure_detector.cc
+++ b/src/membership/failure_detector.cc
@@ -65,7 +65,6 @@
   const SteadyTime due = this->last_tick + this->context.options.ping_period;
   this->last_tick = now;
   if (this->WasPaused(due)) this->OnPaused();
-  if (this->IsIsolated()) this->was_isolated = true;
   std::erase_if(this->relays, [now](const auto& item) { return item.second.due < now; });
   const MemberState* target = this->NextTarget();
   if (target != nullptr) this->StartProbe(*target);
@@ -124,20 +123,28 @@
   request.set_node(node);
   request.set_address(ControlAddressOf(target->member));
   const auto& options = this->context.options;
-  for (const MemberState* helper :
-       this->context.picker.PickInZone(options.indirect_pings, node)) {
+  Probe& probe = this->probes[sequence];
+  probe.helpers_asked_at = SteadyClock::now();
+  for (const MemberState* helper : this->context.picker.PickInZone(options.indirect_pings, node)) {
     this->context.outbox.Add(ControlAddressOf(helper->member), part, Lane::kUrgent);
+    probe.has_helpers = true;
   }
   this->ArmProbe(sequence, 2 * options.ack_timeout, true);
 }
 
 void FailureDetector::OnNoAck(std::uint64_t sequence) {
   const std::string node = this->probes[sequence].node;
+  const bool is_alone = this->IsAlone(this->probes[sequence]);
   this->probes.erase(sequence);
   const MemberState* target = this->context.view.Find(node);
   if (target == nullptr || !target->IsReachable()) return;
   if (SteadyClock::now() < this->quiet_until) return;
-  this->Suspect(*target, !this->IsIsolated());
+  this->Suspect(*target, !is_alone);
+}
+
+bool FailureDetector::IsAlone(const Probe& probe) const {
+  if (probe.has_helpers) return this->last_contact < probe.helpers_asked_at;
+  return this->IsIsolated();
 }
 
 void FailureDetector::Suspect(const MemberState& target, bool spread) {
@@ -148,18 +155,19 @@
   suspicion.version = target.member.version;
   this->context.view.SetReachability(node, Reachability::kSuspect, SteadyClock::now());
   this->ArmSuspicion(node, this->context.options.suspicion_time);
+  if (!spread) {
+    this->unshared.insert(node);
+    return;
+  }
   this->TellAccused(target);
-  if (!spread) return;
   const auto peers = this->context.picker.PickNeighbours(this->context.options.fanout);
-  this->context.outbox.AddToAll(peers, PartOf(AccusationOf(target.member, false)),
-                                Lane::kUrgent);
+  this->context.outbox.AddToAll(peers, PartOf(AccusationOf(target.member, false)), Lane::kUrgent);
 }
 
 void FailureDetector::ArmSuspicion(const std::string& node, Duration delay) {
   Suspicion& suspicion = this->suspicions[node];
   suspicion.due = SteadyClock::now() + delay;
-  suspicion.timer =
-      this->context.timers.After(delay, [this, node] { this->OnSuspicionEnd(node); });
+  suspicion.timer = this->context.timers.After(delay, [this, node] { this->OnSuspicionEnd(node); });
 }
 
 void FailureDetector::OnSuspicionEnd(const std::string& node) {
@@ -175,7 +183,7 @@
   if (target == nullptr || target->own_reachability != Reachability::kSuspect) return;
   if (std::tuple(target->member.incarnation, target->member.version) != accused) return;
   this->context.view.SetReachability(node, Reachability::kUnreachable, SteadyClock::now());
-  if (!this->IsIsolated()) this->Confirm(*target);
+  if (!this->unshared.contains(node)) this->Confirm(*target);
 }
 
 void FailureDetector::Confirm(const MemberState& target) {
@@ -204,6 +212,11 @@
   const SteadyTime due = SteadyClock::now() + 2 * this->context.options.ack_timeout;
   this->relays[sequence] = Relay{from, request.sequence(), due};
   this->context.outbox.Add(request.address(), PingPart(sequence, request.node()), Lane::kUrgent);
+  // Shows the requester that it can be heard, whatever becomes of the ping.
+  pb::Part part;
+  part.mutable_ack()->set_sequence(request.sequence());
+  part.mutable_ack()->set_node(this->context.view.Self().node);
+  this->context.outbox.Add(from, part, Lane::kUrgent);
 }
 
 void FailureDetector::OnAck(const pb::Ack& ack) {
@@ -220,8 +233,9 @@
   const auto probe = this->probes.find(ack.sequence());
   if (probe == this->probes.end()) return;
   const std::string node = probe->second.node;
+  if (node != ack.node()) return;
   this->probes.erase(probe);
-  if (node == ack.node()) this->ReportSuccess(node);
+  this->ReportSuccess(node);
 }
 
 void FailureDetector::OnAccusation(const pb::Accusation& accusation, const std::string& from) {
@@ -243,6 +257,7 @@
     return;
   }
   if (held < accused || !target->IsPresent()) return;
+  this->unshared.erase(accusation.node());
   if (target->member.zone == view.Self().zone) {
     this->Suspect(*target, true);
     return;
@@ -258,6 +273,7 @@
   const MemberState* state = this->context.view.Find(node);
   if (state == nullptr || !state->IsPresent()) return;
   if (state->own_reachability == Reachability::kReachable) return;
+  if (this->unshared.contains(node)) return;
   this->context.outbox.Add(from, PartOf(AccusationOf(state->member, false)), Lane::kUrgent);
 }
 
@@ -283,12 +299,10 @@
 
 void FailureDetector::NoteContact() {
   this->last_contact = SteadyClock::now();
-  if (!std::exchange(this->was_isolated, false)) return;
-  // What was concluded while cut off says nothing of the others.
-  View& view = this->context.view;
-  this->suspicions.clear();
-  for (const MemberState* state : View::StatePointers(view.MembersOf(view.Self().zone))) {
-    view.SetReachability(state->member.node, Reachability::kReachable, this->last_contact);
+  // What was concluded while nobody answered says nothing of the others.
+  for (const std::string& node : std::exchange(this->unshared, {})) {
+    this->suspicions.erase(node);
+    this->context.view.SetReachability(node, Reachability::kReachable, this->last_contact);
   }
 }
 
@@ -300,13 +314,12 @@
 std::vector<pb::Accusation> FailureDetector::Unreachable() const {
   std::vector<pb::Accusation> accusations;
   const View& view = this->context.view;
-  const bool omit_own_zone = this->IsIsolated() || this->was_isolated;
   for (const std::string& zone : view.Zones()) {
-    if (omit_own_zone && zone == view.Self().zone) continue;
     for (const MemberState* state : view.MembersOf(zone)) {
       if (accusations.size() >= kMaxAccusations) return accusations;
       const bool is_accused = state->own_reachability == Reachability::kUnreachable;
-      if (is_accused && state->IsPresent()) {
+      const bool is_shared = !this->unshared.contains(state->member.node);
+      if (is_accused && is_shared && state->IsPresent()) {
         accusations.push_back(AccusationOf(state->member, true));
       }
     }
--- a/src/membership/failure_detector.h
+++ b/src/membership/failure_detector.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -14,11 +15,11 @@
 namespace fireflyrun::membership {
 
 /// Finds out which members of the own zone answer, after SWIM (Das, Gupta and Motivala, 2002): ping
-/// one member a period in a shuffled round, on no answer ask others to ping it, then suspect it, then
-/// hold it for unreachable. The accused refutes by raising the version of its entry.
+/// one member a period in a shuffled round, on no answer ask others to ping it, then suspect it,
+/// then hold it for unreachable. The accused refutes by raising the version of its entry.
 ///
-/// After Lifeguard (Dadgar, Phillips and Currey, 2018) a node that is itself at fault accuses nobody:
-/// one whose timers fire late was paused, one that no peer answers is cut off.
+/// After Lifeguard (Dadgar, Phillips and Currey, 2018) a node that is itself at fault accuses
+/// nobody: one whose timers fire late was paused, one that no peer answers is cut off.
 ///
 /// Members of other zones are judged by their own zone; its delegates tell the verdicts.
 class FailureDetector {
@@ -52,6 +53,8 @@
   struct Probe {
     std::string node;
     SteadyTime due;
+    SteadyTime helpers_asked_at;
+    bool has_helpers = false;
     TimerSubscription timer;
   };
   struct Relay {
@@ -75,6 +78,7 @@
   void OnNoDirectAck(std::uint64_t sequence);
   void OnNoAck(std::uint64_t sequence);
   void Suspect(const MemberState& target, bool spread);
+  bool IsAlone(const Probe& probe) const;
   void ArmSuspicion(const std::string& node, Duration delay);
   void OnSuspicionEnd(const std::string& node);
   void Confirm(const MemberState& target);
@@ -86,7 +90,7 @@
   SteadyTime last_tick;
   SteadyTime quiet_until;
   SteadyTime last_contact;
-  bool was_isolated = false;
+  std::set<std::string> unshared;  ///< Accused by this node while nobody answered it.
   std::vector<std::string> round;
   std::unordered_map<std::uint64_t, Probe> probes;
   std::unordered_map<std::uint64_t, Relay> relays;
--- a/src/membership/first_contact.cc
+++ b/src/membership/first_contact.cc
@@ -16,8 +16,8 @@
 
 void FirstContact::Start() {
   this->started = true;
-  this->timer = this->context.timers.Every(this->context.options.join_period,
-                                           [this] { this->Tick(); });
+  this->timer =
+      this->context.timers.Every(this->context.options.join_period, [this] { this->Tick(); });
   for (std::size_t i = 0; i < std::min(kAskedAtOnce, this->contacts.size()); ++i) {
     this->Ask(this->contacts[i]);
   }
--- a/src/membership/fleet_collector.cc
+++ b/src/membership/fleet_collector.cc
@@ -129,8 +129,9 @@
   const View& view = this->context.view;
   const std::string& own_zone = view.Self().zone;
   const auto& members = view.MembersOf(own_zone);
-  const auto reachable = std::count_if(members.begin(), members.end(),
-                                       [](const MemberState* state) { return state->IsReachable(); });
+  const auto reachable =
+      std::count_if(members.begin(), members.end(),
+                    [](const MemberState* state) { return state->IsReachable(); });
   if (collection.replies.at(own_zone).nodes_size() < reachable) return false;
   if (!collection.handler) return true;
   for (const MemberState* remote : this->context.picker.RemoteDelegates()) {
--- a/src/membership/fleet_collector.h
+++ b/src/membership/fleet_collector.h
@@ -15,8 +15,8 @@
 namespace fireflyrun::membership {
 
 /// Collects the state of the fleet when an operator asks. The node asked queries the members of its
-/// own zone and one delegate of every other zone; a delegate queries its own zone and answers for it
-/// within half the time. A zone that has not answered by then is asked through another delegate.
+/// own zone and one delegate of every other zone; a delegate queries its own zone and answers for
+/// it within half the time. A zone that has not answered by then is asked through another delegate.
 class FleetCollector {
  public:
   using Handler = std::function<void(FleetReport)>;
--- a/src/membership/fleet_report.cc
+++ b/src/membership/fleet_report.cc
@@ -11,14 +11,10 @@
   for (const auto& [revision, count] : zone.revision_counts) {
     counts[std::to_string(revision)] = count;
   }
-  return {{"zone", zone.zone},
-          {"region", zone.region},
-          {"nodes", zone.nodes},
-          {"reachable", zone.reachable},
-          {"unreachable", zone.unreachable},
-          {"answered", zone.answered},
-          {"revision_counts", counts},
-          {"lagging", zone.lagging}};
+  return {
+      {"zone", zone.zone},           {"region", zone.region},           {"nodes", zone.nodes},
+      {"reachable", zone.reachable}, {"unreachable", zone.unreachable}, {"answered", zone.answered},
+      {"revision_counts", counts},   {"lagging", zone.lagging}};
 }
 
 }  // namespace
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -37,15 +37,14 @@
   const bool is_own = member.node == this->context.view.Self().node;
   this->news.push_back(News{member.zone, is_own, EntryPart(member, true)});
   if (this->news.size() > 1) return;
-  this->news_timer = this->context.timers.After(this->context.options.flush_period,
-                                                [this] { this->FlushNews(); });
+  this->news_timer =
+      this->context.timers.After(this->context.options.flush_period, [this] { this->FlushNews(); });
 }
 
 void Gossip::FlushNews() {
   const std::vector<News> pending = std::exchange(this->news, {});
   if (pending.empty()) return;
-  const auto neighbours =
-      this->context.picker.PickNeighbours(this->context.options.fanout);
+  const auto neighbours = this->context.picker.PickNeighbours(this->context.options.fanout);
   for (const News& item : pending) this->PushOne(item, neighbours);
   this->context.outbox.Flush();
 }
@@ -183,8 +182,7 @@
   }
   for (const std::string& other : view.Zones()) {
     if (other == zone) continue;
-    const auto delegates =
-        RankDelegates(view, other, this->context.options.delegates_per_zone);
+    const auto delegates = RankDelegates(view, other, this->context.options.delegates_per_zone);
     states.insert(states.end(), delegates.begin(), delegates.end());
   }
   this->SendEntries(states, to);
--- a/src/membership/gossip.h
+++ b/src/membership/gossip.h
@@ -13,18 +13,19 @@
 
 namespace fireflyrun::membership {
 
-/// Spreads member entries (after Demers et al., 1987: rumour mongering with anti-entropy behind it).
+/// Spreads member entries (after Demers et al., 1987: rumour mongering with anti-entropy behind
+/// it).
 ///
-/// Push: an entry heard for the first time goes once to `fanout` neighbours; delegates also push the
-/// entries of their own zone to one delegate of every other zone.
+/// Push: an entry heard for the first time goes once to `fanout` neighbours; delegates also push
+/// the entries of their own zone to one delegate of every other zone.
 ///
-/// Exchange: each period a node sends its digests to a random member of its zone, a delegate also to
-/// the delegate of a random other zone. Where a zone's digests differ, the side with fewer members
-/// sends the marks of the entries it holds; the other answers with the entries that those lack and
-/// asks for those it lacks itself.
+/// Exchange: each period a node sends its digests to a random member of its zone, a delegate also
+/// to the delegate of a random other zone. Where a zone's digests differ, the side with fewer
+/// members sends the marks of the entries it holds; the other answers with the entries that those
+/// lack and asks for those it lacks itself.
 ///
-/// A node that lacks most of a zone asks a member of its own zone drawn at random for each such zone,
-/// so that a newcomer's view comes from many peers, a zone from each.
+/// A node that lacks most of a zone asks a member of its own zone drawn at random for each such
+/// zone, so that a newcomer's view comes from many peers, a zone from each.
 class Gossip {
  public:
   /// Adds to a digest what other parts compare, and reads it.
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -12,7 +12,7 @@
 
 /// What a node says of its own target.
 enum class TargetState {
-  kAbsent,   ///< No target has announced itself, or its announcements stopped.
+  kAbsent,  ///< No target has announced itself, or its announcements stopped.
   kServing,
   kLeaving,  ///< Takes no new call; finishes those it has.
 };
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -223,8 +223,8 @@
   own.zones.Start();
   own.gossip.Start();
   own.first_contact.Start();
-  own.forget_timer = own.timers.Every(
-      kForgetPeriod, [this] { this->parts->view.Forget(SteadyClock::now()); });
+  own.forget_timer =
+      own.timers.Every(kForgetPeriod, [this] { this->parts->view.Forget(SteadyClock::now()); });
 }
 
 void Membership::AddContact(const std::string& address) { this->parts->first_contact.Add(address); }
--- a/src/membership/outbox.cc
+++ b/src/membership/outbox.cc
@@ -50,8 +50,7 @@
   this->AddToAll({address}, part, lane);
 }
 
-void Outbox::AddToAll(const std::vector<std::string>& addresses, const pb::Part& part,
-                      Lane lane) {
+void Outbox::AddToAll(const std::vector<std::string>& addresses, const pb::Part& part, Lane lane) {
   if (addresses.empty()) return;
   const auto* field = pb::Part::descriptor()->FindFieldByNumber(part.body_case());
   if (field == nullptr) return;
@@ -70,8 +69,7 @@
   this->queued_bytes += part->size();
   if (this->flush_armed) return;
   this->flush_armed = true;
-  this->flush_timer =
-      this->timers.After(this->options.flush_period, [this] { this->Flush(); });
+  this->flush_timer = this->timers.After(this->options.flush_period, [this] { this->Flush(); });
 }
 
 void Outbox::Refill() {
@@ -79,8 +77,7 @@
   const std::chrono::duration<double> elapsed = now - this->refilled_at;
   this->refilled_at = now;
   const double added = elapsed.count() * static_cast<double>(this->options.bytes_per_second);
-  this->tokens =
-      std::min(static_cast<double>(this->options.burst_bytes), this->tokens + added);
+  this->tokens = std::min(static_cast<double>(this->options.burst_bytes), this->tokens + added);
 }
 
 bool Outbox::MaySend(std::size_t lane) const {
@@ -101,15 +98,14 @@
   for (const std::string& address : order) {
     Lanes& lanes = this->peers[address];
     this->FlushPeer(address, lanes);
-    const bool is_empty = std::all_of(lanes.begin(), lanes.end(),
-                                      [](const Queue& queue) { return queue.empty(); });
+    const bool is_empty =
+        std::all_of(lanes.begin(), lanes.end(), [](const Queue& queue) { return queue.empty(); });
     if (is_empty) this->peers.erase(address);
   }
   if (!order.empty()) this->next_peer = order.size() > 1 ? order[1] : order[0];
   if (this->peers.empty() || this->flush_armed) return;
   this->flush_armed = true;
-  this->flush_timer =
-      this->timers.After(this->options.flush_period, [this] { this->Flush(); });
+  this->flush_timer = this->timers.After(this->options.flush_period, [this] { this->Flush(); });
 }
 
 void Outbox::FlushPeer(const std::string& address, Lanes& lanes) {
--- a/src/membership/outbox.h
+++ b/src/membership/outbox.h
@@ -17,9 +17,9 @@
 
 namespace fireflyrun::membership {
 
-/// Batches parts into one message a peer and flush, splits at the size bound, and keeps what is sent
-/// within the byte budget: a token bucket that urgent parts may overdraw and that bulk parts may use
-/// only down to a quarter.
+/// Batches parts into one message a peer and flush, splits at the size bound, and keeps what is
+/// sent within the byte budget: a token bucket that urgent parts may overdraw and that bulk parts
+/// may use only down to a quarter.
 class Outbox {
  public:
   using SendHook = std::function<void(const std::string&, std::string)>;
--- a/src/membership/view.cc
+++ b/src/membership/view.cc
@@ -168,9 +168,7 @@
   return found == this->zones.end() ? 0 : found->second.digest;
 }
 
-std::uint64_t View::MarkOf(const Member& member) {
-  return MarkFrom(HashName(member.node), member);
-}
+std::uint64_t View::MarkOf(const Member& member) { return MarkFrom(HashName(member.node), member); }
 
 std::vector<std::uint64_t> View::MarksIn(const std::string& zone) const {
   std::vector<std::uint64_t> marks;
--- a/src/membership/zero_mq_transport.cc
+++ b/src/membership/zero_mq_transport.cc
@@ -87,8 +87,7 @@
                   static_cast<std::int64_t>(this->options.max_message_bytes));
   this->inbox.set(zmq::sockopt::tcp_keepalive, 1);
   this->inbox.set(zmq::sockopt::tcp_keepalive_idle, kKeepaliveIdleSeconds);
-  const std::string port_text =
-      this->options.port == 0 ? "*" : std::to_string(this->options.port);
+  const std::string port_text = this->options.port == 0 ? "*" : std::to_string(this->options.port);
   const std::string endpoint = "tcp://" + this->options.ip + ":" + port_text;
   try {
     this->inbox.bind(endpoint);
@@ -102,14 +101,13 @@
 
 void ZeroMqTransport::State::Watch() {
   // The descriptor signals only the edge; what came before the wait is found by looking after it.
-  this->descriptor.async_wait(
-      asio::posix::stream_descriptor::wait_read,
-      [weak = this->weak_from_this()](const asio::error_code& error) {
-        const auto self = weak.lock();
-        if (error || !self || self->closed) return;
-        self->Watch();
-        self->Receive();
-      });
+  this->descriptor.async_wait(asio::posix::stream_descriptor::wait_read,
+                              [weak = this->weak_from_this()](const asio::error_code& error) {
+                                const auto self = weak.lock();
+                                if (error || !self || self->closed) return;
+                                self->Watch();
+                                self->Receive();
+                              });
 }
 
 void ZeroMqTransport::State::Receive() {
@@ -117,11 +115,10 @@
   if (this->closed) return;
   const int events = this->inbox.get(zmq::sockopt::events);
   if ((events & ZMQ_POLLIN) == 0) return;
-  this->continue_receiving =
-      this->timers.After(Duration::zero(), [weak = this->weak_from_this()] {
-        const auto self = weak.lock();
-        if (self && !self->closed) self->Receive();
-      });
+  this->continue_receiving = this->timers.After(Duration::zero(), [weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->closed) self->Receive();
+  });
 }
 
 void ZeroMqTransport::State::ReceiveSome() {
@@ -161,10 +158,10 @@
 }
 
 void ZeroMqTransport::State::EvictOne() {
-  const auto oldest = std::min_element(
-      this->peers.begin(), this->peers.end(), [](const auto& left, const auto& right) {
-        return left.second.used_at < right.second.used_at;
-      });
+  const auto oldest = std::min_element(this->peers.begin(), this->peers.end(),
+                                       [](const auto& left, const auto& right) {
+                                         return left.second.used_at < right.second.used_at;
+                                       });
   if (oldest == this->peers.end()) return;
   Peer& peer = oldest->second;
   this->counters.dropped_unconnected += peer.waiting.size();
@@ -175,8 +172,7 @@
 }
 
 bool ZeroMqTransport::State::TrySend(Peer& peer, const std::string& bytes) {
-  const bool taken =
-      peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+  const bool taken = peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
   if (taken) ++this->counters.sent;
   return taken;
 }
--- a/src/membership/zone_monitor.h
+++ b/src/membership/zone_monitor.h
@@ -13,10 +13,10 @@
 namespace fireflyrun::membership {
 
 /// Finds out which other zones can be reached as a whole. Only delegates of the own zone look: each
-/// pings one member of every other zone a period, the zone's delegates first, then any others. After
-/// `zone_tries` periods without an answer the zone counts as cut off and the delegate tells its own
-/// zone. Of two beliefs the one with the higher sequence stands; a delegate that still has answers
-/// denies a cut at once, and who was denied waits before it says so again.
+/// pings one member of every other zone a period, the zone's delegates first, then any others.
+/// After `zone_tries` periods without an answer the zone counts as cut off and the delegate tells
+/// its own zone. Of two beliefs the one with the higher sequence stands; a delegate that still has
+/// answers denies a cut at once, and who was denied waits before it says so again.
 class ZoneMonitor {
  public:
   ZoneMonitor(ControlContext& shared, FailureDetector& failure_detector)
--- /dev/null
+++ b/tests/membership/record_spread_test.cc
@@ -0,0 +1,87 @@
+#include "membership/record_spread.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/membership/test_fleet.h"
+
+namespace fireflyrun::membership {
+namespace {
+
+/// Applies a change set at a node as its store watch would, and publishes it.
+void Change(TestNode& node, std::uint64_t revision, const std::string& body) {
+  pb::ChangeSet change_set;
+  change_set.set_previous_revision(node.Revision());
+  change_set.set_revision(revision);
+  pb::RecordEntry& entry = *change_set.add_entries();
+  entry.set_revision(revision);
+  entry.set_body(body);
+  node.book[revision] = body;
+  node.membership->PublishChangeSet(change_set.SerializeAsString());
+}
+
+TestNode& DelegateIn(TestFleet& fleet, const std::string& zone) {
+  for (auto& [name, node] : fleet.Nodes()) {
+    if (node->self.zone == zone && node->membership->WantsWatch()) return *node;
+  }
+  throw std::runtime_error("no delegate in " + zone);
+}
+
+bool HaveBook(const TestFleet& fleet, const std::map<std::uint64_t, std::string>& book) {
+  return fleet.All([&book](const TestNode& node) { return node.book == book; });
+}
+
+TEST(RecordSpread, ChangesReachAllInOrderDespiteLosses) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b", "c"}, 6);
+  ASSERT_TRUE(fleet.RunUntilWhole());
+  fleet.loss = 0.2;
+  TestNode& watcher = DelegateIn(fleet, "a");
+  for (const std::uint64_t revision : {3, 7, 8}) {
+    Change(watcher, revision, "body " + std::to_string(revision));
+  }
+  const auto book = watcher.book;
+  EXPECT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
+}
+
+TEST(RecordSpread, APushAloneReachesAllBeforeAnyExchange) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b"}, 6);
+  ASSERT_TRUE(fleet.RunUntilWhole());
+  std::size_t requests = 0;
+  TestNode& watcher = DelegateIn(fleet, "a");
+  Change(watcher, 1, "one");
+  const auto book = watcher.book;
+  ASSERT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
+  for (const auto& [name, node] : fleet.Nodes()) {
+    requests += node->membership->Counters().parts_received.count("change_set");
+  }
+  EXPECT_GE(requests, 6U);
+}
+
+TEST(RecordSpread, ANewcomerGetsATransferOfManyPieces) {
+  TestFleet fleet;
+  fleet.StartZones({"a"}, 4);
+  ASSERT_TRUE(fleet.RunUntilWhole());
+  TestNode& watcher = DelegateIn(fleet, "a");
+  for (std::uint64_t revision = 1; revision <= 20; ++revision) {
+    Change(watcher, revision, std::string(5'000, 'b'));
+  }
+  const auto book = watcher.book;
+  ASSERT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
+  TestNode& newcomer = fleet.Start("a-new", "a");
+  EXPECT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
+  EXPECT_GE(newcomer.membership->Counters().parts_received.at("transfer_chunk"), 4U);
+}
+
+TEST(RecordSpread, AChangeSetTooLargeToPushIsFetched) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b"}, 4);
+  ASSERT_TRUE(fleet.RunUntilWhole());
+  TestNode& watcher = DelegateIn(fleet, "b");
+  Change(watcher, 1, std::string(90'000, 'b'));
+  const auto book = watcher.book;
+  EXPECT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
+}
+
+}  // namespace
+}  // namespace fireflyrun::membership
--- /dev/null
+++ b/tests/membership/test_fleet.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "membership/membership.h"
+
+namespace fireflyrun::membership {
+
+/// One node of a TestFleet, on an event loop of its own so that it can be paused. Its book of
+/// records is a list of (revision, body).
+struct TestNode {
+  asio::io_context loop;
+  TimerService timers{loop};
+  Member self;
+  std::string address;
+  std::map<std::uint64_t, std::string> book;
+  std::unique_ptr<Membership> membership;
+  bool paused = false;
+
+  const MemberState* Sees(const std::string& node) const {
+    return this->membership->GetView().Find(node);
+  }
+  Reachability BeliefOf(const std::string& node) const { return this->Sees(node)->reachability; }
+  std::uint64_t Revision() const { return this->book.empty() ? 0 : this->book.rbegin()->first; }
+  RecordHooks Hooks();
+};
+
+/// Nodes in one process over a network in memory that can lose messages and be cut.
+class TestFleet {
+ public:
+  using Condition = std::function<bool()>;
+  using Link = std::function<bool(const TestNode&, const TestNode&)>;
+
+  /// Starts a node; `first` is its only contact. A name used before restarts that node.
+  TestNode& Start(const std::string& node, const std::string& zone, std::uint64_t incarnation = 1,
+                  const std::string& cluster = "test");
+  /// Starts `count` nodes ZONE-0, ZONE-1 and so on in each of the zones.
+  void StartZones(const std::vector<std::string>& zones, std::size_t count);
+  void Kill(const std::string& node) { this->nodes.erase(node); }
+  TestNode& operator[](const std::string& node) { return *this->nodes.at(node); }
+  std::map<std::string, std::unique_ptr<TestNode>>& Nodes() { return this->nodes; }
+
+  /// Runs all nodes until the condition holds or the deadline (real time) passes.
+  bool RunUntil(const Condition& condition, Duration limit = std::chrono::seconds(15));
+  void RunFor(Duration time);
+  /// Runs until every node sees the others, all reachable, and no more.
+  bool RunUntilWhole();
+  bool IsWhole() const;
+  bool All(const std::function<bool(const TestNode&)>& holds) const;
+
+  MembershipOptions options;  ///< For nodes started later; short periods.
+  double loss = 0;            ///< Share of messages lost.
+  Link is_cut;                ///< True for a direction that carries nothing.
+
+  TestFleet();
+
+ private:
+  void Deliver(const std::string& from, const std::string& to, const std::string& bytes);
+  bool PollOnce();
+
+  asio::io_context idle;
+  std::map<std::string, std::unique_ptr<TestNode>> nodes;
+  std::uint16_t next_port = 1;
+  std::string first_address;
+};
+
+}  // namespace fireflyrun::membership
--- /dev/null
+++ b/tests/membership/view_test.cc
@@ -0,0 +1,211 @@
+#include "membership/view.h"
+
+#include <gtest/gtest.h>
+#include <malloc.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace fireflyrun::membership {
+namespace {
+
+const SteadyTime kStart{std::chrono::hours(1)};
+
+Member MakeMember(const std::string& node, std::uint64_t incarnation, std::uint64_t version) {
+  Member member;
+  member.node = node;
+  member.incarnation = incarnation;
+  member.version = version;
+  member.zone = "z1";
+  member.ip = "127.0.0.1";
+  member.control_port = 1;
+  return member;
+}
+
+Member MakeSelf() { return MakeMember("self", 5, 1); }
+
+/// Any entry that a node could have written: its fields follow from (node, incarnation, version).
+Member EntryFrom(int node, int incarnation, int version) {
+  Member member = MakeMember("n" + std::to_string(node), incarnation, version);
+  member.zone = "z" + std::to_string((node + incarnation) % 3);
+  member.service = version % 2 == 0 ? "s" + std::to_string(version % 3) : "";
+  member.target_state = member.service.empty() ? TargetState::kAbsent : TargetState::kServing;
+  member.stopped = version == 4;
+  return member;
+}
+
+std::vector<Member> AnyEntries() {
+  std::vector<Member> entries;
+  const auto keys = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+      rc::gen::tuple(rc::gen::inRange(0, 4), rc::gen::inRange(1, 4), rc::gen::inRange(0, 5)));
+  for (const auto& [node, incarnation, version] : keys) {
+    entries.push_back(EntryFrom(node, incarnation, version));
+  }
+  return entries;
+}
+
+/// What a view holds, without the order in which it came.
+std::vector<std::string> ContentsOf(const View& view) {
+  std::vector<std::string> contents;
+  for (const std::string& zone : view.Zones()) {
+    contents.push_back(zone + " " + std::to_string(view.DigestOf(zone)) + " " +
+                       std::to_string(view.CountPresent(zone)));
+    for (const MemberState* state : view.MembersOf(zone)) {
+      contents.push_back(state->member.node + " " + std::to_string(state->mark));
+    }
+  }
+  for (const char* service : {"s0", "s1", "s2"}) {
+    for (const MemberState* state : view.Candidates(service)) {
+      contents.push_back(std::string(service) + " " + state->member.node);
+    }
+  }
+  std::sort(contents.begin(), contents.end());
+  return contents;
+}
+
+RC_GTEST_PROP(ViewProperty, OrderAndRepetitionDoNotMatter, ()) {
+  std::vector<Member> entries = AnyEntries();
+  View forward(MakeSelf(), kStart);
+  View backward(MakeSelf(), kStart);
+  for (const Member& entry : entries) forward.Merge(entry, kStart);
+  std::reverse(entries.begin(), entries.end());
+  for (const Member& entry : entries) {
+    backward.Merge(entry, kStart);
+    RC_ASSERT(backward.Merge(entry, kStart) == MergeResult::kStale);
+  }
+  RC_ASSERT(ContentsOf(forward) == ContentsOf(backward));
+}
+
+RC_GTEST_PROP(ViewProperty, NoEntryEverGivesWayToAnOlderOne, ()) {
+  View view(MakeSelf(), kStart);
+  for (const Member& entry : AnyEntries()) {
+    const MemberState* state = view.Find(entry.node);
+    const auto before = state == nullptr
+                            ? std::pair<std::uint64_t, std::uint64_t>(0, 0)
+                            : std::pair(state->member.incarnation, state->member.version);
+    view.Merge(entry, kStart);
+    state = view.Find(entry.node);
+    const auto after = std::pair(state->member.incarnation, state->member.version);
+    RC_ASSERT(after >= before);
+    RC_ASSERT(after >= std::pair(entry.incarnation, entry.version));
+  }
+}
+
+RC_GTEST_PROP(ViewProperty, ExchangeOfMarksMakesTwoViewsEqual, ()) {
+  View left(MakeSelf(), kStart);
+  View right(MakeSelf(), kStart);
+  for (const Member& entry : AnyEntries()) left.Merge(entry, kStart);
+  for (const Member& entry : AnyEntries()) right.Merge(entry, kStart);
+  for (int round = 0; round < 2; ++round) {
+    for (const char* zone : {"z0", "z1", "z2"}) {
+      for (const MemberState* state : right.MissingFrom(zone, left.MarksIn(zone))) {
+        left.Merge(Member(state->member), kStart);
+      }
+      for (const MemberState* state :
+           left.FindMarks(zone, right.UnknownMarks(zone, left.MarksIn(zone)))) {
+        right.Merge(Member(state->member), kStart);
+      }
+    }
+  }
+  for (const MemberState* state : left.MembersOf("z0")) {
+    const MemberState* other = right.Find(state->member.node);
+    if (state->IsPresent() && other->IsPresent()) RC_ASSERT(state->mark == other->mark);
+  }
+}
+
+TEST(View, RaisesItsOwnVersionAboveAnEchoAndDoesNotAdoptIt) {
+  View view(MakeSelf(), kStart);
+  Member echo = MakeMember("self", 5, 9);
+  echo.stopped = true;
+  EXPECT_EQ(view.Merge(echo, kStart), MergeResult::kStale);
+  EXPECT_EQ(view.Self().version, 10U);
+  EXPECT_FALSE(view.Self().stopped);
+  EXPECT_TRUE(view.Conflicts().empty());
+}
+
+TEST(View, ReportsTwoNodesOfOneName) {
+  View view(MakeSelf(), kStart);
+  EXPECT_EQ(view.Merge(MakeMember("self", 6, 0), kStart), MergeResult::kConflict);
+  EXPECT_EQ(view.Self().incarnation, 5U);
+  EXPECT_EQ(view.Merge(MakeMember("self", 4, 0), kStart), MergeResult::kStale);
+
+  view.Merge(MakeMember("other", 1, 1), kStart);
+  Member elsewhere = MakeMember("other", 1, 1);
+  elsewhere.control_port = 2;
+  EXPECT_EQ(view.Merge(elsewhere, kStart), MergeResult::kConflict);
+  EXPECT_EQ(view.Merge(elsewhere, kStart), MergeResult::kStale);
+  ASSERT_EQ(view.Conflicts().size(), 2U);
+  EXPECT_EQ(view.Conflicts()[1].place, "other");
+}
+
+TEST(View, KeepsAStoppedMemberAgainstLateCopiesForAnHour) {
+  View view(MakeSelf(), kStart);
+  view.Merge(MakeMember("n", 1, 1), kStart);
+  const std::uint64_t digest = view.DigestOf("z1");
+  Member stopped = MakeMember("n", 1, 2);
+  stopped.stopped = true;
+  EXPECT_EQ(view.Merge(stopped, kStart), MergeResult::kNewer);
+  EXPECT_NE(view.DigestOf("z1"), digest);
+  view.Forget(kStart + View::kTombstoneTime - std::chrono::seconds(1));
+  EXPECT_EQ(view.Merge(MakeMember("n", 1, 1), kStart), MergeResult::kStale);
+  EXPECT_EQ(view.CountPresent(), 1U);
+  view.Forget(kStart + View::kTombstoneTime);
+  EXPECT_EQ(view.Find("n"), nullptr);
+}
+
+TEST(View, KeepsAnUnreachableMemberForADayAndThenDoesNotTakeItBackUnchanged) {
+  View view(MakeSelf(), kStart);
+  view.Merge(MakeMember("n", 1, 1), kStart);
+  view.SetReachability("n", Reachability::kUnreachable, kStart);
+  view.Forget(kStart + View::kUnreachableTime - std::chrono::seconds(1));
+  EXPECT_EQ(view.CountPresent(), 2U);
+  view.Forget(kStart + View::kUnreachableTime);
+  EXPECT_EQ(view.CountPresent(), 1U);
+  EXPECT_EQ(view.Merge(MakeMember("n", 1, 1), kStart), MergeResult::kStale);
+  EXPECT_EQ(view.Merge(MakeMember("n", 1, 2), kStart), MergeResult::kNewer);
+  EXPECT_TRUE(view.Find("n")->IsReachable());
+}
+
+TEST(View, HoldsACutZoneApartFromWhatIsBelievedOfEachMember) {
+  View view(MakeSelf(), kStart);
+  for (const char* node : {"a", "b"}) {
+    Member member = MakeMember(node, 1, 1);
+    member.zone = "z2";
+    member.service = "calendar";
+    member.target_state = TargetState::kServing;
+    view.Merge(member, kStart);
+  }
+  int changes = 0;
+  view.Subscribe([&](ViewChange change, const MemberState&) {
+    changes += change == ViewChange::kReachability ? 1 : 0;
+  });
+  EXPECT_EQ(changes, 0);
+  view.SetReachability("a", Reachability::kUnreachable, kStart);
+  view.SetZoneCut("z2", true, kStart);
+  EXPECT_TRUE(view.Candidates("calendar").empty());
+  EXPECT_EQ(view.CountPresent("z2"), 2U);
+  view.SetZoneCut("z2", false, kStart);
+  ASSERT_EQ(view.Candidates("calendar").size(), 1U);
+  EXPECT_EQ(view.Candidates("calendar")[0]->member.node, "b");
+  EXPECT_EQ(changes, 3);
+}
+
+TEST(View, HoldsAFleetOfTwoYearsSizeInLittleMemory) {
+  constexpr std::size_t kLimit = 1'500'000;
+  const std::size_t before = mallinfo2().uordblks;
+  View view(MakeSelf(), kStart);
+  for (int i = 0; i < 2700; ++i) {
+    Member member = MakeMember("upstream-host-" + std::to_string(i) + ".example", 1, 1);
+    member.zone = "region-1-zone-" + std::to_string(i % 14);
+    member.region = "region-1";
+    member.ip = "10.100.200.250";
+    member.service = "service-number-" + std::to_string(i % 40);
+    view.Merge(member, kStart);
+  }
+  const std::size_t used = mallinfo2().uordblks - before;
+  RecordProperty("view_bytes", std::to_string(used));
+  EXPECT_LT(used, kLimit);
+}
+
+}  // namespace
+}  // namespace fireflyrun::membership
