--- a/src/cli/exit_code.h
+++ b/src/cli/exit_code.h
@@ -2,13 +2,8 @@
 
 namespace fireflyrun::cli {
 
-/// Exit statuses of every subcommand.
-enum class ExitCode {
-  kDone = 0,
-  kFailed = 1,  ///< Findings, a lost race, or a failure.
-  kWrongUsage = 2,
-};
-
-constexpr int ToExitStatus(ExitCode code) { return static_cast<int>(code); }
+inline constexpr int kExitDone = 0;
+inline constexpr int kExitFailed = 1;  ///< Findings, a lost race, or the store not reached.
+inline constexpr int kExitWrongUsage = 2;
 
 }  // namespace fireflyrun::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -1,6 +1,7 @@
 #include <array>
 #include <exception>
 #include <iostream>
+#include <string>
 #include <string_view>
 
 #include "cli/apply_command.h"
@@ -13,8 +14,10 @@
 
 namespace {
 
-using fireflyrun::cli::ExitCode;
-using fireflyrun::cli::ToExitStatus;
+using fireflyrun::cli::kExitDone;
+using fireflyrun::cli::kExitFailed;
+using fireflyrun::cli::kExitWrongUsage;
+
 
 constexpr std::string_view kVersion = "0.1.0";
 
@@ -49,7 +52,7 @@
   }
   std::cerr << "fireflyrun: \"" << name << "\" is no subcommand\n";
   PrintHelp(std::cerr);
-  return ToExitStatus(ExitCode::kWrongUsage);
+  return kExitWrongUsage;
 }
 
 }  // namespace
@@ -57,21 +60,21 @@
 int main(int argc, char** argv) {
   if (argc < 2) {
     PrintHelp(std::cerr);
-    return ToExitStatus(ExitCode::kWrongUsage);
+    return kExitWrongUsage;
   }
   const std::string_view first = argv[1];
   if (first == "--help") {
     PrintHelp(std::cout);
-    return ToExitStatus(ExitCode::kDone);
+    return kExitDone;
   }
   if (first == "--version") {
     std::cout << "fireflyrun " << kVersion << '\n';
-    return ToExitStatus(ExitCode::kDone);
+    return kExitDone;
   }
   try {
     return RunSubcommand(argc, argv);
   } catch (const std::exception& error) {
     std::cerr << "fireflyrun: " << error.what() << '\n';
-    return ToExitStatus(ExitCode::kFailed);
+    return kExitFailed;
   }
 }
--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -62,7 +62,7 @@
   node::Node node(loop, settings);
   if (const auto started = node.Start(); !started) {
     Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
-    return ToExitStatus(ExitCode::kFailed);
+    return kExitFailed;
   }
   SignalHandler handler(loop, node);
   Log(LogLevel::kInfo, "node",
@@ -70,7 +70,7 @@
           " cluster=" + settings.cluster);
   loop.run();
   Log(LogLevel::kInfo, "node", "event=ended");
-  return ToExitStatus(ExitCode::kDone);
+  return kExitDone;
 }
 
 }  // namespace
@@ -79,11 +79,11 @@
   const auto parsed = node::ParseNodeSettings(argc, argv, ReadEnvironmentVariable);
   if (parsed.help) {
     std::cout << node::NodeHelp();
-    return ToExitStatus(ExitCode::kDone);
+    return kExitDone;
   }
   if (parsed.wrong_usage || !parsed.findings.empty()) {
     std::cerr << FormatFindings(parsed.findings) << "See fireflyrun node --help.\n";
-    return ToExitStatus(ExitCode::kWrongUsage);
+    return kExitWrongUsage;
   }
   return RunUntilStopped(parsed.settings);
 }
