--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -108,8 +108,9 @@
     pool.usable = this->WithoutEjected(std::move(all), now);
     std::erase_if(pool.usable, excluded);
   }
+  const std::string& scope = query.level_scope.empty() ? query.service : query.level_scope;
   for (const Candidate* candidate : pool.usable) {
-    if (!this->levels.Admits(query.level_scope, candidate->node, query.key, now)) continue;
+    if (!this->levels.Admits(scope, candidate->node, query.key, now)) continue;
     pool.admitting.push_back(candidate);
     if (!this->Saturated(*candidate, now)) pool.unsaturated.push_back(candidate);
   }
--- a/src/policy/target_query.h
+++ b/src/policy/target_query.h
@@ -12,7 +12,7 @@
 /// A call for which a target is wanted.
 struct TargetQuery {
   std::string service = {};
-  std::string level_scope = {};  ///< Under which admission levels are remembered.
+  std::string level_scope = {};  ///< Of the admission levels; empty: the service.
   CallClass call_class = {};
   PriorityKey key = {};
   std::vector<std::string> excluded = {};  ///< Nodes that this call was sent to already.
