Test the policy decisions and mend what the tests found

Cause: the definitions were unproved. The tests found: the limit's use was compared with its fraction, so a limit under 2 never grew; service times of calls started before a growth were taken for calls after it; a baseline raised by one noisy comparison let the limit climb to the slots for good; the level opened one bucket an interval after a standstill. Change: probes that lower the limit step by step under sustained full use, slow start after a collapse, growth of the level by unused capacity.

--- a/src/policy/admission_controller.cc
+++ b/src/policy/admission_controller.cc
@@ -12,6 +12,8 @@
 constexpr std::uint32_t kFewestOffered = 10;
 /// A standing queue that drains in this share of a service time is no overload.
 constexpr double kQueueServiceShare = 0.25;
+constexpr double kBusyShare = 0.8;
+constexpr double kShortestServiceSeconds = 0.001;
 constexpr double kMedianStep = 1.1;
 constexpr double kEstimateHalfLifeSeconds = 1;
 constexpr double kShortestRetryAfterSeconds = 0.1;
@@ -81,6 +83,8 @@
 
 void AdmissionController::Tick(SteadyTime now) {
   this->DropExpired(now);
+  this->used_slots += static_cast<double>(this->in_flight.size());
+  this->allowed_slots += this->limit.Limit(now);
   const Duration age = now - this->interval_start;
   const bool enough = this->offered_count >= kFewestOffered;
   if (age >= kLongestInterval || (age >= kInterval && enough)) this->EndInterval(now);
@@ -129,7 +133,6 @@
     this->in_flight.insert(entry->id);
     this->actions.push_back({entry->id, RefusalReason::kNone});
   }
-  if (this->in_flight.size() >= most) this->limit_reached = true;
   this->NoteQueue();
 }
 
@@ -159,12 +162,15 @@
 }
 
 void AdmissionController::EndInterval(SteadyTime now) {
-  this->level.EndInterval(Seconds(now - this->interval_start), this->Pressure());
+  const double service = std::max(this->median_service_seconds, kShortestServiceSeconds);
+  const double capacity = this->limit.Limit(now) / service;
+  this->level.EndInterval(Seconds(now - this->interval_start), this->Pressure(), capacity);
   this->RefuseEntries(this->queue.DropBeyond(this->level.Level()), RefusalReason::kOverload);
   this->interval_start = now;
   this->offered_count = 0;
   this->shortest_queue = this->queue.Size();
-  this->limit_reached = false;
+  this->used_slots = 0;
+  this->allowed_slots = 0;
 }
 
 AdmissionPressure AdmissionController::Pressure() const {
@@ -173,7 +179,8 @@
   if (this->DrainSeconds(this->shortest_queue) > most_seconds) {
     return AdmissionPressure::kOverloaded;
   }
-  return this->limit_reached ? AdmissionPressure::kBusy : AdmissionPressure::kIdle;
+  const bool busy = this->used_slots >= kBusyShare * this->allowed_slots;
+  return busy ? AdmissionPressure::kBusy : AdmissionPressure::kIdle;
 }
 
 double AdmissionController::DrainSeconds(std::size_t queued) const {
--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -92,7 +92,8 @@
   bool leaving = false;
   SteadyTime interval_start;
   std::size_t shortest_queue = 0;     ///< In this interval.
-  bool limit_reached = false;         ///< In this interval.
+  double used_slots = 0;              ///< Calls in flight, summed over this interval's ticks.
+  double allowed_slots = 0;           ///< The limit, likewise.
   std::uint32_t offered_count = 0;    ///< In this interval.
   double median_service_seconds = 0;  ///< Of successes; 0 before the first.
   SteadyTime last_completion;
--- a/src/policy/admission_level.cc
+++ b/src/policy/admission_level.cc
@@ -29,17 +29,17 @@
   this->demands[BucketOf(key)].offered += 1;
 }
 
-void AdmissionLevel::EndInterval(double seconds, AdmissionPressure pressure) {
+void AdmissionLevel::EndInterval(double seconds, AdmissionPressure pressure, double capacity) {
   this->MeasureRates(seconds);
   switch (pressure) {
     case AdmissionPressure::kOverloaded:
       this->Tighten();
       return;
     case AdmissionPressure::kBusy:
-      this->Loosen(kBusyGrowth);
+      this->Loosen(kBusyGrowth * this->completed_rate);
       return;
     case AdmissionPressure::kIdle:
-      this->Loosen(kIdleGrowth);
+      this->Loosen(kIdleGrowth * std::max(this->completed_rate, capacity));
       return;
   }
 }
@@ -101,9 +101,8 @@
   }
 }
 
-void AdmissionLevel::Loosen(double growth) {
+void AdmissionLevel::Loosen(double most_added) {
   if (this->level == kOpenLevel) return;
-  const double allowed = growth * this->completed_rate;
   double added = 0;
   auto next = this->demands.upper_bound(BucketOf(this->level));
   for (std::uint32_t step = 0; step < this->loosen_step; ++step) {
@@ -112,7 +111,7 @@
       return;
     }
     added += next->second.rate;
-    if (step > 0 && added > allowed) break;
+    if (step > 0 && added > most_added) break;
     this->level = LevelOf(next->first);
     ++next;
   }
--- a/src/policy/admission_level.h
+++ b/src/policy/admission_level.h
@@ -21,8 +21,9 @@
   void OnOffered(const PriorityKey& key);
   /// Counts a call that the target completed.
   void OnCompleted() { this->completed_now += 1; }
-  /// Ends an interval of `seconds`, which must be positive.
-  void EndInterval(double seconds, AdmissionPressure pressure);
+  /// Ends an interval of `seconds`, which must be positive. `capacity`: calls a second that the
+  /// limit would let through if it were in use.
+  void EndInterval(double seconds, AdmissionPressure pressure, double capacity);
 
   const PriorityKey& Level() const { return this->level; }
   bool Admits(const PriorityKey& key) const { return key <= this->level; }
@@ -44,7 +45,8 @@
   void MeasureRates(double seconds);
   double AdmittedRate() const;
   void Tighten();
-  void Loosen(double growth);
+  /// Lets in further demand of at most `most_added` calls a second, but at least one bucket.
+  void Loosen(double most_added);
 
   std::map<BucketId, Demand> demands;
   PriorityKey level = kOpenLevel;
--- a/src/policy/candidate.h
+++ b/src/policy/candidate.h
@@ -9,14 +9,14 @@
 
 /// A node with a target of the wanted service, as the local view of the membership has it.
 struct Candidate {
-  std::string node;
+  std::string node = {};
   std::uint64_t incarnation = 0;
-  std::string zone;
-  std::string region;
+  std::string zone = {};
+  std::string region = {};
   std::uint32_t slots = 0;
   bool reachable = true;
   bool leaving = false;
-  SteadyTime first_seen;  ///< When this incarnation was first seen serving.
+  SteadyTime first_seen = {};  ///< When this incarnation was first seen serving.
 };
 
 }  // namespace fireflyrun::policy
--- a/src/policy/claim_result.h
+++ b/src/policy/claim_result.h
@@ -39,8 +39,8 @@
 
 struct ClaimResult {
   ClaimState state = ClaimState::kForgotten;
-  std::optional<Ticket> successor;            ///< With kVoid, if one was ever proposed.
-  std::shared_ptr<const std::string> answer;  ///< With kAnswered, as given to `Complete`.
+  std::optional<Ticket> successor = {};            ///< With kVoid, if one was ever proposed.
+  std::shared_ptr<const std::string> answer = {};  ///< With kAnswered, as given to `Complete`.
 };
 
 }  // namespace fireflyrun::policy
--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -10,10 +10,14 @@
 constexpr Duration kShortestWindow = std::chrono::milliseconds(100);
 constexpr Duration kLongWindow = std::chrono::seconds(1);
 constexpr Duration kLongestWindow = std::chrono::seconds(3);
-constexpr double kMinSamples = 5;
+constexpr double kFewestSamples = 5;
+constexpr double kMinSamples = 10;
+constexpr double kSamplesPerLimit = 3;
 constexpr double kMaxSamples = 60;
 /// A window that judges a reduction takes so many times the samples of another.
 constexpr double kJudgeSamples = 4;
+/// Likewise for the windows of a probe.
+constexpr double kProbeSamples = 16;
 
 /// Times per success, relative to the baseline.
 constexpr double kFastGrowthBelow = 1.1;
@@ -27,7 +31,15 @@
 /// The part of the fall in calls in flight that the time per success must show.
 constexpr double kResponse = 0.5;
 constexpr double kInUse = 0.9;
+constexpr Duration kVerifySoon = std::chrono::seconds(1);
+constexpr double kProbeInUse = 0.95;
+constexpr double kProbeShare = 0.8;
+constexpr double kLeastProbedLimit = 5;
+/// A time per success within this ratio of the verified one needs no probe.
+constexpr double kVerifiedRange = 1.1;
 constexpr double kLeastSuccessShare = 0.1;
+constexpr double kRecoverSuccessShare = 0.5;
+constexpr double kRecoverShare = 0.5;
 
 constexpr double kBaselineFall = 0.1;
 constexpr double kBaselineRise = 0.1;
@@ -49,6 +61,9 @@
     this->limit = slots;
     this->baseline_seconds = 0;
     this->reduction = {};
+    this->measuring = false;
+    this->recover_to = 0;
+    this->probe_at = now + kRamp;
     this->StartWindow(now);
   }
   if (slots > this->ceiling && this->ceiling > 0) this->limit *= double{1} * slots / this->ceiling;
@@ -58,8 +73,8 @@
 
 void ConcurrencyLimit::OnSample(Duration service_time, bool ok, std::uint32_t in_flight,
                                 SteadyTime now) {
-  // Calls started before a reduction say nothing of its effect.
-  if (now - service_time < this->reduced_at) return;
+  // Calls started before a change of the limit say nothing of its effect.
+  if (now - service_time < this->changed_at) return;
   Window& current = this->window;
   if (current.Count() == 0) current.start = now;
   (ok ? current.ok_seconds : current.failed_seconds) += Seconds(service_time);
@@ -81,36 +96,70 @@
       std::chrono::duration<double>(this->baseline_seconds));
 }
 
+double ConcurrencyLimit::SampleFactor() const {
+  if (this->measuring || this->reduction.probing) return kProbeSamples;
+  return this->reduction.pending ? kJudgeSamples : 1;
+}
+
 bool ConcurrencyLimit::WindowComplete(SteadyTime now) const {
   const Duration age = now - this->window.start;
-  const double judging = this->reduction.pending ? kJudgeSamples : 1;
-  const double wanted = judging * std::clamp(2 * this->limit, kMinSamples, kMaxSamples);
+  const double factor = this->SampleFactor();
+  const double wanted =
+      factor * std::clamp(kSamplesPerLimit * this->limit, kMinSamples, kMaxSamples);
   const double count = this->window.Count();
   if (age >= kShortestWindow && count >= wanted) return true;
-  if (age >= kLongWindow && count >= kMinSamples) return true;
-  return age >= kLongestWindow;
+  if (this->recover_to > 0 && age >= kShortestWindow && count >= kFewestSamples) return true;
+  if (age >= kLongWindow * factor && count >= kFewestSamples) return true;
+  return age >= kLongestWindow * factor;
 }
 
 void ConcurrencyLimit::CloseWindow(SteadyTime now) {
   const Window closed = this->window;
   this->StartWindow(now);
   if (closed.ok_count == 0) {
-    this->reduction = {};
-    this->limit = std::max(1.0, this->limit * kStrongestReduction);
+    this->Collapse();
     return;
   }
+  if (this->Recover(closed)) return;
   const double seconds = this->SecondsPerSuccess(closed);
   const double in_flight = closed.in_flight_sum / closed.Count();
-  if (this->baseline_seconds == 0) this->baseline_seconds = seconds;
-  if (this->UndoUselessReduction(seconds, in_flight)) return;
-  this->AdaptBaseline(seconds, in_flight);
+  if (this->baseline_seconds == 0) {
+    this->baseline_seconds = seconds;
+    this->verified_seconds = seconds;
+  }
+  if (this->JudgeReduction(seconds, in_flight, now)) return;
+  this->AdaptBaseline(seconds, in_flight, now);
+  const bool in_use = closed.max_in_flight >= kInUse * std::floor(this->limit);
+  const bool saturated = in_flight >= kProbeInUse * std::floor(this->limit);
+  if ((saturated || this->measuring) && this->Probe(seconds, in_flight, now)) return;
   const double ratio = seconds / this->baseline_seconds;
   if (ratio > kTolerance) {
-    this->Reduce(kTolerance / ratio, seconds, in_flight, now);
+    const double share = std::clamp(kTolerance / ratio, kStrongestReduction, kWeakestReduction);
+    this->Reduce(share, false, seconds, in_flight, now);
     return;
   }
   this->reduction = {};
-  if (closed.max_in_flight >= kInUse * this->limit) this->Grow(ratio);
+  if (in_use) this->Grow(ratio, now);
+}
+
+void ConcurrencyLimit::Collapse() {
+  if (this->recover_to == 0) this->recover_to = this->limit * kRecoverShare;
+  this->reduction = {};
+  this->measuring = false;
+  this->limit = std::max(1.0, this->limit * kStrongestReduction);
+}
+
+bool ConcurrencyLimit::Recover(const Window& closed) {
+  if (this->recover_to == 0) return false;
+  if (closed.ok_count < kRecoverSuccessShare * closed.Count()) return true;
+  if (this->limit >= this->recover_to) {
+    this->recover_to = 0;
+    return false;
+  }
+  if (closed.max_in_flight >= kInUse * std::floor(this->limit)) {
+    this->limit = std::min<double>(this->ceiling, this->limit * 2);
+  }
+  return true;
 }
 
 double ConcurrencyLimit::SecondsPerSuccess(const Window& closed) const {
@@ -122,9 +171,11 @@
   return (closed.ok_seconds + failed_seconds) / count / success_share;
 }
 
-void ConcurrencyLimit::AdaptBaseline(double seconds, double mean_in_flight) {
+void ConcurrencyLimit::AdaptBaseline(double seconds, double mean_in_flight, SteadyTime now) {
+  if (seconds * kVerifiedRange < this->verified_seconds) this->verified_seconds = 0;
   if (seconds < this->baseline_seconds * kBaselineJump) {
     this->baseline_seconds = seconds;
+    this->probe_at = now;
     return;
   }
   const double change = seconds - this->baseline_seconds;
@@ -140,33 +191,72 @@
   if (mean_in_flight <= kLittleUse * this->limit) this->baseline_seconds += kBaselineRise * change;
 }
 
-void ConcurrencyLimit::Reduce(double factor, double seconds, double mean_in_flight,
+void ConcurrencyLimit::Reduce(double share, bool probing, double seconds, double mean_in_flight,
                               SteadyTime now) {
   if (!this->reduction.pending) {
-    this->reduction = {true, this->limit, mean_in_flight, seconds};
+    this->reduction = {true, probing, this->limit, mean_in_flight, seconds};
   }
   // A limit well above the use would take many steps to have an effect.
   const double used = std::min(this->limit, mean_in_flight);
-  const double share = std::clamp(factor, kStrongestReduction, kWeakestReduction);
   this->limit = std::max(1.0, std::floor(used * share));
-  this->reduced_at = now;
+  this->changed_at = now;
 }
 
-bool ConcurrencyLimit::UndoUselessReduction(double seconds, double mean_in_flight) {
-  if (!this->reduction.pending) return false;
-  const double in_flight_share = mean_in_flight / this->reduction.in_flight;
-  if (in_flight_share > kJudgeInFlight) return false;
+bool ConcurrencyLimit::JudgeReduction(double seconds, double mean_in_flight, SteadyTime now) {
   const Reduction judged = this->reduction;
+  if (!judged.pending) return false;
+  const double in_flight_share = mean_in_flight / judged.in_flight;
+  if (in_flight_share > kJudgeInFlight) return false;
   this->reduction = {};
   const double most_seconds = judged.seconds * (1 - kResponse * (1 - in_flight_share));
-  if (seconds <= most_seconds) return false;
-  this->limit = std::min<double>(judged.limit, this->ceiling);
-  this->baseline_seconds = seconds;
+  if (seconds > most_seconds) {
+    this->limit = std::min<double>(judged.limit, this->ceiling);
+    this->baseline_seconds = seconds;
+    this->changed_at = now;
+    if (judged.probing) {
+      this->EndProbe(seconds, now);
+    } else {
+      // One comparison of two noisy windows is not enough for a higher baseline.
+      this->verified_seconds = 0;
+      this->probe_at = std::min(this->probe_at, now + kVerifySoon);
+    }
+    return true;
+  }
+  if (!judged.probing) return false;
+  this->baseline_seconds = std::min(this->baseline_seconds, seconds);
+  if (this->limit < kLeastProbedLimit) {
+    this->EndProbe(seconds, now);
+  } else {
+    this->Reduce(kProbeShare, true, seconds, mean_in_flight, now);
+  }
+  return true;
+}
+
+void ConcurrencyLimit::EndProbe(double verified, SteadyTime now) {
+  this->verified_seconds = verified;
+  this->probe_at = now + kProbeGap;
+}
+
+bool ConcurrencyLimit::Probe(double seconds, double mean_in_flight, SteadyTime now) {
+  if (this->measuring) {
+    this->measuring = false;
+    this->reduction = {};
+    if (mean_in_flight < kProbeInUse * std::floor(this->limit)) return false;
+    this->Reduce(kProbeShare, true, seconds, mean_in_flight, now);
+    return true;
+  }
+  if (this->reduction.pending || now < this->probe_at) return false;
+  if (this->limit < kLeastProbedLimit) return false;
+  const bool verified =
+      this->verified_seconds > 0 && seconds <= kVerifiedRange * this->verified_seconds;
+  if (verified) return false;
+  this->measuring = true;
   return true;
 }
 
-void ConcurrencyLimit::Grow(double ratio) {
-  if (ratio > kGrowthBelow) return;
+void ConcurrencyLimit::Grow(double ratio, SteadyTime now) {
+  if (ratio > kGrowthBelow || this->limit >= this->ceiling) return;
+  this->changed_at = now;
   const double speed = ratio < kFastGrowthBelow ? 2 : 1;
   const double step = std::max(1.0, speed * std::sqrt(this->limit));
   this->limit = std::min<double>(this->ceiling, this->limit + step);
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 
@@ -17,10 +18,16 @@
 /// A slow target is not always an overloaded one. After each reduction the next window is compared
 /// with the one before: if the time did not fall with the calls in flight, concurrency was not the
 /// cause; the reduction is undone and the baseline takes the new time. If it did, the reduction
-/// stands. The baseline falls with any faster window, and rises otherwise only in windows of little
-/// use.
+/// stands.
+///
+/// Under sustained full use a baseline can't be told from a queue that always stands. So, like the
+/// round-trip probes of BBR (Cardwell et al. 2016), the limit is then lowered step by step every
+/// `kProbeGap` until the time no longer falls; that time is the baseline. A target that is as fast
+/// as when it was verified last is not probed.
 class ConcurrencyLimit {
  public:
+  static constexpr Duration kProbeGap = std::chrono::seconds(30);
+
   /// The announced slots: the ceiling of the limit; 0 stops all calls. A rise from 0 starts a ramp.
   void SetCeiling(std::uint32_t slots, SteadyTime now);
 
@@ -45,31 +52,44 @@
 
     std::uint32_t Count() const { return this->ok_count + this->failed_count; }
   };
-  /// The window that caused the latest reduction.
+  /// What was observed before the latest reduction.
   struct Reduction {
     bool pending = false;
+    bool probing = false;
     double limit = 0;
     double in_flight = 0;
     double seconds = 0;
   };
 
+  double SampleFactor() const;
   bool WindowComplete(SteadyTime now) const;
   void CloseWindow(SteadyTime now);
   double SecondsPerSuccess(const Window& closed) const;
-  void AdaptBaseline(double seconds, double mean_in_flight);
-  void Reduce(double factor, double seconds, double mean_in_flight, SteadyTime now);
-  /// True if the reduction was judged and undone.
-  bool UndoUselessReduction(double seconds, double mean_in_flight);
-  void Grow(double ratio);
+  void Collapse();
+  /// True while the limit comes back from a collapse.
+  bool Recover(const Window& closed);
+  void AdaptBaseline(double seconds, double mean_in_flight, SteadyTime now);
+  void Reduce(double share, bool probing, double seconds, double mean_in_flight, SteadyTime now);
+  /// Judges the pending reduction; true if that decided the limit.
+  bool JudgeReduction(double seconds, double mean_in_flight, SteadyTime now);
+  void EndProbe(double verified, SteadyTime now);
+  /// True if a probe is due or under way and the window was used for it.
+  bool Probe(double seconds, double mean_in_flight, SteadyTime now);
+  void Grow(double ratio, SteadyTime now);
   void StartWindow(SteadyTime now);
 
   std::uint32_t ceiling = 0;
   double limit = 0;
   double baseline_seconds = 0;
   SteadyTime ramp_start;
-  SteadyTime reduced_at;
+  SteadyTime changed_at;
   Window window;
   Reduction reduction;
+  /// Time per success when last found not to fall with the calls in flight; 0: unknown.
+  double verified_seconds = 0;
+  double recover_to = 0;   ///< 0: no collapse to recover from.
+  bool measuring = false;  ///< The next window is the reference of a probe.
+  SteadyTime probe_at;
 };
 
 }  // namespace fireflyrun::policy
--- a/src/policy/ticket_ledger_limits.h
+++ b/src/policy/ticket_ledger_limits.h
@@ -12,7 +12,7 @@
 struct TicketLedgerLimits {
   Duration window_length = std::chrono::minutes(10);
   std::uint32_t remembered_windows = 4;  ///< The current one included; at least 2.
-  std::size_t entries_per_window = 200'000;
+  std::size_t entries_per_window = 50'000;
   std::size_t answer_bytes = 8U << 20;  ///< All retained answers together.
 };
 
--- /dev/null
+++ b/tests/policy/retry_allotment_test.cc
@@ -0,0 +1,93 @@
+#include "policy/retry_allotment.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace fireflyrun::policy {
+namespace {
+
+/// A tree of calls in which calls fail, answers are lost, and answers arrive twice and out of
+/// order.
+class CallTree {
+ public:
+  static constexpr int kMaxDepth = 25;
+  static constexpr int kMaxCalls = 20'000;
+
+  explicit CallTree(std::uint32_t seed) : generator(seed) {
+    this->fail_percent = this->Below(3) == 0 ? 100 : this->Below(100);
+    this->lose_percent = this->Below(100);
+    this->most_children = 1 + this->Below(3);
+  }
+
+  /// Runs a call and all below it; the unused retries in its answer.
+  std::uint32_t Run(int depth, std::uint32_t lent) {
+    this->calls += 1;
+    RetryAllotment allotment(lent);
+    this->RunChildren(depth, &allotment);
+    while (this->Chance(this->fail_percent) && allotment.TrySpend()) {
+      this->retries += 1;
+      this->RunChildren(depth, &allotment);
+    }
+    return allotment.Remaining();
+  }
+
+  std::uint32_t Retries() const { return this->retries; }
+
+ private:
+  struct Answer {
+    std::uint32_t loan_id;
+    std::uint32_t unused;
+  };
+
+  std::uint32_t Below(std::uint32_t bound) { return this->generator() % bound; }
+  bool Chance(std::uint32_t percent) { return this->Below(100) < percent; }
+
+  void RunChildren(int depth, RetryAllotment* allotment) {
+    if (depth == kMaxDepth || this->calls > kMaxCalls) return;
+    std::vector<Answer> answers;
+    const std::uint32_t children = 1 + this->Below(this->most_children);
+    for (std::uint32_t i = 0; i < children; ++i) {
+      const RetryLoan loan = allotment->Lend();
+      const Answer answer{loan.id, this->Run(depth + 1, loan.amount)};
+      if (this->Chance(this->lose_percent)) continue;
+      answers.insert(answers.end(), 1 + this->Below(2), answer);
+    }
+    std::shuffle(answers.begin(), answers.end(), this->generator);
+    for (const Answer& answer : answers) allotment->Return(answer.loan_id, answer.unused);
+  }
+
+  std::mt19937 generator;
+  std::uint32_t fail_percent;
+  std::uint32_t lose_percent;
+  std::uint32_t most_children;
+  std::uint32_t retries = 0;
+  int calls = 0;
+};
+
+RC_GTEST_PROP(RetryAllotmentTest, ATreeOfCallsRetriesNoMoreThanItsRootWasGiven,
+              (std::uint32_t seed)) {
+  const std::uint32_t given = seed % 8;
+  CallTree tree(seed);
+  const std::uint32_t unused = tree.Run(0, given);
+  RC_ASSERT(tree.Retries() + unused <= given);
+}
+
+TEST(RetryAllotmentTest, KeepsOneAndLendsTheRest) {
+  RetryAllotment allotment(3);
+  const RetryLoan loan = allotment.Lend();
+  EXPECT_EQ(loan.amount, 2U);
+  EXPECT_EQ(allotment.Lend().amount, 0U);
+  EXPECT_TRUE(allotment.TrySpend());
+  EXPECT_TRUE(allotment.Exhausted());
+  EXPECT_EQ(allotment.Outstanding(), 2U);
+  allotment.Return(loan.id, 5);
+  allotment.Return(loan.id, 2);
+  EXPECT_EQ(allotment.Remaining(), 2U);
+}
+
+}  // namespace
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/tests/policy/target_subset_test.cc
@@ -0,0 +1,59 @@
+#include "policy/target_subset.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+namespace fireflyrun::policy {
+namespace {
+
+std::vector<Candidate> MakeCandidates(std::size_t count) {
+  std::vector<Candidate> candidates(count);
+  for (std::size_t i = 0; i < count; ++i) candidates[i].node = "10.0.0." + std::to_string(i);
+  return candidates;
+}
+
+std::set<std::string> SubsetOf(const std::vector<Candidate>& candidates, const std::string& caller,
+                               std::size_t size) {
+  std::vector<const Candidate*> all;
+  for (const Candidate& candidate : candidates) all.push_back(&candidate);
+  std::set<std::string> nodes;
+  for (const Candidate* chosen : TargetSubset(all, "tills", caller, size)) {
+    nodes.insert(chosen->node);
+  }
+  return nodes;
+}
+
+RC_GTEST_PROP(TargetSubsetTest, OneTargetLessChangesAtMostOneElement, ()) {
+  const auto count = *rc::gen::inRange<std::size_t>(2, 60);
+  const auto size = *rc::gen::inRange<std::size_t>(1, 12);
+  const auto removed = *rc::gen::inRange<std::size_t>(0, count);
+  const auto caller = *rc::gen::string<std::string>();
+  auto candidates = MakeCandidates(count);
+  const auto before = SubsetOf(candidates, caller, size);
+  RC_ASSERT(before.size() == std::min(count, size));
+  candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(removed));
+  std::reverse(candidates.begin(), candidates.end());
+  const auto after = SubsetOf(candidates, caller, size);
+  std::set<std::string> gone;
+  std::set_difference(before.begin(), before.end(), after.begin(), after.end(),
+                      std::inserter(gone, gone.end()));
+  RC_ASSERT(gone.size() <= 1U);
+}
+
+TEST(TargetSubsetTest, CallersTogetherUseAllTargetsAlike) {
+  const auto candidates = MakeCandidates(50);
+  std::map<std::string, int> uses;
+  for (int caller = 0; caller < 1000; ++caller) {
+    for (const auto& node : SubsetOf(candidates, std::to_string(caller), 8)) uses[node] += 1;
+  }
+  ASSERT_EQ(uses.size(), 50U);
+  for (const auto& [node, count] : uses) EXPECT_NEAR(count, 160, 80) << node;
+}
+
+}  // namespace
+}  // namespace fireflyrun::policy
