End an ejection only by a probe or by successes in a row

Cause: one success of a call sent before the ejection ended it, so a target that failed three of four calls was never kept out (TargetLoadTest.FrequentFailuresBetweenSuccessesEject failed). Ruled out: ending it by a probe alone; after a fault of all targets half of them would stay out for up to 32 s although they answer. Change: successes count only after the ejection time, or five in a row.

--- a/src/policy/priority_key.h
+++ b/src/policy/priority_key.h
@@ -14,7 +14,11 @@
   std::uint32_t rank = 0;
   std::uint32_t hash = 0;
 
-  auto operator<=>(const PriorityKey&) const = default;
+  bool operator==(const PriorityKey&) const = default;
+  std::strong_ordering operator<=>(const PriorityKey& other) const {
+    if (this->rank != other.rank) return this->rank <=> other.rank;
+    return this->hash <=> other.hash;
+  }
 };
 
 /// The level that admits every key. An admission level is the highest key that is still admitted.
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -9,6 +9,7 @@
 constexpr Duration kHeardFreshFor = std::chrono::seconds(2);
 constexpr double kSmoothing = 0.1;
 constexpr std::uint32_t kEjectAfterFailures = 5;
+constexpr std::uint32_t kReadmitAfterSuccesses = 5;
 constexpr double kEjectFailureShare = 0.5;
 constexpr std::uint32_t kMinObserved = 20;
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
@@ -28,7 +29,7 @@
   }
   switch (outcome) {
     case CallOutcome::kSucceeded:
-      this->OnSuccess(latency);
+      this->OnSuccess(latency, now);
       return;
     case CallOutcome::kFailed:
     case CallOutcome::kTimedOut:
@@ -63,6 +64,7 @@
   this->failure_share += kSmoothing * (1 - this->failure_share);
   this->observed += 1;
   this->consecutive_failures += 1;
+  this->consecutive_successes = 0;
   if (this->ejected) {
     // Late failures of calls sent before the ejection are no news.
     if (now >= this->ejected_until) this->Eject(now);
@@ -72,7 +74,7 @@
   if (often || this->consecutive_failures >= kEjectAfterFailures) this->Eject(now);
 }
 
-void TargetLoad::OnSuccess(Duration latency) {
+void TargetLoad::OnSuccess(Duration latency, SteadyTime now) {
   const double seconds = std::chrono::duration<double>(latency).count();
   const double weight = this->latency_seconds > 0 ? kSmoothing : 1;
   this->latency_seconds += weight * (seconds - this->latency_seconds);
@@ -80,7 +82,10 @@
   this->observed += 1;
   this->consecutive_failures = 0;
   this->successes_since_ejection += 1;
-  if (this->ejected) {
+  this->consecutive_successes += 1;
+  const bool proved =
+      now >= this->ejected_until || this->consecutive_successes >= kReadmitAfterSuccesses;
+  if (this->ejected && proved) {
     this->ejected = false;
     this->failure_share = 0;
     this->observed = 0;
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -23,14 +23,15 @@
   double LatencySeconds() const { return this->latency_seconds; }
 
   /// Ejected for its failures: it gets no calls, or after the ejection time one probe at a time,
-  /// until one succeeds.
+  /// until one succeeds. Before that time some successes in a row end the ejection, so that it does
+  /// not outlast a fault that all targets had and during which they were used all the same.
   bool Ejected() const { return this->ejected; }
   bool ProbeDue(SteadyTime now) const;
   SteadyTime EjectedUntil() const { return this->ejected_until; }
 
  private:
   void OnFailure(SteadyTime now);
-  void OnSuccess(Duration latency);
+  void OnSuccess(Duration latency, SteadyTime now);
   void Eject(SteadyTime now);
 
   std::uint32_t in_flight = 0;
@@ -41,6 +42,7 @@
   double failure_share = 0;  ///< Smoothed over calls.
   std::uint32_t observed = 0;
   std::uint32_t consecutive_failures = 0;
+  std::uint32_t consecutive_successes = 0;
   std::uint32_t ejections = 0;
   std::uint32_t successes_since_ejection = 0;
   bool ejected = false;
--- a/src/policy/ticket.h
+++ b/src/policy/ticket.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,7 +26,7 @@
   /// `.`, `_` and `-`.
   std::string ToText() const;
 
-  auto operator<=>(const Ticket&) const = default;
+  bool operator==(const Ticket&) const = default;
 };
 
 }  // namespace fireflyrun::policy
--- a/src/policy/ticket_ledger.cc
+++ b/src/policy/ticket_ledger.cc
@@ -41,7 +41,7 @@
 }
 
 ClaimResult TicketLedger::Void(const Ticket& ticket, SteadyTime now) {
-  const ClaimResult claim = this->Claim(ticket, std::nullopt, now);
+  ClaimResult claim = this->Claim(ticket, std::nullopt, now);
   Entry* const entry = this->Find(ticket);
   if (entry == nullptr) return claim;
   if (entry->state == EntryState::kClaimed) entry->state = EntryState::kVoid;
--- a/tests/policy/admission_controller_test.cc
+++ b/tests/policy/admission_controller_test.cc
@@ -7,7 +7,8 @@
 #include <map>
 #include <numeric>
 #include <random>
-#include <set>
+#include <unordered_map>
+#include <vector>
 
 #include "tests/policy/fake_target.h"
 
@@ -103,7 +104,7 @@
   SteadyTime next_tick = AtSeconds(0.01);
   double patience_seconds = 1;
   Counts counts;
-  std::map<Id128, Call> calls;
+  std::unordered_map<Id128, Call> calls;
   FakeTarget target;
   AdmissionController controller;
 };
--- a/tests/policy/target_load_test.cc
+++ b/tests/policy/target_load_test.cc
@@ -60,6 +60,18 @@
   EXPECT_EQ(load.EjectedUntil(), AtSeconds(1));
 }
 
+TEST(TargetLoadTest, OnlySuccessesInARowEndAnEjectionEarly) {
+  TargetLoad load;
+  for (int i = 0; i < 5; ++i) Answer(&load, CallOutcome::kFailed, 0);
+  for (int i = 0; i < 4; ++i) Answer(&load, CallOutcome::kSucceeded, 0.1);
+  EXPECT_TRUE(load.Ejected());
+  Answer(&load, CallOutcome::kFailed, 0.2);
+  for (int i = 0; i < 4; ++i) Answer(&load, CallOutcome::kSucceeded, 0.3);
+  EXPECT_TRUE(load.Ejected());
+  Answer(&load, CallOutcome::kSucceeded, 0.4);
+  EXPECT_FALSE(load.Ejected());
+}
+
 TEST(TargetLoadTest, FrequentFailuresBetweenSuccessesEject) {
   TargetLoad load;
   for (int i = 0; i < 60; ++i) {
--- a/tests/policy/target_subset_test.cc
+++ b/tests/policy/target_subset_test.cc
@@ -20,6 +20,7 @@
 std::set<std::string> SubsetOf(const std::vector<Candidate>& candidates, const std::string& caller,
                                std::size_t size) {
   std::vector<const Candidate*> all;
+  all.reserve(candidates.size());
   for (const Candidate& candidate : candidates) all.push_back(&candidate);
   std::set<std::string> nodes;
   for (const Candidate* chosen : TargetSubset(all, "tills", caller, size)) {
