Count samples only once a change of the limit has settled

After each change of the limit only calls started after it were counted; in a window as short as a call the short ones end first, so the time per success was read at half its value (0.022 s of 0.05 s) and the baseline followed it down. One noisy window was enough for a reduction. Ruled out: a longer window alone (the bias stays).

--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -10,6 +10,10 @@
 constexpr Duration kShortestWindow = std::chrono::milliseconds(100);
 constexpr Duration kLongWindow = std::chrono::seconds(1);
 constexpr Duration kLongestWindow = std::chrono::seconds(3);
+/// After a change of the limit, calls that end are mostly older than the change; and were only
+/// younger ones counted, the short calls among them would end first.
+constexpr double kSettleServiceTimes = 2;
+constexpr Duration kStartSettle = std::chrono::seconds(1);
 constexpr double kFewestSamples = 5;
 constexpr double kMinSamples = 10;
 constexpr double kSamplesPerLimit = 3;
@@ -41,6 +45,9 @@
 constexpr double kRecoverSuccessShare = 0.5;
 constexpr double kRecoverShare = 0.5;
 
+constexpr double kSmoothing = 0.3;
+/// A window that differs by this factor is not smoothed.
+constexpr double kSuddenChange = 2;
 constexpr double kBaselineFall = 0.1;
 constexpr double kBaselineRise = 0.1;
 constexpr double kBaselineJump = 0.5;
@@ -60,10 +67,12 @@
     this->ramp_start = now;
     this->limit = slots;
     this->baseline_seconds = 0;
+    this->smoothed_seconds = 0;
     this->reduction = {};
     this->measuring = false;
     this->recover_to = 0;
     this->probe_at = now + kRamp;
+    this->settled_at = now + kStartSettle;
     this->StartWindow(now);
   }
   if (slots > this->ceiling && this->ceiling > 0) this->limit *= double{1} * slots / this->ceiling;
@@ -73,8 +82,7 @@
 
 void ConcurrencyLimit::OnSample(Duration service_time, bool ok, std::uint32_t in_flight,
                                 SteadyTime now) {
-  // Calls started before a change of the limit say nothing of its effect.
-  if (now - service_time < this->changed_at) return;
+  if (now < this->settled_at) return;
   Window& current = this->window;
   if (current.Count() == 0) current.start = now;
   (ok ? current.ok_seconds : current.failed_seconds) += Seconds(service_time);
@@ -121,12 +129,15 @@
     return;
   }
   if (this->Recover(closed)) return;
-  const double seconds = this->SecondsPerSuccess(closed);
+  const double window_seconds = this->SecondsPerSuccess(closed);
   const double in_flight = closed.in_flight_sum / closed.Count();
   if (this->baseline_seconds == 0) {
-    this->baseline_seconds = seconds;
-    this->verified_seconds = seconds;
+    this->baseline_seconds = window_seconds;
+    this->verified_seconds = window_seconds;
   }
+  const bool changed = this->reduction.pending || this->measuring;
+  const double seconds = changed ? window_seconds : this->Smooth(window_seconds);
+  this->smoothed_seconds = seconds;
   if (this->JudgeReduction(seconds, in_flight, now)) return;
   this->AdaptBaseline(seconds, in_flight, now);
   const bool in_use = closed.max_in_flight >= kInUse * std::floor(this->limit);
@@ -162,6 +173,12 @@
   return true;
 }
 
+double ConcurrencyLimit::Smooth(double seconds) const {
+  const double ratio = this->smoothed_seconds > 0 ? seconds / this->smoothed_seconds : 0;
+  if (ratio < 1 / kSuddenChange || ratio > kSuddenChange) return seconds;
+  return this->smoothed_seconds + kSmoothing * (seconds - this->smoothed_seconds);
+}
+
 double ConcurrencyLimit::SecondsPerSuccess(const Window& closed) const {
   // A quick failure must not make the target look fast.
   const double failed_seconds =
@@ -199,7 +216,7 @@
   // A limit well above the use would take many steps to have an effect.
   const double used = std::min(this->limit, mean_in_flight);
   this->limit = std::max(1.0, std::floor(used * share));
-  this->changed_at = now;
+  this->Settle(now);
 }
 
 bool ConcurrencyLimit::JudgeReduction(double seconds, double mean_in_flight, SteadyTime now) {
@@ -212,7 +229,7 @@
   if (seconds > most_seconds) {
     this->limit = std::min<double>(judged.limit, this->ceiling);
     this->baseline_seconds = seconds;
-    this->changed_at = now;
+    this->Settle(now);
     if (judged.probing) {
       this->EndProbe(seconds, now);
     } else {
@@ -254,9 +271,14 @@
   return true;
 }
 
+void ConcurrencyLimit::Settle(SteadyTime now) {
+  this->settled_at = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                               kSettleServiceTimes * this->smoothed_seconds));
+}
+
 void ConcurrencyLimit::Grow(double ratio, SteadyTime now) {
   if (ratio > kGrowthBelow || this->limit >= this->ceiling) return;
-  this->changed_at = now;
+  this->Settle(now);
   const double speed = ratio < kFastGrowthBelow ? 2 : 1;
   const double step = std::max(1.0, speed * std::sqrt(this->limit));
   this->limit = std::min<double>(this->ceiling, this->limit + step);
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -64,6 +64,8 @@
   double SampleFactor() const;
   bool WindowComplete(SteadyTime now) const;
   void CloseWindow(SteadyTime now);
+  /// The time per success, smoothed over windows of the same limit.
+  double Smooth(double seconds) const;
   double SecondsPerSuccess(const Window& closed) const;
   void Collapse();
   /// True while the limit comes back from a collapse.
@@ -75,14 +77,16 @@
   void EndProbe(double verified, SteadyTime now);
   /// True if a probe is due or under way and the window was used for it.
   bool Probe(double seconds, double mean_in_flight, SteadyTime now);
+  void Settle(SteadyTime now);
   void Grow(double ratio, SteadyTime now);
   void StartWindow(SteadyTime now);
 
   std::uint32_t ceiling = 0;
   double limit = 0;
   double baseline_seconds = 0;
+  double smoothed_seconds = 0;
   SteadyTime ramp_start;
-  SteadyTime changed_at;
+  SteadyTime settled_at;  ///< Samples before say nothing of the limit in force.
   Window window;
   Reduction reduction;
   /// Time per success when last found not to fall with the calls in flight; 0: unknown.
