Restart the smoothed time when the limit changes

Cause: a reduction was judged against a smoothed time that still held windows of a lower limit, so it looked useless and the baseline rose (highest limit 66 in RecoversWithinTwoSecondsOfASlowPeriod, bound 60). Ruled out: widening the bound. Change: the first window after a change starts the smoothed time anew, and a reduction takes two windows.

--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -28,6 +28,8 @@
 constexpr double kGrowthBelow = 1.2;
 constexpr double kTolerance = 1.5;
 
+/// One noisy window must not reduce the limit.
+constexpr std::uint32_t kWindowsToReduce = 2;
 constexpr double kStrongestReduction = 0.7;
 constexpr double kWeakestReduction = 0.8;
 /// A reduction is judged once the calls in flight fell to this share.
@@ -135,8 +137,9 @@
     this->baseline_seconds = window_seconds;
     this->verified_seconds = window_seconds;
   }
-  const bool changed = this->reduction.pending || this->measuring;
-  const double seconds = changed ? window_seconds : this->Smooth(window_seconds);
+  const bool alone = this->settled_windows == 0 || this->reduction.pending || this->measuring;
+  const double seconds = alone ? window_seconds : this->Smooth(window_seconds);
+  this->settled_windows += 1;
   this->smoothed_seconds = seconds;
   if (this->JudgeReduction(seconds, in_flight, now)) return;
   this->AdaptBaseline(seconds, in_flight, now);
@@ -144,6 +147,7 @@
   const bool saturated = in_flight >= kProbeInUse * std::floor(this->limit);
   if ((saturated || this->measuring) && this->Probe(seconds, in_flight, now)) return;
   const double ratio = seconds / this->baseline_seconds;
+  if (ratio > kTolerance && this->settled_windows < kWindowsToReduce) return;
   if (ratio > kTolerance) {
     const double share = std::clamp(kTolerance / ratio, kStrongestReduction, kWeakestReduction);
     this->Reduce(share, false, seconds, in_flight, now);
@@ -274,6 +278,7 @@
 void ConcurrencyLimit::Settle(SteadyTime now) {
   this->settled_at = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
                                kSettleServiceTimes * this->smoothed_seconds));
+  this->settled_windows = 0;
 }
 
 void ConcurrencyLimit::Grow(double ratio, SteadyTime now) {
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -85,6 +85,7 @@
   double limit = 0;
   double baseline_seconds = 0;
   double smoothed_seconds = 0;
+  std::uint32_t settled_windows = 0;  ///< Windows since the limit changed.
   SteadyTime ramp_start;
   SteadyTime settled_at;  ///< Samples before say nothing of the limit in force.
   Window window;
