Tell a pause of the caller from silence of the far node

Cause: after a pause of its own process a link's timer ran before the bytes that had come meanwhile were read, so a live link was replaced. An idle connection also kept 64 KiB or more for reading. Change: a late tick restarts the measure of silence; idle connections keep 16 KiB to read and 8 KiB to write; lint findings in own files mended.

--- a/bench/peer_link_bench.cc
+++ b/bench/peer_link_bench.cc
@@ -125,8 +125,8 @@
   using fireflyrun::peer::ArgumentOr;
   using fireflyrun::peer::Caller;
   using fireflyrun::peer::EchoNode;
-  using fireflyrun::peer::PercentileUs;
   using fireflyrun::peer::kWarmUpCalls;
+  using fireflyrun::peer::PercentileUs;
   const std::size_t calls = ArgumentOr(argc, argv, 1, 50'000);
   const std::size_t body_bytes = ArgumentOr(argc, argv, 2, 1024);
   const std::size_t outstanding = ArgumentOr(argc, argv, 3, 1);
--- a/src/peer/connection.cc
+++ b/src/peer/connection.cc
@@ -16,6 +16,8 @@
 
 /// Bytes encoded ahead of the kernel; frames queued later wait for them.
 constexpr std::size_t kWriteBytes = std::size_t{64} << 10;
+/// Space that an idle connection keeps; a node has hundreds of them.
+constexpr std::size_t kKeptBytes = std::size_t{8} << 10;
 /// Bytes that the kernel takes before it has sent them, so that small frames needn't wait for more.
 constexpr int kUnsentBytes = 128 << 10;
 /// Writes in one Flush(), then the event loop takes its turn.
@@ -73,7 +75,10 @@
     this->buffer.clear();
     this->buffer_written = 0;
     this->queue.Fill(kWriteBytes, &this->buffer);
-    if (this->buffer.empty()) return false;
+    if (this->buffer.empty()) {
+      if (this->buffer.capacity() > kKeptBytes) this->buffer = std::string();
+      return false;
+    }
   }
   asio::error_code error;
   const auto rest = asio::buffer(this->buffer) + this->buffer_written;
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <google/protobuf/message_lite.h>
+
 #include <asio/ip/tcp.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -15,10 +17,6 @@
 #include "peer/link_options.h"
 #include "peer/outgoing_message.h"
 
-namespace google::protobuf {
-class MessageLite;
-}
-
 namespace fireflyrun::peer {
 
 /// A connected stream of frames. Writes go to the kernel inside Flush() while it accepts them, and
--- a/src/peer/frame_codec.cc
+++ b/src/peer/frame_codec.cc
@@ -1,7 +1,6 @@
 #include "peer/frame_codec.h"
 
 #include <google/protobuf/io/coded_stream.h>
-#include <google/protobuf/message_lite.h>
 
 #include <array>
 #include <cstdint>
--- a/src/peer/frame_codec.h
+++ b/src/peer/frame_codec.h
@@ -1,15 +1,13 @@
 #pragma once
 
+#include <google/protobuf/message_lite.h>
+
 #include <cstddef>
 #include <string>
 #include <string_view>
 
 #include "common/id128.h"
 
-namespace google::protobuf {
-class MessageLite;
-}
-
 namespace fireflyrun::peer {
 
 /// A frame on the wire is a 4-byte little-endian length and one serialized pb::Frame.
--- a/src/peer/frame_reader.cc
+++ b/src/peer/frame_reader.cc
@@ -10,7 +10,9 @@
 namespace fireflyrun::peer {
 namespace {
 
-constexpr std::size_t kReadBytes = std::size_t{64} << 10;
+constexpr std::size_t kReadBytes = std::size_t{16} << 10;
+/// Above this an empty buffer gives its space back; a node has hundreds of idle connections.
+constexpr std::size_t kKeptBytes = std::size_t{64} << 10;
 
 std::size_t ReadLength(const char* bytes) {
   std::uint32_t length = 0;
@@ -29,6 +31,10 @@
     this->end -= this->begin;
     this->begin = 0;
   }
+  if (this->end == 0 && this->buffer.size() > kKeptBytes) {
+    this->buffer.resize(kReadBytes);
+    this->buffer.shrink_to_fit();
+  }
   if (this->buffer.size() < this->end + kReadBytes) this->buffer.resize(this->end + kReadBytes);
   return {this->buffer.data() + this->end, this->buffer.size() - this->end};
 }
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -225,6 +225,7 @@
 
 void Link::StartTicking() {
   this->tick_running = true;
+  this->last_tick = SteadyClock::now();
   this->tick_timer = this->timers.Every(this->options.heartbeat_period, [this] {
     const auto self = this->shared_from_this();
     this->Tick();
@@ -233,7 +234,10 @@
 
 void Link::Tick() {
   const auto now = SteadyClock::now();
+  const Duration since_tick = now - std::exchange(this->last_tick, now);
   if (this->calls.empty()) return this->Rest();
+  // A pause of this process is not the far node's silence: what came meanwhile is not read yet.
+  if (since_tick > this->options.heartbeat_period * 2) this->waiting_since = now;
   const Duration silence = now - std::max(this->LastHeard(), this->waiting_since);
   if (this->state != State::kOpen) {
     if (silence < this->options.give_up_limit) return;
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -95,6 +95,7 @@
   SteadyTime last_heard;     ///< On earlier connections.
   SteadyTime waiting_since;  ///< Since then calls have been pending without a break.
   SteadyTime last_used;
+  SteadyTime last_tick;
   Duration round_trip{};
   bool tick_running = false;
   bool acknowledge_pending = false;
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -113,12 +113,11 @@
   });
 }
 
-void LinkServer::Implementation::CloseLink(const Link& link) {
-  const Link kept = link;
-  kept->hello_timer.Reset();
-  kept->connection->Close();
-  kept->partial_calls.clear();
-  this->links.erase(kept);
+void LinkServer::Implementation::CloseLink(Link link) {
+  link->hello_timer.Reset();
+  link->connection->Close();
+  link->partial_calls.clear();
+  this->links.erase(link);
 }
 
 void LinkServer::Implementation::Sweep() {
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -38,7 +38,7 @@
 
   void Accept();
   void Open(asio::ip::tcp::socket socket);
-  void CloseLink(const Link& link);
+  void CloseLink(Link link);
   void Sweep();
 
   void OnFrame(const Link& link, pb::Frame& frame);
--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -1,11 +1,12 @@
 #include <gtest/gtest.h>
 
+#include <thread>
+
 #include "tests/peer/peer_harness.h"
 
 namespace fireflyrun::peer {
 namespace {
 
-using standins::FaultProxy;
 using Direction = standins::FaultProxy::Direction;
 using Scope = standins::FaultProxy::Scope;
 using std::chrono::milliseconds;
@@ -54,6 +55,23 @@
   EXPECT_EQ(harness.pool->Counters().links_replaced, 1U);
 }
 
+TEST(LinkFaultsTest, PauseOfTheCallerIsNotSilenceOfTheFarNode) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  LinkServer::Reply reply;
+  harness.on_call = [&](const Call&, LinkServer::Reply kept) { reply = std::move(kept); };
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return reply != nullptr; }));
+  // The loop stands still here, as in a stopped process.
+  const SteadyTime resume = SteadyClock::now() + harness.options.silence_limit * 2;
+  while (SteadyClock::now() < resume) std::this_thread::yield();
+  const auto bytes_in = harness.pool->Counters().bytes_in;
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->Counters().bytes_in > bytes_in; }));
+  EXPECT_EQ(harness.pool->Counters().links_replaced, 0U);
+  reply(AnswerWith("y"));
+  EXPECT_TRUE(harness.RunUntilDone(call));
+}
+
 TEST(LinkFaultsTest, CallInProgressAnswersOverTheNewestConnection) {
   PeerHarness harness;
   ASSERT_TRUE(harness.Warm());
