Bound findings about one object, and hide no problem behind many

Cause: a file of 1 MiB could yield some 100,000 findings about unknown fields of one object before the limit cut them; and a configuration with more than 200 problems took a record with a repeated field for a good one, because the limit on findings kept the repetition from being counted.

--- a/src/records/configuration.cc
+++ b/src/records/configuration.cc
@@ -21,13 +21,15 @@
 
 std::optional<Record> ParseEntry(const RecordEntry& entry, Findings& problems) {
   const std::string key_text = FormatRecordKey(entry.key);
-  const std::size_t problems_before = problems.size();
-  const auto value = ReadJson(key_text, entry.body, problems);
-  if (!value || problems.size() != problems_before) return std::nullopt;
-  auto record = ParseRecord(*value, key_text + ":/", problems);
-  if (!record) return std::nullopt;
-  if (record->key == entry.key) return record;
-  problems.push_back({key_text, "its body is that of " + FormatRecordKey(record->key)});
+  Findings found;
+  const auto value = ReadJson(key_text, entry.body, found);
+  std::optional<Record> record;
+  if (value) record = ParseRecord(*value, key_text + ":/", found);
+  if (record && record->key != entry.key) {
+    found.push_back({key_text, "its body is that of " + FormatRecordKey(record->key)});
+  }
+  if (found.empty()) return record;
+  problems.insert(problems.end(), found.begin(), found.end());
   return std::nullopt;
 }
 
--- a/src/records/field_reader.cc
+++ b/src/records/field_reader.cc
@@ -12,6 +12,9 @@
 
 using Json = nlohmann::json;
 
+/// Bounds the findings about one object; a file can hold very many wrong fields.
+constexpr std::size_t kMaxUnknownFields = 50;
+
 constexpr std::string_view kNameRule =
     "a name of 1 to 63 characters: a lower-case letter, then lower-case letters, digits and \"-\"";
 
@@ -112,9 +115,11 @@
     if (!allowed.empty()) allowed += ", ";
     allowed += field;
   }
+  std::size_t reported = 0;
   for (const auto& [field, value] : this->object.items()) {
     if (this->known_fields.contains(field)) continue;
     this->Report(field, "is no field here; allowed are " + allowed);
+    if (++reported == kMaxUnknownFields) return;
   }
 }
 
--- a/tests/records/configuration_test.cc
+++ b/tests/records/configuration_test.cc
@@ -100,5 +100,17 @@
   EXPECT_EQ(configuration->Find("fallback", "GET", "/")->deadline.count(), 100);
 }
 
+TEST_F(ConfigurationTest, ManyProblemsHideNoneOfTheRest) {
+  std::vector<RecordEntry> entries;
+  for (int i = 0; i < 300; ++i) {
+    entries.push_back(Service("b" + std::to_string(i), 1, 100));
+    entries.back().body = "{";
+  }
+  entries.push_back(Service("a-repeated", 1, 100, R"(,"deadline_ms":200)"));
+  const auto configuration = this->Build(entries);
+  EXPECT_EQ(configuration->Find("a-repeated", "GET", "/"), nullptr);
+  EXPECT_EQ(configuration->Problems().size(), 301U);
+}
+
 }  // namespace
 }  // namespace fireflyrun::records
--- a/tests/records/record_checker_test.cc
+++ b/tests/records/record_checker_test.cc
@@ -102,6 +102,9 @@
   std::string many = "[0";
   for (int i = 0; i < 100'000; ++i) many += ",0";
   EXPECT_NE(Check(many + "]").find("holds 100001 records"), std::string::npos);
+  std::string fields = "{\"kind\":\"priority\"";
+  for (int i = 0; i < 70'000; ++i) fields += ",\"" + std::to_string(i) + "\":0";
+  EXPECT_LE(CheckRecords("F", fields + "}", {}).findings.size(), kMaxFindings + 1);
 }
 
 RC_GTEST_PROP(RecordCheckerTest, NeverTakesHalfOfADamagedFile, ()) {
