--- a/tests/records/record_book_test.cc
+++ b/tests/records/record_book_test.cc
@@ -61,6 +61,7 @@
   std::vector<RecordBook> books(3);
   for (int step = 0; step < 40; ++step) {
     std::vector<std::int64_t> before;
+    before.reserve(books.size());
     for (const RecordBook& book : books) before.push_back(book.Revision());
     DeliverOne(history, books);
     for (std::size_t i = 0; i < books.size(); ++i) {
--- a/tests/standins/key_value_model.cc
+++ b/tests/standins/key_value_model.cc
@@ -28,8 +28,8 @@
 }
 
 const Json& Part(const Json& object, const char* field) {
-  static const Json kNone;
-  return object.is_object() && object.contains(field) ? object[field] : kNone;
+  static const Json none;
+  return object.is_object() && object.contains(field) ? object[field] : none;
 }
 
 ModelAnswer Refusal(int status, const std::string& message) {
--- a/tests/standins/standin_connection.cc
+++ b/tests/standins/standin_connection.cc
@@ -17,7 +17,7 @@
 void StandinConnection::Start() { this->Read(); }
 
 void StandinConnection::Read() {
-  static const http_parser_settings kSettings = [] {
+  static const http_parser_settings parser_settings = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
     settings.on_message_begin = &StandinConnection::OnMessageBegin;
@@ -31,7 +31,8 @@
       [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
         if (self->closed) return;
         const std::size_t parsed =
-            error ? 0 : http_parser_execute(&self->parser, &kSettings, self->input.data(), size);
+            error ? 0
+                  : http_parser_execute(&self->parser, &parser_settings, self->input.data(), size);
         if (error || parsed != size) {
           self->Close();
           return;
