--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -52,7 +52,7 @@
   void Forget(std::string_view node);
 
   const LevelTable& Levels() const { return this->levels; }
-  /// Nullptr if nothing was sent to the node.
+  /// Nullptr if the node was never a candidate, or is forgotten.
   const TargetLoad* LoadOf(std::string_view node) const;
 
  private:
