--- a/src/cli/operator_session.cc
+++ b/src/cli/operator_session.cc
@@ -61,6 +61,7 @@
       [this](auto handler) { store::ReadRoster(this->store, this->cluster, handler); });
   return entries.map([](const std::vector<store::RosterEntry>& roster) {
     std::vector<std::string> addresses;
+    addresses.reserve(roster.size());
     for (const store::RosterEntry& entry : roster) {
       addresses.push_back(entry.admin_address);
     }
--- a/tests/cli/operator_commands_test.cc
+++ b/tests/cli/operator_commands_test.cc
@@ -102,6 +102,7 @@
 
   Outcome RunBare(Command command, std::vector<std::string> arguments) {
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (std::string& argument : arguments) pointers.push_back(argument.data());
     pointers.push_back(nullptr);
     testing::internal::CaptureStdout();
