Close two gaps in the tests of links found by switching mechanisms off

Two passed all tests: calls counted as handed over when encoded instead of when the kernel took them, and idle links kept by the caller (the far node's own limit closed them). Change: OnlyCallsThatTheKernelTookWhollyCountAsSent; the idle test silences the connection, so that only the caller can close it.

--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <thread>
 
 #include "tests/peer/peer_harness.h"
@@ -151,6 +152,24 @@
   EXPECT_EQ(harness.ran.size(), 2U);
 }
 
+TEST(LinkFaultsTest, OnlyCallsThatTheKernelTookWhollyCountAsSent) {
+  constexpr std::size_t kBodyBytes = 8192;
+  PeerHarness harness;
+  harness.proxy->SetFaults(Direction::kToServer, Scope::kAll, {.bytes_per_second = 500'000});
+  std::vector<std::shared_ptr<SentCall>> calls(500);
+  for (auto& call : calls) call = harness.Send(std::string(kBodyBytes, 'x'));
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.server->Counters().bytes_in > 50'000; }));
+  harness.proxy->ResetExisting();
+  const auto unsent = [&] {
+    return std::count_if(calls.begin(), calls.end(),
+                         [](const auto& call) { return call->Error() == LinkErrorKind::kNotSent; });
+  };
+  ASSERT_TRUE(harness.RunUntil([&] { return unsent() > 0; }));
+  const std::size_t sent = calls.size() - static_cast<std::size_t>(unsent());
+  EXPECT_GT(sent, 0U);
+  EXPECT_LE(sent * kBodyBytes, harness.pool->Counters().bytes_out);
+}
+
 TEST(LinkFaultsTest, ResetInMidAnswerBodyFetchesTheWholeAnswer) {
   PeerHarness harness;
   ASSERT_TRUE(harness.Warm());
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -140,6 +140,8 @@
   EXPECT_EQ(harness.pool->OpenLinks(), 1U);
   ASSERT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
   const auto bytes_out = harness.pool->Counters().bytes_out;
+  // So that only the caller's own limit can close it, not the far end.
+  harness.proxy->SilenceExisting();
   ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->OpenLinks() == 0; }));
   EXPECT_EQ(harness.pool->Counters().bytes_out, bytes_out);
   EXPECT_TRUE(harness.Warm());
