Keep the ledger's property from reading an empty optional

RC_ASSERT captures its expression by overloaded operators, which evaluate both sides of ||, so the successor was read where there was none. Change: the comparison no longer depends on a guard in the macro; it is as strict as before.

--- a/tests/policy/ticket_ledger_test.cc
+++ b/tests/policy/ticket_ledger_test.cc
@@ -92,8 +92,10 @@
     if (result.state == ClaimState::kRun) RC_ASSERT(!known->told_not_run && known->starts == 0);
     if (!result.successor) return;
     RC_ASSERT(result.state == ClaimState::kVoid);
-    RC_ASSERT(!known->successor || *known->successor == *result.successor);
-    known->successor = result.successor;
+    // RC_ASSERT evaluates both sides of an operator, so it must not guard the access to an
+    // optional.
+    if (!known->successor) known->successor = result.successor;
+    RC_ASSERT(*known->successor == *result.successor);
   }
 
   TicketLedger ledger{"me",
