Name the links' refusals as refusal reasons, forget gone targets, bound the tickets remembered

Cause: the links' own reasons were no names of policy::RefusalReason and reached callers as "none"; the chooser kept every node it had ever called; twelve remembered windows of 50,000 tickets are more memory than a node has.

--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -10,7 +10,9 @@
 #include "common/timer_service.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "membership/member_state.h"
 #include "membership/membership.h"
+#include "membership/view_change.h"
 #include "membership/zero_mq_transport.h"
 #include "node/admin_service.h"
 #include "node/attempt_sender.h"
@@ -264,6 +266,11 @@
   this->membership =
       std::make_unique<membership::Membership>(this->timers, options, send, this->records->Hooks());
   this->directory = std::make_unique<TargetDirectory>(*this->membership);
+  this->membership->Subscribe(
+      [this](membership::ViewChange change, const membership::MemberState& state) {
+        const bool gone = change == membership::ViewChange::kForgotten || !state.IsPresent();
+        if (gone) this->chooser.Forget(state.member.node);
+      });
 }
 
 void Node::Implementation::CreateCallPath() {
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -22,10 +22,12 @@
 constexpr int kFirstServerErrorStatus = 500;
 constexpr int kServiceUnavailableStatus = 503;
 constexpr std::uint32_t kRememberedWindows = 12;
+constexpr std::size_t kTicketsPerWindow = 16'000;
 
 policy::TicketLedgerLimits LedgerLimits() {
   policy::TicketLedgerLimits limits;
   limits.remembered_windows = kRememberedWindows;
+  limits.entries_per_window = kTicketsPerWindow;
   return limits;
 }
 
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -20,15 +20,15 @@
 constexpr std::size_t kPartialBodies = 8;
 
 constexpr std::string_view kBodyDamaged = "body-damaged";
-constexpr std::string_view kBodyTooLong = "body-too-long";
-constexpr std::string_view kAnswerTooLong = "answer-too-long";
+constexpr std::string_view kBodyTooLarge = "body-too-large";
+constexpr std::string_view kAnswerTooLarge = "answer-too-large";
 
 /// Stands for an answer that is over a limit.
 Answer WithoutContent(const pb::AnswerHead& head) {
   const bool answered = head.outcome() == pb::OUTCOME_ANSWERED;
   Answer answer;
   answer.head.set_outcome(answered ? pb::OUTCOME_RAN : head.outcome());
-  answer.head.set_reason(std::string(kAnswerTooLong));
+  answer.head.set_reason(std::string(kAnswerTooLarge));
   answer.head.set_unused_retries(head.unused_retries());
   return answer;
 }
@@ -190,7 +190,7 @@
   const std::uint64_t length = head.body_length();
   const std::size_t partial_limit = this->options.max_body_bytes * kPartialBodies;
   if (length > this->options.max_body_bytes || link->partial_bytes + length > partial_limit) {
-    return this->Refuse(link, *call_id, kBodyTooLong);
+    return this->Refuse(link, *call_id, kBodyTooLarge);
   }
   if (length == 0) {
     Call call;
--- a/src/policy/refusal_reason.h
+++ b/src/policy/refusal_reason.h
@@ -36,6 +36,8 @@
   kNotReady,          ///< The node holds no configuration yet.
   kBadRequest,        ///< The call itself is malformed.
   kBodyTooLarge,
+  kBodyDamaged,     ///< The call's body arrived with another checksum and was dropped.
+  kAnswerTooLarge,  ///< The call ran; its answer is larger than links carry.
 };
 
 inline constexpr EnumNames kRefusalReasonNames(std::array{
@@ -65,6 +67,8 @@
     std::pair{RefusalReason::kNotReady, std::string_view("not-ready")},
     std::pair{RefusalReason::kBadRequest, std::string_view("bad-request")},
     std::pair{RefusalReason::kBodyTooLarge, std::string_view("body-too-large")},
+    std::pair{RefusalReason::kBodyDamaged, std::string_view("body-damaged")},
+    std::pair{RefusalReason::kAnswerTooLarge, std::string_view("answer-too-large")},
 });
 
 }  // namespace fireflyrun::policy
