--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -241,10 +241,9 @@
 }
 
 void TargetService::Finish(const RunPointer& run, http::Response response) {
-  const RunPointer kept = run;
-  if (this->running.erase(kept) == 0) return;
-  this->log.Complete(kept->number);
-  kept->exchange->Respond(std::move(response));
+  if (this->running.erase(run) == 0) return;
+  this->log.Complete(run->number);
+  run->exchange->Respond(std::move(response));
   this->StartNext();
 }
 
