--- a/src/node/admin_service.cc
+++ b/src/node/admin_service.cc
@@ -7,6 +7,8 @@
 namespace fireflyrun::node {
 namespace {
 
+constexpr std::string_view kJson = "application/json";
+
 http::Response TextResponse(int status, std::string_view type, std::string body) {
   return {status, {{"Content-Type", std::string(type)}}, std::move(body)};
 }
@@ -17,7 +19,6 @@
 
 void AdminService::OnRequest(const http::Request& request,
                              const std::shared_ptr<http::Exchange>& exchange) {
-  constexpr std::string_view kJson = "application/json";
   const bool get = request.method == "GET";
   if (request.method == "PUT" && request.target == "/target") {
     this->OnAnnouncement(request, *exchange);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -44,7 +44,7 @@
 
 constexpr std::size_t kIdleTargetConnections = 128;
 constexpr std::size_t kAdminConnections = 64;
-constexpr std::size_t kMaxAdminBodyBytes = 64 * 1024;
+constexpr std::size_t kMaxAdminBodyBytes = std::size_t{64} * 1024;
 constexpr Duration kTicketWindowPeriod = std::chrono::seconds(1);
 constexpr Duration kContactPeriod = std::chrono::seconds(1);
 /// Delegates look for a part of the fleet that they have never met once in so many periods.
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -214,6 +214,7 @@
 
 std::vector<option> LongOptions(const std::vector<Spec>& table) {
   std::vector<option> options;
+  options.reserve(table.size() + 2);
   int code = kFirstSettingOption;
   for (const Spec& spec : table) {
     options.push_back({spec.flag.data(), required_argument, nullptr, code++});
--- a/tests/integration/process.cc
+++ b/tests/integration/process.cc
@@ -31,6 +31,7 @@
 Process::Process(std::vector<std::string> command, const std::string& output_prefix)
     : output_path(output_prefix + ".out"), error_path(output_prefix + ".err") {
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (auto& argument : command) arguments.push_back(argument.data());
   arguments.push_back(nullptr);
   posix_spawn_file_actions_t actions;
--- a/tests/node/node_setting_table_test.cc
+++ b/tests/node/node_setting_table_test.cc
@@ -12,6 +12,7 @@
 ParsedNodeSettings Parse(std::vector<std::string> arguments, const Environment& environment = {}) {
   arguments.insert(arguments.begin(), "node");
   std::vector<char*> pointers;
+  pointers.reserve(arguments.size() + 1);
   for (auto& argument : arguments) pointers.push_back(argument.data());
   pointers.push_back(nullptr);
   return ParseNodeSettings(static_cast<int>(arguments.size()), pointers.data(),
