Let a stopping node's target finish the calls it makes

Cause: a stopping node closed its caller port at once, so a call that its target still had to make downstream, on a new connection, was refused by the operating system: the caller of the call in flight got 502 instead of its whole answer. Ruled out: the drain itself; it waited for the calls as it should, and the links stayed open. Change: the caller port stays open until the node is idle. The target stand-in prints its runs when it ends, so that runs of replaced targets are counted too.

--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -81,11 +81,17 @@
     this->IssueTicket(*target, *exchange);
     return;
   }
+  const bool first_on_connection = request.sequence == 0;
   auto call = this->BuildCall(&request, *target);
   if (!call) {
     this->Respond(RefusalResponse(call.error().reason, call.error().detail), *exchange);
     return;
   }
+  // The local target finishes what it runs, by calls on new connections if need be.
+  if (this->hooks.stopping() && first_on_connection && !call->parent) {
+    this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping"), *exchange);
+    return;
+  }
   this->Dispatch(std::move(*call), exchange);
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -540,7 +540,6 @@
   part.stop = [this](std::function<void()> done) {
     this->stopping = true;
     this->target_watcher->LeaveForGood();
-    this->caller_server->StopAccepting();
     this->drain->Start(std::move(done));
   };
   return part;
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -199,6 +199,10 @@
   PostFault(this->Find(node).target_url, fault);
 }
 
+const std::string& Fleet::TargetUrl(const std::string& node) const {
+  return this->Find(node).target_url;
+}
+
 std::string Fleet::Runs(const std::string& node) const {
   return Get(this->Find(node).target_url + "/runs?full=1").body;
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -47,6 +47,9 @@
   void SetStoreFault(const std::string& json) const;
   void SetTargetFault(const std::string& node, const std::string& json) const;
 
+  /// Where the target of a node is reached without going through any node.
+  const std::string& TargetUrl(const std::string& node) const;
+
   /// What the target of a node has run: the text of its `GET /runs?full=1`.
   std::string Runs(const std::string& node) const;
   /// Runs of all targets of the fleet whose key is `key`.
--- a/tests/standins/target_standin.cc
+++ b/tests/standins/target_standin.cc
@@ -45,6 +45,7 @@
   });
   std::cout << "{\"port\":" << service.Port() << "}" << std::endl;
   loop.run();
+  std::cout << service.DescribeRuns() << std::endl;
   return 0;
 }
 
--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -90,6 +90,8 @@
   return this->queue.empty() && this->running.empty() && this->server.OpenExchanges() == 0;
 }
 
+std::string TargetService::DescribeRuns() const { return this->log.ToJson(true).dump(); }
+
 std::string TargetService::Name() const {
   return this->options.service + "@" + std::to_string(this->Port());
 }
--- a/tests/standins/target_standin_service.h
+++ b/tests/standins/target_standin_service.h
@@ -33,6 +33,9 @@
   /// True when nothing waits, runs or is being answered.
   bool IsIdle() const;
 
+  /// What has run, in the form of `GET /runs?full=1`.
+  std::string DescribeRuns() const;
+
  private:
   struct Run;
   using RunPointer = std::shared_ptr<Run>;
