Put a network with faults under integration fleets

Cause: proofs of the call path need cuts, silence, delays and resets between real processes, by host and by zone, and one way too. Ruled out: another proxy (FaultProxy has the faults), and iptables (needs rights). Change: FaultProxy listens on a given endpoint and holds bytes by the source address of a connection. FaultNetwork stands for each host at its advertised address, and for the store at one address per host. The control transport connects from the node's own address, as peer links do, so that the proxies know who sends. Processes of tests inherit no sockets.

--- a/src/membership/zero_mq_transport.cc
+++ b/src/membership/zero_mq_transport.cc
@@ -31,6 +31,13 @@
   return !error;
 }
 
+/// The part of an endpoint that names the address to connect from; empty for any address.
+std::string SourcePart(const std::string& ip) {
+  asio::error_code error;
+  const auto address = asio::ip::make_address(ip, error);
+  return error || address.is_unspecified() ? "" : ip + ":0;";
+}
+
 }  // namespace
 
 struct ZeroMqTransport::State : std::enable_shared_from_this<State> {
@@ -139,7 +146,7 @@
   socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
   const auto timeout = ToMilliseconds(this->options.connect_timeout).count();
   socket.set(zmq::sockopt::connect_timeout, static_cast<int>(timeout));
-  socket.connect("tcp://" + address);
+  socket.connect("tcp://" + SourcePart(this->options.ip) + address);
   peer.socket = std::move(socket);
 }
 
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kStartLimit{10'000};
 constexpr std::chrono::milliseconds kCommandLimit{30'000};
 constexpr int kFirstHostOctet = 10;
+/// From a host's own address to the one at which a FaultNetwork stands for it.
+constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
 
 std::string MakeFolder() {
@@ -56,18 +58,13 @@
 
 }  // namespace
 
-Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records)
+Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records, FleetOptions options)
     : folder(MakeFolder()), address_prefix(MakeAddressPrefix()) {
   this->StartStore();
   const auto applied = this->Command({"apply", this->WriteFile("records.json", records)});
   if (applied.status != 0) throw std::runtime_error("apply: " + applied.output + applied.errors);
-  int octet = kFirstHostOctet;
-  for (auto& layout : layouts) {
-    Host host;
-    host.layout = std::move(layout);
-    host.address = this->address_prefix + std::to_string(octet++);
-    this->hosts.push_back(std::move(host));
-  }
+  if (options.network) this->network = std::make_unique<FaultNetwork>();
+  for (auto& layout : layouts) this->AddHost(std::move(layout));
   for (const auto& host : this->hosts) this->StartNode(host.layout.node);
   for (const auto& host : this->hosts) this->StartTarget(host.layout.node);
 }
@@ -81,6 +78,21 @@
   if (std::getenv("FIREFLYRUN_KEEP_LOGS") == nullptr) std::filesystem::remove_all(this->folder);
 }
 
+void Fleet::AddHost(HostLayout layout) {
+  const int octet = kFirstHostOctet + static_cast<int>(this->hosts.size());
+  Host host;
+  host.layout = std::move(layout);
+  host.address = this->address_prefix + std::to_string(octet);
+  host.advertised = host.address;
+  host.store = this->store_address;
+  if (this->network) {
+    host.advertised = this->address_prefix + std::to_string(octet + kAdvertisedOctetOffset);
+    host.store = this->network->AddHost(host.layout.node, host.layout.zone, host.address,
+                                        host.advertised, this->store_address);
+  }
+  this->hosts.push_back(std::move(host));
+}
+
 void Fleet::StartStore() {
   this->store = std::make_unique<Process>(
       std::vector<std::string>{STORE_STANDIN_PATH, "--port", "0"}, this->folder + "/store");
@@ -90,19 +102,35 @@
 std::string Fleet::Seeds() const {
   std::string seeds;
   for (const auto& host : this->hosts) {
-    seeds += (seeds.empty() ? "" : ",") + host.address + ":7403";
+    seeds += (seeds.empty() ? "" : ",") + host.advertised + ":7403";
   }
   return seeds;
 }
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
-  host.node = std::make_unique<Process>(
-      std::vector<std::string>{FIREFLYRUN_PATH, "node", "--cluster", "test", "--node", node,
-                               "--region", host.layout.region, "--zone", host.layout.zone,
-                               "--address", host.address, "--store", this->store_address, "--seeds",
-                               this->Seeds(), "--log-level", "debug"},
-      this->folder + "/" + node + "-" + std::to_string(this->starts++));
+  host.node =
+      std::make_unique<Process>(std::vector<std::string>{FIREFLYRUN_PATH,
+                                                         "node",
+                                                         "--cluster",
+                                                         "test",
+                                                         "--node",
+                                                         node,
+                                                         "--region",
+                                                         host.layout.region,
+                                                         "--zone",
+                                                         host.layout.zone,
+                                                         "--address",
+                                                         host.address,
+                                                         "--advertised-address",
+                                                         host.advertised,
+                                                         "--store",
+                                                         host.store,
+                                                         "--seeds",
+                                                         this->Seeds(),
+                                                         "--log-level",
+                                                         "debug"},
+                                this->folder + "/" + node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "tests/integration/fault_network.h"
+#include "tests/integration/fleet_options.h"
 #include "tests/integration/host_layout.h"
 #include "tests/integration/http_call.h"
 #include "tests/integration/process.h"
@@ -18,7 +20,7 @@
 class Fleet {
  public:
   /// Starts the store and writes `records` (the text of a records file), then starts the hosts.
-  Fleet(std::vector<HostLayout> hosts, const std::string& records);
+  Fleet(std::vector<HostLayout> hosts, const std::string& records, FleetOptions options = {});
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -37,6 +39,8 @@
 
   Process& NodeProcess(const std::string& node);
   Process& TargetProcess(const std::string& node);
+  /// Only with FleetOptions::network.
+  FaultNetwork& Network() { return *this->network; }
   Process& StoreProcess() { return *this->store; }
 
   /// Starts another process for a node or target that has ended.
@@ -66,12 +70,15 @@
   struct Host {
     HostLayout layout;
     std::string address;
+    std::string advertised;  ///< Where other hosts reach it; `address` without a network.
+    std::string store;       ///< Where it reaches the store.
     std::unique_ptr<Process> node;
     std::unique_ptr<Process> target;
     std::string target_url;
   };
 
   void StartStore();
+  void AddHost(HostLayout layout);
   Host& Find(const std::string& node);
   const Host& Find(const std::string& node) const;
   std::string SeeAllTargets(const Host& host) const;
@@ -81,6 +88,7 @@
   std::string address_prefix;
   std::string store_address;
   std::unique_ptr<Process> store;
+  std::unique_ptr<FaultNetwork> network;
   std::vector<Host> hosts;
   mutable int commands = 0;
   int starts = 0;
--- /dev/null
+++ b/tests/integration/fleet_options.h
@@ -0,0 +1,10 @@
+#pragma once
+
+namespace fireflyrun::integration {
+
+/// How a Fleet is built.
+struct FleetOptions {
+  bool network = false;  ///< Hosts reach each other and the store through a FaultNetwork.
+};
+
+}  // namespace fireflyrun::integration
--- a/tests/integration/process.cc
+++ b/tests/integration/process.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <sstream>
@@ -39,6 +40,8 @@
                                    kOutputMode);
   posix_spawn_file_actions_addopen(&actions, 2, this->error_path.c_str(), kOutputFlags,
                                    kOutputMode);
+  // The sockets of a FaultNetwork stay this process's own.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
       posix_spawn(&this->id, arguments[0], &actions, nullptr, arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/tests/standins/fault_proxy.cc
+++ b/tests/standins/fault_proxy.cc
@@ -38,15 +38,20 @@
 
 }  // namespace
 
-FaultProxy::FaultProxy(asio::io_context& event_loop, std::uint16_t listen_port,
+FaultProxy::FaultProxy(asio::io_context& event_loop, const tcp::endpoint& listen_endpoint,
                        tcp::endpoint target_endpoint)
     : loop(event_loop),
       target(std::move(target_endpoint)),
-      listening(asio::ip::address_v4::loopback(), listen_port),
+      listening(listen_endpoint),
       acceptor(event_loop) {
   this->Listen();
 }
 
+FaultProxy::FaultProxy(asio::io_context& event_loop, std::uint16_t listen_port,
+                       tcp::endpoint target_endpoint)
+    : FaultProxy(event_loop, tcp::endpoint(asio::ip::address_v4::loopback(), listen_port),
+                 std::move(target_endpoint)) {}
+
 FaultProxy::~FaultProxy() {
   *this->alive = false;
   this->ResetExisting();
@@ -77,6 +82,8 @@
   ++this->accepted;
   std::erase_if(this->sessions, IsDone);
   auto session = std::make_shared<FaultProxySession>();
+  asio::error_code ignored;
+  session->source = client.remote_endpoint(ignored).address();
   session->client = std::make_shared<tcp::socket>(std::move(client));
   session->server = std::make_shared<tcp::socket>(this->loop);
   this->sessions.push_back(session);
@@ -94,6 +101,7 @@
             std::make_shared<FaultProxyPipe>(session->client, session->server, this->new_to_server);
         session->to_client =
             std::make_shared<FaultProxyPipe>(session->server, session->client, this->new_to_client);
+        this->ApplyCutRule(*session);
         session->to_server->Start();
         session->to_client->Start();
       });
@@ -131,6 +139,19 @@
   this->SilenceExisting();
 }
 
+void FaultProxy::SetCutRule(CutRule rule) {
+  this->cut_rule = std::move(rule);
+  for (const Session& session : this->sessions) {
+    if (session->to_server) this->ApplyCutRule(*session);
+  }
+}
+
+void FaultProxy::ApplyCutRule(FaultProxySession& session) const {
+  const FaultProxyCut cut = this->cut_rule(session.source);
+  session.to_server->SetCut(cut.to_server);
+  session.to_client->SetCut(cut.to_client);
+}
+
 void FaultProxy::Retarget(tcp::endpoint target_endpoint) {
   this->target = std::move(target_endpoint);
   this->ResetExisting();
--- a/tests/standins/fault_proxy_session.cc
+++ b/tests/standins/fault_proxy_session.cc
@@ -31,6 +31,11 @@
   this->Read();
 }
 
+void FaultProxyPipe::SetCut(bool is_cut) {
+  this->cut = is_cut;
+  this->Pump();
+}
+
 void FaultProxyPipe::Silence() {
   this->silent = true;
   this->pieces.clear();
@@ -78,7 +83,8 @@
 }
 
 void FaultProxyPipe::Pump() {
-  if (this->writing || this->silent || this->faults.hold || this->pieces.empty()) return;
+  if (this->writing || this->silent || this->pieces.empty()) return;
+  if (this->cut || this->faults.hold) return;
   const auto at = this->NextWrite();
   if (at <= SteadyClock::now()) return this->Write();
   this->timer.expires_at(at);
--- a/tests/standins/fault_proxy_session.h
+++ b/tests/standins/fault_proxy_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio/ip/address.hpp>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstddef>
@@ -21,6 +22,8 @@
   void Start() { this->Read(); }
   void SetFaults(const FaultProxyFaults& new_faults);
   const FaultProxyFaults& Faults() const { return this->faults; }
+  /// Bytes wait here while set, whatever the faults are.
+  void SetCut(bool is_cut);
   /// Swallows everything from now on, also what is held, and the end of the stream.
   void Silence();
   void Close();
@@ -52,10 +55,12 @@
   bool writing = false;
   bool ended = false;
   bool silent = false;
+  bool cut = false;
 };
 
 /// A proxied connection: the two sockets and a pipe each way.
 struct FaultProxySession {
+  asio::ip::address source;
   std::shared_ptr<asio::ip::tcp::socket> client;
   std::shared_ptr<asio::ip::tcp::socket> server;
   std::shared_ptr<FaultProxyPipe> to_server;  ///< Null until the server side is connected.
