--- /dev/null
+++ b/bench/links_bench.cc
@@ -0,0 +1,79 @@
+#include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <memory>
+
+#include "bench/load.h"
+#include "bench/measure.h"
+#include "tests/integration/fleet.h"
+
+namespace {
+
+using fireflyrun::bench::LoadPlan;
+using fireflyrun::integration::Fleet;
+using fireflyrun::integration::HostLayout;
+using nlohmann::json;
+
+constexpr double kLoad = 0.8;
+constexpr double kSeconds = 15;
+constexpr int kSlots = 10;
+constexpr int kServiceMs = 50;
+constexpr double kRegionCapacity = 400;
+
+HostLayout Tracker(const std::string& region, const std::string& zone) {
+  HostLayout host;
+  host.node = zone;
+  host.region = region;
+  host.zone = zone;
+  host.service = "filings";
+  host.slots = kSlots;
+  host.service_time_ms = kServiceMs;
+  host.node_flags = {"--log-level", "warning"};
+  return host;
+}
+
+/// `filings` is of a class that may leave its region; so a call crosses if the policy lets it.
+std::unique_ptr<Fleet> MakeFleet() {
+  std::string records = fireflyrun::integration::ChainRecords();
+  const std::string once = R"("idempotent": false)";
+  records.replace(records.find(once), once.size(), R"("idempotent": true)");
+  auto fleet = std::make_unique<Fleet>(
+      std::vector<HostLayout>{Tracker("erie", "erie-a"), Tracker("erie", "erie-b"),
+                              Tracker("michigan", "michigan-a"), Tracker("michigan", "michigan-b")},
+      records);
+  if (!fleet->WaitReady()) throw std::runtime_error("the fleet does not get ready");
+  return fleet;
+}
+
+double RunsOf(const Fleet& fleet, const std::string& node) {
+  return json::parse(fleet.RunCounts(node)).at("runs").get<double>();
+}
+
+bool Measure(const Fleet& fleet) {
+  LoadPlan plan;
+  plan.to = {fleet.Address("erie-a") + ":7400", fleet.Address("erie-b") + ":7400"};
+  plan.path = "/filings/x";
+  plan.expected_children = 0;
+  plan.rate = kLoad * kRegionCapacity;
+  plan.seconds = kSeconds;
+  const json summary = fireflyrun::bench::RunLoad(plan);
+  fireflyrun::bench::Note("links.whole", summary.at("whole").get<double>(),
+                          "of " + std::to_string(summary.at("sent").get<int>()));
+  const double crossed = RunsOf(fleet, "michigan-a") + RunsOf(fleet, "michigan-b");
+  return fireflyrun::bench::Report("calls_crossing_regions_at_own_capacity", crossed, "calls",
+                                   fireflyrun::bench::Bound::kAtMost, 0);
+}
+
+}  // namespace
+
+/// Calls that cross the inter-region link under a load that their own region can serve. The exit
+/// status is 0 only if there are none.
+int main() {
+  try {
+    const auto fleet = MakeFleet();
+    return Measure(*fleet) ? EXIT_SUCCESS : EXIT_FAILURE;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "links_bench: %s\n", error.what());
+    return EXIT_FAILURE;
+  }
+}
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -97,12 +97,19 @@
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
+  std::vector<std::string> command{FIREFLYRUN_PATH, "node",
+                                   "--cluster",     "test",
+                                   "--node",        node,
+                                   "--region",      host.layout.region,
+                                   "--zone",        host.layout.zone,
+                                   "--address",     host.address,
+                                   "--store",       this->store_address,
+                                   "--seeds",       this->Seeds(),
+                                   "--log-level",   "debug"};
+  const auto& flags = host.layout.node_flags;
+  command.insert(command.end(), flags.begin(), flags.end());
   host.node = std::make_unique<Process>(
-      std::vector<std::string>{FIREFLYRUN_PATH, "node", "--cluster", "test", "--node", node,
-                               "--region", host.layout.region, "--zone", host.layout.zone,
-                               "--address", host.address, "--store", this->store_address, "--seeds",
-                               this->Seeds(), "--log-level", "debug"},
-      this->folder + "/" + node + "-" + std::to_string(this->starts++));
+      std::move(command), this->folder + "/" + node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
@@ -125,6 +132,8 @@
     command.emplace_back("--calls");
     command.push_back(host.layout.calls);
   }
+  const auto& flags = host.layout.target_flags;
+  command.insert(command.end(), flags.begin(), flags.end());
   host.target = std::make_unique<Process>(
       std::move(command), this->folder + "/" + node + "-target" + std::to_string(this->starts++));
   host.target_url = "http://127.0.0.1:" + std::to_string(ReadPort(*host.target));
@@ -199,6 +208,10 @@
   PostFault(this->Find(node).target_url, fault);
 }
 
+std::string Fleet::RunCounts(const std::string& node) const {
+  return Get(this->Find(node).target_url + "/runs").body;
+}
+
 std::string Fleet::Runs(const std::string& node) const {
   return Get(this->Find(node).target_url + "/runs?full=1").body;
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -47,6 +47,10 @@
   void SetStoreFault(const std::string& json) const;
   void SetTargetFault(const std::string& node, const std::string& json) const;
 
+  /// `http://IP:PORT` of a node's target.
+  std::string TargetUrl(const std::string& node) const { return this->Find(node).target_url; }
+  /// How much the target of a node has run: the text of its `GET /runs`.
+  std::string RunCounts(const std::string& node) const;
   /// What the target of a node has run: the text of its `GET /runs?full=1`.
   std::string Runs(const std::string& node) const;
   /// Runs of all targets of the fleet whose key is `key`.
--- a/tests/integration/host_layout.h
+++ b/tests/integration/host_layout.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace fireflyrun::integration {
 
@@ -9,10 +10,12 @@
   std::string node;
   std::string region;
   std::string zone;
-  std::string service;
+  std::string service{};
   int slots = 20;
   int service_time_ms = 2;
-  std::string calls;  ///< `service:/path,...`, made by the target for each request.
+  std::string calls{};  ///< `service:/path,...`, made by the target for each request.
+  std::vector<std::string> node_flags{};    ///< After the harness's own, so that they win.
+  std::vector<std::string> target_flags{};  ///< Likewise.
 };
 
 }  // namespace fireflyrun::integration
