--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -224,9 +224,12 @@
 void CallerService::Dispatch(OutboundCall call, const std::shared_ptr<http::Exchange>& exchange) {
   const SteadyTime started = SteadyClock::now();
   const auto parent = call.parent;
-  const auto described = std::make_shared<OutboundCall>(call);
-  described->body.clear();
-  described->headers.clear();
+  // A copy for the end of the call, without the parts that may be large.
+  auto headers = std::exchange(call.headers, {});
+  auto body = std::exchange(call.body, {});
+  const auto described = std::make_shared<const OutboundCall>(call);
+  call.headers = std::move(headers);
+  call.body = std::move(body);
   const auto child_id = std::make_shared<CallDispatcher::DispatchId>(0);
   const auto id = this->dispatcher.Start(
       std::move(call), [this, described, started, exchange, child_id](CallResult result) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -50,6 +50,9 @@
 /// Delegates look for a part of the fleet that they have never met once in so many periods.
 constexpr unsigned kReunionPeriods = 30;
 constexpr double kLinkBurstSeconds = 2;
+/// A target's node that drops a call at its deadline is given this long to say so; otherwise the
+/// caller would hear "unknown" of a call that is known not to have run.
+constexpr Duration kTruthGrace = std::chrono::milliseconds(50);
 constexpr unsigned kIncarnationRandomBits = 20;
 
 /// Later starts of a host get higher incarnations while its clock is roughly right, and two starts
@@ -142,6 +145,9 @@
   AdminService::Hooks AdminHooks();
   void SendCall(const peer::PeerAddress& address, peer::Call call, SteadyTime deadline,
                 AttemptSender::AnswerHandler handler);
+  bool IsInOtherRegion(const std::string& node) const;
+  /// Takes the answer's bytes from the inter-region budget, too.
+  AttemptSender::AnswerHandler ChargingLink(AttemptSender::AnswerHandler handler);
   std::optional<std::string> MintTicket(const records::RoutePolicy& route);
   void RefreshContacts();
   void AddControlMetrics();
@@ -321,10 +327,24 @@
   return hooks;
 }
 
+bool Node::Implementation::IsInOtherRegion(const std::string& node) const {
+  const auto* state = this->membership->GetView().Find(node);
+  return state != nullptr && state->member.region != this->settings.region;
+}
+
+AttemptSender::AnswerHandler Node::Implementation::ChargingLink(
+    AttemptSender::AnswerHandler handler) {
+  return [this, handler = std::move(handler)](tl::expected<peer::Answer, peer::LinkError> ended) {
+    if (ended) this->link_budget.Charge(ended->body.size(), SteadyClock::now());
+    handler(std::move(ended));
+  };
+}
+
 void Node::Implementation::SendCall(const peer::PeerAddress& address, peer::Call call,
                                     SteadyTime deadline, AttemptSender::AnswerHandler handler) {
   if (address.node != this->settings.node) {
-    this->links->Send(address, std::move(call), deadline, std::move(handler));
+    if (this->IsInOtherRegion(address.node)) handler = this->ChargingLink(std::move(handler));
+    this->links->Send(address, std::move(call), deadline + kTruthGrace, std::move(handler));
     return;
   }
   // The local target's own node: no link, but still a later turn of the loop.
@@ -425,13 +445,15 @@
       [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
         this->caller_service->OnRequest(std::move(request), exchange);
       });
-  this->drain = std::make_unique<NodeDrain>(this->timers, this->settings.stop_limit,
-                                            [this] { return this->Busy(); });
+  this->drain = std::make_unique<NodeDrain>(
+      this->timers, this->settings.stop_limit,
+      NodeDrain::Hooks{[this] { return this->Busy(); },
+                       [this] { return this->link_server->RetainedAnswers() > 0; }});
 }
 
 bool Node::Implementation::Busy() const {
   return this->target->OpenCalls() > 0 || this->dispatcher->InProgress() > 0 ||
-         this->caller_server->OpenExchanges() > 0 || this->link_server->RetainedAnswers() > 0;
+         this->caller_server->OpenExchanges() > 0;
 }
 
 void Node::Implementation::AddParts() {
--- a/src/node/node_drain.cc
+++ b/src/node/node_drain.cc
@@ -11,27 +11,29 @@
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
 /// Requests that were on their way when the leaving was told arrive within this time.
 constexpr Duration kIdleTime = std::chrono::milliseconds(1500);
+/// A caller that lost its link fetches its answer within this time, or is gone.
+constexpr Duration kUnclaimedTime = std::chrono::seconds(5);
 
 }  // namespace
 
-NodeDrain::NodeDrain(TimerService& timer_service, Duration drain_limit,
-                     std::function<bool()> busy_hook)
-    : timers(timer_service), limit(drain_limit), busy(std::move(busy_hook)) {}
+NodeDrain::NodeDrain(TimerService& timer_service, Duration drain_limit, Hooks drain_hooks)
+    : timers(timer_service), limit(drain_limit), hooks(std::move(drain_hooks)) {}
 
 void NodeDrain::Start(std::function<void()> on_drained) {
   this->done = std::move(on_drained);
   this->started = SteadyClock::now();
-  this->idle_since = this->started;
+  this->last_busy = this->started;
   this->check_timer = this->timers.Every(kCheckPeriod, [this] { this->Check(); });
 }
 
 void NodeDrain::Check() {
   const SteadyTime now = SteadyClock::now();
-  if (this->busy()) this->idle_since = now;
-  const bool idle = now - this->idle_since >= kIdleTime;
+  if (this->hooks.busy()) this->last_busy = now;
+  const Duration idle_time = now - this->last_busy;
+  const Duration needed = this->hooks.unclaimed() ? kUnclaimedTime : kIdleTime;
   const bool given_up = now - this->started >= this->limit;
-  if (!idle && !given_up) return;
-  if (!idle) Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
+  if (idle_time < needed && !given_up) return;
+  if (idle_time < needed) Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
   this->check_timer.Reset();
   std::exchange(this->done, nullptr)();
 }
