Add a benchmark of what control costs on fleets of several sizes

Cause: docs/CAPACITY.md needs slopes from real processes, not estimates. Ruled out: reading processor time from /proc/PID/stat, whose 10 ms ticks are too coarse for an idle node over 20 s; schedstat of every thread gives nanoseconds. Change: capacity_bench starts fleets of given shapes on the integration harness, measures idle traffic, changes, member events, leaving, a new node and a burst of restarts, and fits lines by least squares.

--- /dev/null
+++ b/bench/capacity.cmake
@@ -0,0 +1,4 @@
+add_executable(capacity_bench
+  capacity_bench.cc capacity_fit.cc capacity_fleet.cc capacity_samples.cc)
+target_include_directories(capacity_bench PRIVATE ${CMAKE_SOURCE_DIR})
+target_link_libraries(capacity_bench PRIVATE integration_harness)
--- /dev/null
+++ b/bench/capacity_bench.cc
@@ -0,0 +1,300 @@
+// Measures what control costs on fleets of real processes of several sizes. Run by
+// scripts/bench-capacity; docs/CAPACITY.md explains the measures.
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <sstream>
+
+#include "bench/capacity_fleet.h"
+#include "bench/capacity_samples.h"
+#include "tests/integration/wait_until.h"
+
+namespace fireflyrun::bench {
+namespace {
+
+using integration::HoldsFor;
+using integration::WaitUntil;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr seconds kStartLimit{120};
+constexpr seconds kLimit{60};
+constexpr seconds kSettleTime{6};
+constexpr seconds kIdleTime{20};
+constexpr seconds kTail{3};
+constexpr int kRepeats = 5;
+constexpr int kChanges = 10;
+constexpr int kRecordsOfChange = 10;
+constexpr int kEvents = 40;
+constexpr int kZoneNodes = 8;  // Of the shapes that differ only in zones.
+constexpr int kBurstShare = 10;
+
+double SecondsSince(steady_clock::time_point start) {
+  return std::chrono::duration<double>(steady_clock::now() - start).count();
+}
+
+void Pass(milliseconds span) {
+  HoldsFor(span, [] { return true; });
+}
+
+struct Rates {
+  double sent = 0;
+  double received = 0;
+  double processor = 0;
+};
+
+/// All measures of one fleet.
+class FleetMeasures {
+ public:
+  FleetMeasures(int zone_count, int zone_nodes, CapacitySamples& all_samples)
+      : samples(all_samples), started(steady_clock::now()), fleet(zone_count, zone_nodes) {}
+
+  bool Run();
+
+ private:
+  void Note(const std::string& measure, double value) {
+    this->samples.Add(measure, this->fleet.Zones(), this->fleet.Nodes(), value);
+  }
+  bool InOrder(const std::function<bool(int)>& condition);
+  void MeasureIdle();
+  void MeasureChangeTime();
+  void MeasureChangeCost();
+  void MeasureEventCost();
+  void NoteCost(const std::string& name, const FleetUsage& before, int count);
+  void MeasureLeaving();
+  void MeasureNewNode();
+  void MeasureBurst();
+  std::string ChangeFile(int records);
+
+  CapacitySamples& samples;
+  steady_clock::time_point started;
+  CapacityFleet fleet;
+  Rates idle;  ///< Of the whole fleet.
+  int changes = 0;
+  int slots = 1;
+};
+
+bool FleetMeasures::InOrder(const std::function<bool(int)>& condition) {
+  int next = 0;
+  return WaitUntil(kLimit, [this, &next, &condition] {
+    while (next < this->fleet.Nodes() && condition(next)) ++next;
+    return next == this->fleet.Nodes();
+  });
+}
+
+bool FleetMeasures::Run() {
+  if (!this->fleet.WaitWhole(kStartLimit)) {
+    std::printf("failed: not whole after %lld s\n", static_cast<long long>(kStartLimit.count()));
+    return false;
+  }
+  this->Note("first_start_seconds", SecondsSince(this->started));
+  Pass(kSettleTime);
+  this->MeasureIdle();
+  this->MeasureChangeTime();
+  this->MeasureChangeCost();
+  this->MeasureEventCost();
+  this->MeasureLeaving();
+  this->MeasureNewNode();
+  this->MeasureBurst();
+  return true;
+}
+
+void FleetMeasures::MeasureIdle() {
+  const FleetUsage before = this->fleet.Read();
+  Pass(kIdleTime);
+  const FleetUsage after = this->fleet.Read();
+  const double span = std::chrono::duration<double>(after.at - before.at).count();
+  Rates highest;
+  double resident = 0;
+  double resident_highest = 0;
+  double messages = 0;
+  for (std::size_t i = 0; i < after.nodes.size(); ++i) {
+    const NodeUsage& now = after.nodes[i];
+    const NodeUsage& then = before.nodes[i];
+    const Rates rates{(now.sent_bytes - then.sent_bytes) / span,
+                      (now.received_bytes - then.received_bytes) / span,
+                      (now.processor_seconds - then.processor_seconds) / span};
+    this->idle.sent += rates.sent;
+    this->idle.received += rates.received;
+    this->idle.processor += rates.processor;
+    highest.sent = std::max(highest.sent, rates.sent);
+    highest.received = std::max(highest.received, rates.received);
+    highest.processor = std::max(highest.processor, rates.processor);
+    messages += (now.sent_messages - then.sent_messages) / span;
+    resident += now.resident_kilobytes;
+    resident_highest = std::max(resident_highest, now.resident_kilobytes);
+  }
+  const double count = this->fleet.Nodes();
+  this->Note("idle_sent_bytes_per_second", this->idle.sent / count);
+  this->Note("idle_sent_highest_bytes_per_second", highest.sent);
+  this->Note("idle_received_bytes_per_second", this->idle.received / count);
+  this->Note("idle_received_highest_bytes_per_second", highest.received);
+  this->Note("idle_messages_per_second", messages / count);
+  this->Note("idle_processor_percent", 100 * this->idle.processor / count);
+  this->Note("idle_processor_highest_percent", 100 * highest.processor);
+  this->Note("resident_kilobytes", resident / count);
+  this->Note("resident_highest_kilobytes", resident_highest);
+  this->Note("store_calls_per_second", (after.store_calls - before.store_calls) / span);
+}
+
+std::string FleetMeasures::ChangeFile(int records) {
+  std::ostringstream text;
+  text << '[';
+  for (int i = 0; i < records; ++i) {
+    text << (i == 0 ? "" : ",") << R"({"kind":"retry_allowance","schema":1,"name":"measured-)" << i
+         << R"(","retries_per_request":)" << this->changes % 5 << R"(,"success_ratio":0.1,"burst":)"
+         << 1 + this->changes % 20 << '}';
+  }
+  text << ']';
+  ++this->changes;
+  return this->fleet.Processes().WriteFile("change.json", text.str());
+}
+
+void FleetMeasures::MeasureChangeTime() {
+  for (int i = 0; i < kRepeats; ++i) {
+    const double before = this->fleet.Metric(0, "fireflyrun_records_revision");
+    const std::string file = this->ChangeFile(1);
+    const auto start = steady_clock::now();
+    const auto applied = this->fleet.Processes().Command({"apply", file});
+    if (applied.status != 0) std::printf("failed: apply: %s\n", applied.errors.c_str());
+    const bool seen = this->InOrder([this, before](int node) {
+      return this->fleet.Metric(node, "fireflyrun_records_revision") > before;
+    });
+    if (seen) this->Note("change_in_force_seconds", SecondsSince(start));
+    if (!seen) std::printf("failed: a change is not in force everywhere\n");
+  }
+}
+
+void FleetMeasures::NoteCost(const std::string& name, const FleetUsage& before, int count) {
+  Pass(kTail);
+  const FleetUsage after = this->fleet.Read();
+  const double span = std::chrono::duration<double>(after.at - before.at).count();
+  Rates used;
+  double highest = 0;
+  for (std::size_t i = 0; i < after.nodes.size(); ++i) {
+    const double sent = after.nodes[i].sent_bytes - before.nodes[i].sent_bytes;
+    used.sent += sent;
+    used.processor += after.nodes[i].processor_seconds - before.nodes[i].processor_seconds;
+    highest = std::max(highest, sent);
+  }
+  const double shares = static_cast<double>(this->fleet.Nodes()) * count;
+  const double idle_of_one = this->idle.sent / this->fleet.Nodes();
+  this->Note(name + "_sent_bytes", (used.sent - this->idle.sent * span) / shares);
+  this->Note(name + "_sent_highest_bytes", (highest - idle_of_one * span) / count);
+  this->Note(name + "_processor_microseconds",
+             1e6 * (used.processor - this->idle.processor * span) / shares);
+}
+
+void FleetMeasures::MeasureChangeCost() {
+  const FleetUsage before = this->fleet.Read();
+  for (int i = 0; i < kChanges; ++i) {
+    const auto applied =
+        this->fleet.Processes().Command({"apply", this->ChangeFile(kRecordsOfChange)});
+    if (applied.status != 0) std::printf("failed: apply: %s\n", applied.errors.c_str());
+  }
+  this->NoteCost("change", before, kChanges);
+}
+
+void FleetMeasures::MeasureEventCost() {
+  const FleetUsage before = this->fleet.Read();
+  for (int i = 0; i < kEvents; ++i) {
+    this->fleet.Announce(i % this->fleet.Nodes(), ++this->slots, "serving");
+    Pass(milliseconds(50));
+  }
+  this->NoteCost("event", before, kEvents);
+}
+
+void FleetMeasures::MeasureLeaving() {
+  for (int i = 0; i < kRepeats; ++i) {
+    const int target = i % this->fleet.Nodes();
+    for (const char* state : {"serving", "leaving"}) {
+      ++this->slots;
+      const auto start = steady_clock::now();
+      this->fleet.Announce(target, this->slots, state);
+      const bool seen = this->InOrder([this, target, state](int node) {
+        return this->fleet.Sees(node, target, this->slots, state);
+      });
+      if (seen) this->Note("target_state_known_seconds", SecondsSince(start));
+      if (!seen) std::printf("failed: a target's state is not known everywhere\n");
+    }
+  }
+}
+
+void FleetMeasures::MeasureNewNode() {
+  const int node = this->fleet.Nodes() - 1;
+  auto& processes = this->fleet.Processes();
+  processes.NodeProcess(this->fleet.Name(node)).Kill();
+  const auto start = steady_clock::now();
+  processes.StartNode(this->fleet.Name(node));
+  if (!WaitUntil(kLimit, [this, node] { return this->fleet.IsWhole(node); })) {
+    std::printf("failed: a new node's view is not whole\n");
+    return;
+  }
+  this->Note("new_node_whole_seconds", SecondsSince(start));
+  this->Note("new_node_received_bytes",
+             this->fleet.Metric(node, "fireflyrun_control_received_bytes_total"));
+  Pass(kSettleTime);
+}
+
+void FleetMeasures::MeasureBurst() {
+  const int count = std::max(1, this->fleet.Nodes() / kBurstShare);
+  auto& processes = this->fleet.Processes();
+  std::vector<int> restarted;
+  for (int i = 0; i < count; ++i) restarted.push_back(i * kBurstShare % this->fleet.Nodes());
+  FleetUsage before = this->fleet.Read();
+  for (const int node : restarted) processes.NodeProcess(this->fleet.Name(node)).Kill();
+  const auto start = steady_clock::now();
+  for (const int node : restarted) processes.StartNode(this->fleet.Name(node));
+  ++this->slots;
+  for (const int node : restarted) {
+    before.nodes[static_cast<std::size_t>(node)] = {};
+    WaitUntil(kLimit, [this, node] { return this->fleet.Announce(node, this->slots, "serving"); });
+  }
+  const bool whole = this->InOrder([this, &restarted](int node) {
+    return this->fleet.IsWhole(node) &&
+           std::all_of(restarted.begin(), restarted.end(), [this, node](int target) {
+             return this->fleet.Sees(node, target, this->slots, "serving");
+           });
+  });
+  if (!whole) std::printf("failed: views not whole after a burst of restarts\n");
+  if (whole) this->Note("burst_whole_seconds", SecondsSince(start));
+  const FleetUsage after = this->fleet.Read();
+  const double span = std::chrono::duration<double>(after.at - before.at).count();
+  double sent = 0;
+  for (std::size_t i = 0; i < after.nodes.size(); ++i) {
+    sent += after.nodes[i].sent_bytes - before.nodes[i].sent_bytes;
+  }
+  this->Note("burst_sent_bytes", (sent - this->idle.sent * span) / this->fleet.Nodes());
+}
+
+/// `ZONESxNODES,...`, NODES in each zone.
+int Run(const std::string& shapes, const std::string& json_path) {
+  CapacitySamples samples;
+  bool whole = true;
+  std::istringstream list(shapes);
+  for (std::string shape; std::getline(list, shape, ',');) {
+    int zones = 0;
+    int zone_nodes = 0;
+    if (std::sscanf(shape.c_str(), "%dx%d", &zones, &zone_nodes) != 2) return 2;
+    std::printf("fleet zones=%d zone_nodes=%d\n", zones, zone_nodes);
+    FleetMeasures measures(zones, zone_nodes, samples);
+    whole = measures.Run() && whole;
+    samples.WriteJson(json_path);
+  }
+  samples.PrintFits(kZoneNodes);
+  return whole ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace fireflyrun::bench
+
+int main(int argc, char** argv) {
+  if (argc != 3) {
+    std::fprintf(stderr, "usage: capacity_bench ZONESxNODES,... FILE.json\n");
+    return 2;
+  }
+  return fireflyrun::bench::Run(argv[1], argv[2]);
+}
--- /dev/null
+++ b/bench/capacity_fit.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+namespace fireflyrun::bench {
+
+/// A least-squares line through points (x, y).
+struct CapacityFit {
+  double slope = 0;
+  double intercept = 0;
+  double spread = 0;  ///< Standard deviation of the residuals, in the unit of y.
+
+  double At(double x) const { return this->intercept + this->slope * x; }
+};
+
+/// With fewer than two different x the slope is 0 and the intercept the mean.
+CapacityFit FitLine(const std::vector<std::pair<double, double>>& points);
+
+}  // namespace fireflyrun::bench
