--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -34,13 +34,13 @@
          std::to_string(id % kOctetValues) + ".";
 }
 
-/// The port that a stand-in prints when it is ready.
-int ReadPort(const Process& process) {
+/// A port that a stand-in prints when it is ready.
+int ReadPort(const Process& process, const char* name = "port") {
   int port = 0;
-  const bool ready = WaitUntil(kStartLimit, [&process, &port] {
+  const bool ready = WaitUntil(kStartLimit, [&process, &port, name] {
     const json line = json::parse(process.Output(), nullptr, false);
-    if (!line.is_object() || !line.contains("port")) return false;
-    port = line["port"].get<int>();
+    if (!line.is_object() || !line.contains(name)) return false;
+    port = line[name].get<int>();
     return true;
   });
   if (!ready) throw std::runtime_error("a stand-in does not start: " + process.ErrorOutput());
@@ -97,6 +97,8 @@
   this->store = std::make_unique<Process>(
       std::vector<std::string>{STORE_STANDIN_PATH, "--port", "0"}, this->folder + "/store");
   this->store_address = "127.0.0.1:" + std::to_string(ReadPort(*this->store));
+  this->store_control_url =
+      "http://127.0.0.1:" + std::to_string(ReadPort(*this->store, "control_port"));
 }
 
 std::string Fleet::Seeds() const {
@@ -221,7 +223,9 @@
   return MakeCall(call);
 }
 
-void Fleet::SetStoreFault(const std::string& fault) const { PostFault(this->StoreUrl(), fault); }
+void Fleet::SetStoreFault(const std::string& fault) const {
+  PostFault(this->store_control_url, fault);
+}
 
 void Fleet::SetTargetFault(const std::string& node, const std::string& fault) const {
   PostFault(this->Find(node).target_url, fault);
@@ -231,6 +235,14 @@
   return Get(this->Find(node).target_url + "/runs?full=1").body;
 }
 
+std::vector<std::string> Fleet::NodesWithTargets() const {
+  std::vector<std::string> nodes;
+  for (const auto& host : this->hosts) {
+    if (!host.layout.service.empty()) nodes.push_back(host.layout.node);
+  }
+  return nodes;
+}
+
 int Fleet::RunsOfKey(const std::string& key) const {
   int runs = 0;
   for (const auto& host : this->hosts) {
@@ -274,6 +286,8 @@
     {"kind": "service", "schema": 1, "name": "deep", "priority": "status",
      "retry_allowance": "standard", "deadline_ms": 4000, "idempotent": true},
     {"kind": "service", "schema": 1, "name": "filings", "priority": "critical",
+     "retry_allowance": "standard", "deadline_ms": 4000, "idempotent": false},
+    {"kind": "service", "schema": 1, "name": "postings", "priority": "critical",
      "retry_allowance": "standard", "deadline_ms": 4000, "idempotent": false}
   ])";
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -51,6 +51,7 @@
   void SetStoreFault(const std::string& json) const;
   void SetTargetFault(const std::string& node, const std::string& json) const;
 
+  std::vector<std::string> NodesWithTargets() const;
   /// What the target of a node has run: the text of its `GET /runs?full=1`.
   std::string Runs(const std::string& node) const;
   /// Runs of all targets of the fleet whose key is `key`.
@@ -87,6 +88,7 @@
   std::string folder;
   std::string address_prefix;
   std::string store_address;
+  std::string store_control_url;
   std::unique_ptr<Process> store;
   std::unique_ptr<FaultNetwork> network;
   std::vector<Host> hosts;
@@ -95,7 +97,7 @@
 };
 
 /// Records for the three-service chain used by most tests: `entry` (idempotent, class `status`),
-/// `middle`, `deep`, and `filings` (not idempotent, class `critical`).
+/// `middle`, `deep`, and `filings` and `postings` (not idempotent, class `critical`).
 std::string ChainRecords();
 
 }  // namespace fireflyrun::integration
