--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -55,6 +55,7 @@
   const std::string& TargetUrl(const std::string& node) const;
   /// How much the target of a node has run: the text of its `GET /runs`.
   std::string RunCounts(const std::string& node) const;
+  std::vector<std::string> NodesWithTargets() const;
   /// What the target of a node has run: the text of its `GET /runs?full=1`.
   std::string Runs(const std::string& node) const;
   /// Runs of all targets of the fleet whose key is `key`.
@@ -91,6 +92,7 @@
   std::string folder;
   std::string address_prefix;
   std::string store_address;
+  std::string store_control_url;
   std::unique_ptr<Process> store;
   std::unique_ptr<FaultNetwork> network;
   std::vector<Host> hosts;
@@ -99,7 +101,7 @@
 };
 
 /// Records for the three-service chain used by most tests: `entry` (idempotent, class `status`),
-/// `middle`, `deep`, and `filings` (not idempotent, class `critical`).
+/// `middle`, `deep`, and `filings` and `postings` (not idempotent, class `critical`).
 std::string ChainRecords();
 
 }  // namespace fireflyrun::integration
