--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kStartLimit{10'000};
 constexpr std::chrono::milliseconds kCommandLimit{30'000};
 constexpr int kFirstHostOctet = 10;
+/// From a host's own address to the one at which a FaultNetwork stands for it.
+constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
 
 std::string MakeFolder() {
@@ -32,13 +34,13 @@
          std::to_string(id % kOctetValues) + ".";
 }
 
-/// The port that a stand-in prints when it is ready.
-int ReadPort(const Process& process) {
+/// The port that a stand-in prints under `name` when it is ready.
+int ReadPort(const Process& process, const std::string& name = "port") {
   int port = 0;
-  const bool ready = WaitUntil(kStartLimit, [&process, &port] {
+  const bool ready = WaitUntil(kStartLimit, [&process, &name, &port] {
     const json line = json::parse(process.Output(), nullptr, false);
-    if (!line.is_object() || !line.contains("port")) return false;
-    port = line["port"].get<int>();
+    if (!line.is_object() || !line.contains(name)) return false;
+    port = line[name].get<int>();
     return true;
   });
   if (!ready) throw std::runtime_error("a stand-in does not start: " + process.ErrorOutput());
@@ -56,18 +58,13 @@
 
 }  // namespace
 
-Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records)
+Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records, FleetOptions options)
     : folder(MakeFolder()), address_prefix(MakeAddressPrefix()) {
   this->StartStore();
   const auto applied = this->Command({"apply", this->WriteFile("records.json", records)});
   if (applied.status != 0) throw std::runtime_error("apply: " + applied.output + applied.errors);
-  int octet = kFirstHostOctet;
-  for (auto& layout : layouts) {
-    Host host;
-    host.layout = std::move(layout);
-    host.address = this->address_prefix + std::to_string(octet++);
-    this->hosts.push_back(std::move(host));
-  }
+  if (options.network) this->network = std::make_unique<FaultNetwork>();
+  for (auto& layout : layouts) this->AddHost(std::move(layout));
   for (const auto& host : this->hosts) this->StartNode(host.layout.node);
   for (const auto& host : this->hosts) this->StartTarget(host.layout.node);
 }
@@ -81,28 +78,61 @@
   if (std::getenv("FIREFLYRUN_KEEP_LOGS") == nullptr) std::filesystem::remove_all(this->folder);
 }
 
+void Fleet::AddHost(HostLayout layout) {
+  const int octet = kFirstHostOctet + static_cast<int>(this->hosts.size());
+  Host host;
+  host.layout = std::move(layout);
+  host.address = this->address_prefix + std::to_string(octet);
+  host.advertised = host.address;
+  host.store = this->store_address;
+  if (this->network) {
+    host.advertised = this->address_prefix + std::to_string(octet + kAdvertisedOctetOffset);
+    host.store = this->network->AddHost(host.layout.node, host.layout.zone, host.address,
+                                        host.advertised, this->store_address);
+  }
+  this->hosts.push_back(std::move(host));
+}
+
 void Fleet::StartStore() {
   this->store = std::make_unique<Process>(
       std::vector<std::string>{STORE_STANDIN_PATH, "--port", "0"}, this->folder + "/store");
   this->store_address = "127.0.0.1:" + std::to_string(ReadPort(*this->store));
+  this->store_control_url =
+      "http://127.0.0.1:" + std::to_string(ReadPort(*this->store, "control_port"));
 }
 
 std::string Fleet::Seeds() const {
   std::string seeds;
   for (const auto& host : this->hosts) {
-    seeds += (seeds.empty() ? "" : ",") + host.address + ":7403";
+    seeds += (seeds.empty() ? "" : ",") + host.advertised + ":7403";
   }
   return seeds;
 }
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
-  host.node = std::make_unique<Process>(
-      std::vector<std::string>{FIREFLYRUN_PATH, "node", "--cluster", "test", "--node", node,
-                               "--region", host.layout.region, "--zone", host.layout.zone,
-                               "--address", host.address, "--store", this->store_address, "--seeds",
-                               this->Seeds(), "--log-level", "debug"},
-      this->folder + "/" + node + "-" + std::to_string(this->starts++));
+  host.node =
+      std::make_unique<Process>(std::vector<std::string>{FIREFLYRUN_PATH,
+                                                         "node",
+                                                         "--cluster",
+                                                         "test",
+                                                         "--node",
+                                                         node,
+                                                         "--region",
+                                                         host.layout.region,
+                                                         "--zone",
+                                                         host.layout.zone,
+                                                         "--address",
+                                                         host.address,
+                                                         "--advertised-address",
+                                                         host.advertised,
+                                                         "--store",
+                                                         host.store,
+                                                         "--seeds",
+                                                         this->Seeds(),
+                                                         "--log-level",
+                                                         "debug"},
+                                this->folder + "/" + node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
@@ -193,7 +223,9 @@
   return MakeCall(call);
 }
 
-void Fleet::SetStoreFault(const std::string& fault) const { PostFault(this->StoreUrl(), fault); }
+void Fleet::SetStoreFault(const std::string& fault) const {
+  PostFault(this->store_control_url, fault);
+}
 
 void Fleet::SetTargetFault(const std::string& node, const std::string& fault) const {
   PostFault(this->Find(node).target_url, fault);
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "tests/integration/fault_network.h"
+#include "tests/integration/fleet_options.h"
 #include "tests/integration/host_layout.h"
 #include "tests/integration/http_call.h"
 #include "tests/integration/process.h"
@@ -18,7 +21,7 @@
 class Fleet {
  public:
   /// Starts the store and writes `records` (the text of a records file), then starts the hosts.
-  Fleet(std::vector<HostLayout> hosts, const std::string& records);
+  Fleet(std::vector<HostLayout> hosts, const std::string& records, FleetOptions options = {});
   ~Fleet();
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
@@ -37,6 +40,8 @@
 
   Process& NodeProcess(const std::string& node);
   Process& TargetProcess(const std::string& node);
+  /// Only with FleetOptions::network.
+  FaultNetwork& Network() { return *this->network; }
   Process& StoreProcess() { return *this->store; }
 
   /// Starts another process for a node or target that has ended.
@@ -69,12 +74,15 @@
   struct Host {
     HostLayout layout;
     std::string address;
+    std::string advertised;  ///< Where other hosts reach it; `address` without a network.
+    std::string store;       ///< Where it reaches the store.
     std::unique_ptr<Process> node;
     std::unique_ptr<Process> target;
     std::string target_url;
   };
 
   void StartStore();
+  void AddHost(HostLayout layout);
   Host& Find(const std::string& node);
   const Host& Find(const std::string& node) const;
   std::string SeeAllTargets(const Host& host) const;
@@ -83,9 +91,11 @@
   std::string folder;
   std::string address_prefix;
   std::string store_address;
+  std::string store_control_url;  ///< Answers while the store is down, too.
   std::unique_ptr<Process> store;
+  std::unique_ptr<FaultNetwork> network;
   std::vector<Host> hosts;
-  mutable int commands = 0;
+  mutable std::atomic<int> commands = 0;
   int starts = 0;
 };
 
