--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -52,6 +52,8 @@
     fleet.reset();
   }
 
+  void SetUp() override { ASSERT_TRUE(fleet->WaitReady()); }
+
   void TearDown() override {
     fleet->SetStoreFault(R"({"mode": "ok"})");
     EXPECT_EQ(monitor->Reversions(), "");
@@ -231,7 +233,7 @@
   put.url = fleet->StoreUrl() + "/v3/kv/txn";
   const json request = {{"key", store::EncodeBase64("/fireflyrun/test/records/service/entry/v3")},
                         {"value", store::EncodeBase64(envelope.dump())}};
-  put.body = json{{"success", json::array({json{{"requestPut", request}}})}}.dump();
+  put.body = json{{"success", json::array({json{{"request_put", request}}})}}.dump();
   ASSERT_EQ(MakeCall(put).status, 200);
   EXPECT_TRUE(WaitUntil(kInForceLimit, [] {
     return std::all_of(kNodes.begin(), kNodes.end(), [](const std::string& node) {
