--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -34,10 +34,10 @@
          std::to_string(id % kOctetValues) + ".";
 }
 
-/// A port that a stand-in prints when it is ready.
-int ReadPort(const Process& process, const char* name = "port") {
+/// The port that a stand-in prints under `name` when it is ready.
+int ReadPort(const Process& process, const std::string& name = "port") {
   int port = 0;
-  const bool ready = WaitUntil(kStartLimit, [&process, &port, name] {
+  const bool ready = WaitUntil(kStartLimit, [&process, &name, &port] {
     const json line = json::parse(process.Output(), nullptr, false);
     if (!line.is_object() || !line.contains(name)) return false;
     port = line[name].get<int>();
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -92,11 +93,11 @@
   std::string folder;
   std::string address_prefix;
   std::string store_address;
-  std::string store_control_url;
+  std::string store_control_url;  ///< Answers while the store is down, too.
   std::unique_ptr<Process> store;
   std::unique_ptr<FaultNetwork> network;
   std::vector<Host> hosts;
-  mutable int commands = 0;
+  mutable std::atomic<int> commands = 0;
   int starts = 0;
 };
 
