--- a/src/membership/zero_mq_transport.cc
+++ b/src/membership/zero_mq_transport.cc
@@ -20,6 +20,7 @@
 constexpr int kEvictionLingerMs = 200;
 constexpr int kReconnectMs = 200;
 constexpr int kMaxReconnectMs = 2000;
+constexpr int kBacklog = 1024;  // A fleet report makes a whole zone connect at once.
 constexpr int kKeepaliveIdleSeconds = 30;
 constexpr int kReceivesPerTurn = 64;  // Then other work of the event loop has its turn.
 
@@ -31,6 +32,13 @@
   return !error;
 }
 
+/// The part of an endpoint that names the address to connect from; empty for any address.
+std::string SourcePart(const std::string& ip) {
+  asio::error_code error;
+  const auto address = asio::ip::make_address(ip, error);
+  return error || address.is_unspecified() ? "" : ip + ":0;";
+}
+
 }  // namespace
 
 struct ZeroMqTransport::State : std::enable_shared_from_this<State> {
@@ -83,6 +91,7 @@
 
 void ZeroMqTransport::State::Bind() {
   this->inbox.set(zmq::sockopt::linger, 0);
+  this->inbox.set(zmq::sockopt::backlog, kBacklog);
   this->inbox.set(zmq::sockopt::maxmsgsize,
                   static_cast<std::int64_t>(this->options.max_message_bytes));
   this->inbox.set(zmq::sockopt::tcp_keepalive, 1);
@@ -139,7 +148,7 @@
   socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
   const auto timeout = ToMilliseconds(this->options.connect_timeout).count();
   socket.set(zmq::sockopt::connect_timeout, static_cast<int>(timeout));
-  socket.connect("tcp://" + address);
+  socket.connect("tcp://" + SourcePart(this->options.ip) + address);
   peer.socket = std::move(socket);
 }
 
--- a/src/node/node_drain.h
+++ b/src/node/node_drain.h
@@ -14,8 +14,14 @@
 /// Waits until a node has been idle for a while, or until a limit has passed.
 class NodeDrain {
  public:
-  /// `busy` tells whether any call is still open.
-  NodeDrain(TimerService& timer_service, Duration drain_limit, std::function<bool()> busy_hook);
+  struct Hooks {
+    /// True while any call is open.
+    std::function<bool()> busy;
+    /// True while answers wait for their callers to fetch them, some of whom may be gone.
+    std::function<bool()> unclaimed;
+  };
+
+  NodeDrain(TimerService& timer_service, Duration drain_limit, Hooks drain_hooks);
 
   /// Calls `done` once.
   void Start(std::function<void()> done);
@@ -25,10 +31,10 @@
 
   TimerService& timers;
   Duration limit;
-  std::function<bool()> busy;
+  Hooks hooks;
   std::function<void()> done;
   SteadyTime started;
-  SteadyTime idle_since;
+  SteadyTime last_busy;
   TimerSubscription check_timer;
 };
 
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kStartLimit{10'000};
 constexpr std::chrono::milliseconds kCommandLimit{30'000};
 constexpr int kFirstHostOctet = 10;
+/// From a host's own address to the one at which a FaultNetwork stands for it.
+constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
 
 std::string MakeFolder() {
@@ -56,18 +58,13 @@
 
 }  // namespace
 
-Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records)
+Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records, FleetOptions options)
     : folder(MakeFolder()), address_prefix(MakeAddressPrefix()) {
   this->StartStore();
   const auto applied = this->Command({"apply", this->WriteFile("records.json", records)});
   if (applied.status != 0) throw std::runtime_error("apply: " + applied.output + applied.errors);
-  int octet = kFirstHostOctet;
-  for (auto& layout : layouts) {
-    Host host;
-    host.layout = std::move(layout);
-    host.address = this->address_prefix + std::to_string(octet++);
-    this->hosts.push_back(std::move(host));
-  }
+  if (options.network) this->network = std::make_unique<FaultNetwork>();
+  for (auto& layout : layouts) this->AddHost(std::move(layout));
   for (const auto& host : this->hosts) this->StartNode(host.layout.node);
   for (const auto& host : this->hosts) this->StartTarget(host.layout.node);
 }
@@ -81,6 +78,21 @@
   if (std::getenv("FIREFLYRUN_KEEP_LOGS") == nullptr) std::filesystem::remove_all(this->folder);
 }
 
+void Fleet::AddHost(HostLayout layout) {
+  const int octet = kFirstHostOctet + static_cast<int>(this->hosts.size());
+  Host host;
+  host.layout = std::move(layout);
+  host.address = this->address_prefix + std::to_string(octet);
+  host.advertised = host.address;
+  host.store = this->store_address;
+  if (this->network) {
+    host.advertised = this->address_prefix + std::to_string(octet + kAdvertisedOctetOffset);
+    host.store = this->network->AddHost(host.layout.node, host.layout.zone, host.address,
+                                        host.advertised, this->store_address);
+  }
+  this->hosts.push_back(std::move(host));
+}
+
 void Fleet::StartStore() {
   this->store = std::make_unique<Process>(
       std::vector<std::string>{STORE_STANDIN_PATH, "--port", "0"}, this->folder + "/store");
@@ -90,19 +102,37 @@
 std::string Fleet::Seeds() const {
   std::string seeds;
   for (const auto& host : this->hosts) {
-    seeds += (seeds.empty() ? "" : ",") + host.address + ":7403";
+    seeds += (seeds.empty() ? "" : ",") + host.advertised + ":7403";
   }
   return seeds;
 }
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
+  std::vector<std::string> command{FIREFLYRUN_PATH,
+                                   "node",
+                                   "--cluster",
+                                   "test",
+                                   "--node",
+                                   node,
+                                   "--region",
+                                   host.layout.region,
+                                   "--zone",
+                                   host.layout.zone,
+                                   "--address",
+                                   host.address,
+                                   "--advertised-address",
+                                   host.advertised,
+                                   "--store",
+                                   host.store,
+                                   "--seeds",
+                                   this->Seeds(),
+                                   "--log-level",
+                                   "debug"};
+  const auto& flags = host.layout.node_flags;
+  command.insert(command.end(), flags.begin(), flags.end());
   host.node = std::make_unique<Process>(
-      std::vector<std::string>{FIREFLYRUN_PATH, "node", "--cluster", "test", "--node", node,
-                               "--region", host.layout.region, "--zone", host.layout.zone,
-                               "--address", host.address, "--store", this->store_address, "--seeds",
-                               this->Seeds(), "--log-level", "debug"},
-      this->folder + "/" + node + "-" + std::to_string(this->starts++));
+      std::move(command), this->folder + "/" + node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
@@ -125,6 +155,8 @@
     command.emplace_back("--calls");
     command.push_back(host.layout.calls);
   }
+  const auto& flags = host.layout.target_flags;
+  command.insert(command.end(), flags.begin(), flags.end());
   host.target = std::make_unique<Process>(
       std::move(command), this->folder + "/" + node + "-target" + std::to_string(this->starts++));
   host.target_url = "http://127.0.0.1:" + std::to_string(ReadPort(*host.target));
@@ -199,6 +231,14 @@
   PostFault(this->Find(node).target_url, fault);
 }
 
+const std::string& Fleet::TargetUrl(const std::string& node) const {
+  return this->Find(node).target_url;
+}
+
+std::string Fleet::RunCounts(const std::string& node) const {
+  return Get(this->Find(node).target_url + "/runs").body;
+}
+
 std::string Fleet::Runs(const std::string& node) const {
   return Get(this->Find(node).target_url + "/runs?full=1").body;
 }
@@ -215,7 +255,7 @@
 }
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) const {
-  const std::string path = this->folder + "/" + name;
+  std::string path = this->folder + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -90,6 +90,8 @@
   return this->queue.empty() && this->running.empty() && this->server.OpenExchanges() == 0;
 }
 
+std::string TargetService::DescribeRuns() const { return this->log.ToJson(true).dump(); }
+
 std::string TargetService::Name() const {
   return this->options.service + "@" + std::to_string(this->Port());
 }
@@ -241,10 +243,9 @@
 }
 
 void TargetService::Finish(const RunPointer& run, http::Response response) {
-  const RunPointer kept = run;
-  if (this->running.erase(kept) == 0) return;
-  this->log.Complete(kept->number);
-  kept->exchange->Respond(std::move(response));
+  if (this->running.erase(run) == 0) return;
+  this->log.Complete(run->number);
+  run->exchange->Respond(std::move(response));
   this->StartNext();
 }
 
