Never call a key not-run before its ticket is settled

Cause: a keyed call refused before its ticket was known (store away, no target, shed at the entry, node stopping) was answered not-run, also when an earlier request with the key had run. A caller that believes it files again under a new key and doubles the order. Ruled out: remembering keys at the entry node (a retry goes through another one). Change: until its ticket is settled a keyed call's refusal says unknown. A call that the entry would shed is bound to any target's ticket first, so that the target's node can refuse it for good.

--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -19,6 +19,7 @@
 namespace fireflyrun::node {
 namespace {
 
+using peer::pb::Outcome;
 using policy::RefusalReason;
 
 constexpr std::string_view kTicketsService = "tickets";
@@ -46,6 +47,13 @@
   }
 }
 
+/// A node without records can't tell what became of earlier requests with the same key.
+Outcome OutcomeOfTurnedAway(RefusalReason reason, const http::Headers& headers) {
+  const bool has_key = http::FindHeader(headers, kIdempotencyKeyHeader).has_value();
+  const bool open_fate = reason == RefusalReason::kNotReady && has_key;
+  return open_fate ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN;
+}
+
 bool IsKey(std::string_view key) {
   const bool printable =
       std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c < '\x7f'; });
@@ -84,12 +92,17 @@
   const bool first_on_connection = request.sequence == 0;
   auto call = this->BuildCall(&request, *target);
   if (!call) {
-    this->Respond(RefusalResponse(call.error().reason, call.error().detail), *exchange);
+    this->Respond(RefusalResponse(call.error().reason, call.error().detail,
+                                  OutcomeOfTurnedAway(call.error().reason, request.headers)),
+                  *exchange);
     return;
   }
   // The local target finishes what it runs, by calls on new connections if need be.
   if (this->hooks.stopping() && first_on_connection && !call->parent) {
-    this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping"), *exchange);
+    const bool has_key = call->ticket_source != TicketSource::kNone;
+    this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
+                                  has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN),
+                  *exchange);
     return;
   }
   this->Dispatch(std::move(*call), exchange);
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -37,6 +37,11 @@
          reason == RefusalReason::kUnreachable || reason == RefusalReason::kTicketVoid;
 }
 
+/// Until its ticket is settled, a key may be that of an earlier request that ran.
+bool HasKey(TicketSource source) {
+  return source != TicketSource::kNone && source != TicketSource::kFresh;
+}
+
 http::Headers ToHeaders(const peer::pb::AnswerHead& head) {
   http::Headers headers;
   headers.reserve(static_cast<std::size_t>(head.headers_size()));
@@ -50,7 +55,8 @@
     : services(used_services),
       call(std::move(outbound)),
       handler(std::move(on_end)),
-      fixed_retries_left(used_services.fixed_retries ? kBaselineRetriesPerHop : 0) {}
+      fixed_retries_left(used_services.fixed_retries ? kBaselineRetriesPerHop : 0),
+      may_have_run(HasKey(this->call.ticket_source)) {}
 
 void Dispatch::Start() {
   asio::post(this->services.timers->Loop(), [weak = this->weak_from_this()] {
@@ -111,8 +117,7 @@
   this->SendAttempt({*address, std::nullopt, std::nullopt});
 }
 
-std::optional<policy::Ticket> Dispatch::ProposeTicket() {
-  const auto query = this->MakeQuery();
+std::optional<policy::Ticket> Dispatch::ProposeTicket(const policy::TargetQuery& query) {
   const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
   const auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
   if (!choice) return std::nullopt;
@@ -120,6 +125,14 @@
   return policy::Ticket::Mint(choice->node, choice->incarnation, window);
 }
 
+std::optional<policy::Ticket> Dispatch::ProposeFirstTicket() {
+  auto query = this->MakeQuery();
+  if (auto proposed = this->ProposeTicket(query)) return proposed;
+  // Shed here, the key's fate would stay open; the target's node can refuse it for good.
+  query.key = policy::PriorityKey{};
+  return this->ProposeTicket(query);
+}
+
 void Dispatch::ResolveTicket() {
   switch (this->call.ticket_source) {
     case TicketSource::kCaller:
@@ -135,7 +148,7 @@
     case TicketSource::kNone:
       break;
   }
-  const auto proposed = this->ProposeTicket();
+  const auto proposed = this->ProposeFirstTicket();
   if (!proposed) {
     this->FinishRefused(RefusalReason::kNoTarget);
     return;
@@ -153,7 +166,7 @@
 }
 
 void Dispatch::ResolveParentsTicket() {
-  const auto proposed = this->ProposeTicket();
+  const auto proposed = this->ProposeFirstTicket();
   if (!proposed) {
     this->FinishRefused(RefusalReason::kNoTarget);
     return;
@@ -169,7 +182,7 @@
 }
 
 void Dispatch::ResolveStoresTicket() {
-  const auto proposed = this->ProposeTicket();
+  const auto proposed = this->ProposeFirstTicket();
   if (!proposed) {
     this->FinishRefused(RefusalReason::kNoTarget);
     return;
@@ -202,7 +215,7 @@
     return;
   }
   this->tried.push_back(this->ticket->node);
-  this->proposed_successor = this->ProposeTicket();
+  this->proposed_successor = this->ProposeTicket(this->MakeQuery());
   this->SendAttempt({*address, this->ticket, this->proposed_successor});
 }
 
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -47,7 +47,8 @@
   /// `own`: no other request has the ticket, so nothing can have run under it yet.
   void UseTicket(const policy::Ticket& standing, bool own);
   void SendTicketed();
-  std::optional<policy::Ticket> ProposeTicket();
+  std::optional<policy::Ticket> ProposeTicket(const policy::TargetQuery& query);
+  std::optional<policy::Ticket> ProposeFirstTicket();
   void SendAttempt(Attempt attempt);
   void OnAttempt(AttemptResult result);
   void OnIdempotentRefusal(const AttemptResult& result);
@@ -78,8 +79,8 @@
   std::uint32_t retries = 0;
   std::uint32_t moves = 0;
   std::uint32_t fixed_retries_left = 0;
-  bool may_have_run = false;  ///< Under the ticket in use, or by an attempt that was lost.
-  bool ran = false;           ///< An attempt is known to have run.
+  bool may_have_run;  ///< Under the key or ticket, or by an attempt that was lost.
+  bool ran = false;   ///< An attempt is known to have run.
   bool ended = false;
 };
 
--- a/src/node/refusal_response.cc
+++ b/src/node/refusal_response.cc
@@ -31,8 +31,14 @@
   }
 }
 
+/// True when this request was turned away, whatever became of earlier ones with its key.
+bool IsTurnedAway(RefusalReason reason) {
+  return reason == RefusalReason::kStoreUnavailable || reason == RefusalReason::kLeaving ||
+         reason == RefusalReason::kNotReady || reason == RefusalReason::kNoTarget;
+}
+
 int StatusOf(Outcome outcome, RefusalReason reason) {
-  if (outcome == Outcome::OUTCOME_NOT_RUN) return StatusOfNotRun(reason);
+  if (outcome == Outcome::OUTCOME_NOT_RUN || IsTurnedAway(reason)) return StatusOfNotRun(reason);
   return reason == RefusalReason::kDeadline ? 504 : 502;
 }
 
@@ -80,8 +86,8 @@
   return BuildResponse(result.outcome, result.reason, "", result.retry_after);
 }
 
-http::Response RefusalResponse(RefusalReason reason, std::string_view detail) {
-  return BuildResponse(Outcome::OUTCOME_NOT_RUN, reason, detail, kShortestRetryAfter);
+http::Response RefusalResponse(RefusalReason reason, std::string_view detail, Outcome outcome) {
+  return BuildResponse(outcome, reason, detail, kShortestRetryAfter);
 }
 
 }  // namespace fireflyrun::node
--- a/src/node/refusal_response.h
+++ b/src/node/refusal_response.h
@@ -15,8 +15,10 @@
 /// Retry-After where waiting helps, and a problem body (RFC 9457) that names the reason.
 http::Response RefusalResponse(const CallResult& result);
 
-/// The same for a request that is refused before it becomes a call.
-http::Response RefusalResponse(policy::RefusalReason reason, std::string_view detail);
+/// The same for a request that is refused before it becomes a call. Its `outcome` is unknown when
+/// an earlier request with its key may have run.
+http::Response RefusalResponse(policy::RefusalReason reason, std::string_view detail,
+                               peer::pb::Outcome outcome = peer::pb::OUTCOME_NOT_RUN);
 
 /// `not-run`, `ran` or `unknown`.
 std::string_view OutcomeName(peer::pb::Outcome outcome);
