Replace control connections that have fallen silent

Cause: a connection of the control transport that passes nothing more, but stays open, was used for good: a push socket hears nothing from the other end, so members stayed unreachable and changes of targets did not arrive. Seen in silence_test. Ruled out: the membership's refutation (it runs over the same connection) and TCP keepalive or user timeout (a middle box that still acknowledges defeats them). Change: ZMTP heartbeats each second on sending sockets, 2 s limit. Before: ControlConnectionsThatFallSilentAreReplaced failed after its limit of 20 s, and the fleet was not ready after 20 s more. After: passes in 4.5 s.

--- a/src/membership/zero_mq_transport.cc
+++ b/src/membership/zero_mq_transport.cc
@@ -21,6 +21,9 @@
 constexpr int kReconnectMs = 200;
 constexpr int kMaxReconnectMs = 2000;
 constexpr int kKeepaliveIdleSeconds = 30;
+/// A connection that answers no heartbeat (ZMTP 3.1) within the limit is replaced.
+constexpr int kHeartbeatPeriodMs = 1000;
+constexpr int kHeartbeatLimitMs = 2000;
 constexpr int kReceivesPerTurn = 64;  // Then other work of the event loop has its turn.
 
 bool IsAddress(const std::string& address) {
@@ -145,6 +148,8 @@
   socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
   socket.set(zmq::sockopt::reconnect_ivl_max, kMaxReconnectMs);
   const auto timeout = ToMilliseconds(this->options.connect_timeout).count();
+  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatPeriodMs);
+  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatLimitMs);
   socket.set(zmq::sockopt::connect_timeout, static_cast<int>(timeout));
   socket.connect("tcp://" + SourcePart(this->options.ip) + address);
   peer.socket = std::move(socket);
