--- a/tests/integration/zones_test.cc
+++ b/tests/integration/zones_test.cc
@@ -173,6 +173,22 @@
   }
 }
 
+TEST_F(ZonesTest, RecordsSpreadWhileTwoNodesOfAZoneAreKilledAtOnce) {
+  // One of the pairs is that of the zone's two delegates.
+  for (const auto& survivor : kZoneA) {
+    for (const auto& node : kZoneA) {
+      if (node != survivor) fleet->NodeProcess(node).Kill();
+    }
+    const auto revision = Change();
+    EXPECT_TRUE(WaitUntil(kRecordsLimit, [&] { return InForce({survivor}, revision); }))
+        << survivor;
+    for (const auto& node : kZoneA) {
+      if (node != survivor) fleet->StartNode(node);
+    }
+    EXPECT_TRUE(fleet->WaitReady(kStartLimit));
+  }
+}
+
 TEST_F(ZonesTest, ZoneRestartsWithoutTheStore) {
   const auto revision = Change();
   ASSERT_TRUE(WaitUntil(kRecordsLimit, [&] { return InForce(kAll, revision); }));
