Retain at most 2 MiB of answers with tickets

Cause: capacity_parts_bench gives 73 bytes for a ticket and 313 more for a retained answer of 200 bytes (113 of them not counted by the limit). Ruled out: fewer tickets a window, which makes windows rise more often, and each rise is news to the whole fleet; fewer windows, which would forget tickets within the hour that regions may lose each other. Change: the node's limit for answers is 2 MiB, 83 s of 200-byte answers at 126 calls/s, far beyond any deadline. Before: 13.1 MB of such answers at the limit; after: 3.3 MB (both from the slopes).

--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -23,11 +23,13 @@
 constexpr int kServiceUnavailableStatus = 503;
 constexpr std::uint32_t kRememberedWindows = 12;
 constexpr std::size_t kTicketsPerWindow = 16'000;
+constexpr std::size_t kRetainedAnswerBytes = std::size_t{2} << 20;
 
 policy::TicketLedgerLimits LedgerLimits() {
   policy::TicketLedgerLimits limits;
   limits.remembered_windows = kRememberedWindows;
   limits.entries_per_window = kTicketsPerWindow;
+  limits.answer_bytes = kRetainedAnswerBytes;
   return limits;
 }
 
