--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -112,6 +112,7 @@
                               envelope.address() + " sends to this node of cluster \"" +
                               this->options.cluster + "\"; its messages are dropped";
   this->strangers.push_back(Finding{envelope.node(), message});
+  this->view.AddConflict(envelope.node(), message);
 }
 
 void Membership::Parts::OnEnvelope(const pb::Envelope& envelope) {
@@ -318,10 +319,6 @@
 
 const ControlCounters& Membership::Counters() const { return this->parts->counters; }
 
-Findings Membership::Problems() const {
-  Findings problems = this->parts->view.Conflicts();
-  problems.insert(problems.end(), this->parts->strangers.begin(), this->parts->strangers.end());
-  return problems;
-}
+Findings Membership::Problems() const { return this->parts->view.Conflicts(); }
 
 }  // namespace fireflyrun::membership
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kStartLimit{10'000};
 constexpr std::chrono::milliseconds kCommandLimit{30'000};
 constexpr int kFirstHostOctet = 10;
+constexpr int kFirstExtraOctet = 200;  // Above hosts and their advertised addresses.
 /// From a host's own address to the one at which a FaultNetwork stands for it.
 constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
@@ -111,28 +112,44 @@
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
-  host.node =
-      std::make_unique<Process>(std::vector<std::string>{FIREFLYRUN_PATH,
-                                                         "node",
-                                                         "--cluster",
-                                                         "test",
-                                                         "--node",
-                                                         node,
-                                                         "--region",
-                                                         host.layout.region,
-                                                         "--zone",
-                                                         host.layout.zone,
-                                                         "--address",
-                                                         host.address,
-                                                         "--advertised-address",
-                                                         host.advertised,
-                                                         "--store",
-                                                         host.store,
-                                                         "--seeds",
-                                                         this->Seeds(),
-                                                         "--log-level",
-                                                         "debug"},
-                                this->folder + "/" + node + "-" + std::to_string(this->starts++));
+  host.node = this->StartNodeProcess("test", host);
+}
+
+std::unique_ptr<Process> Fleet::StartExtraNode(const std::string& cluster,
+                                               const std::string& node) {
+  Host host;
+  host.layout = this->hosts.front().layout;
+  host.layout.node = node;
+  host.address = this->address_prefix + std::to_string(kFirstExtraOctet + this->starts);
+  host.advertised = host.address;
+  host.store = this->store_address;
+  return this->StartNodeProcess(cluster, host);
+}
+
+std::unique_ptr<Process> Fleet::StartNodeProcess(const std::string& cluster, const Host& host) {
+  const auto& layout = host.layout;
+  const std::vector<std::string> command{FIREFLYRUN_PATH,
+                                         "node",
+                                         "--cluster",
+                                         cluster,
+                                         "--node",
+                                         layout.node,
+                                         "--region",
+                                         layout.region,
+                                         "--zone",
+                                         layout.zone,
+                                         "--address",
+                                         host.address,
+                                         "--advertised-address",
+                                         host.advertised,
+                                         "--store",
+                                         host.store,
+                                         "--seeds",
+                                         this->Seeds(),
+                                         "--log-level",
+                                         "debug"};
+  return std::make_unique<Process>(
+      command, this->folder + "/" + layout.node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -48,6 +48,9 @@
   void StartNode(const std::string& node);
   void StartTarget(const std::string& node);
 
+  /// Starts a node that is none of the hosts, on an address of its own, with the fleet's seeds.
+  std::unique_ptr<Process> StartExtraNode(const std::string& cluster, const std::string& node);
+
   /// Switches a fault of the store stand-in, or of a node's target, on or off.
   void SetStoreFault(const std::string& json) const;
   void SetTargetFault(const std::string& node, const std::string& json) const;
@@ -82,6 +85,7 @@
   };
 
   void StartStore();
+  std::unique_ptr<Process> StartNodeProcess(const std::string& cluster, const Host& host);
   void AddHost(HostLayout layout);
   Host& Find(const std::string& node);
   const Host& Find(const std::string& node) const;
