Let a node restart in a zone while another is cut off

Cause: a trial showed that healing between zones was not tested: with no exchange between zones (Gossip::Exchange ended before the remote delegate, no reunion over the roster) zones_test passed, because no member changed while the zones were apart.

--- a/tests/integration/zones_test.cc
+++ b/tests/integration/zones_test.cc
@@ -118,6 +118,11 @@
   EXPECT_EQ(fleet->Call("a1", "GET", "/deep/x").Header("firefly-outcome"), "not-run");
   ExpectCallsSucceed(kAll, "/entry/x");
   EXPECT_FALSE(InForce({"a1"}, revision)) << "the zone was to be cut off";
+  // Only the other zone can tell of this one's new process.
+  fleet->NodeProcess("b3").Kill();
+  fleet->StartNode("b3");
+  EXPECT_TRUE(
+      WaitUntil(kStartLimit, [] { return fleet->Call("b1", "GET", "/deep/x").status == 200; }));
   fleet->Network().Heal();
   EXPECT_TRUE(WaitUntil(kRecordsLimit, [&] { return InForce(kAll, revision); }));
   EXPECT_TRUE(fleet->WaitReady(kMembershipLimit));
