Tell a leaving target how many calls are still open

Cause: found by reading. A leaving target learned only that its node had heard it. A call that the node had sent just before could still be on its way into the target's socket when the target found itself idle and ended, and was cut off. Ruled out: the node's queue; it is refused "leaving" before the answer, and moves on. Change: PUT /target answers {"open_calls": N} (200, was 204 without a body). The target stand-in asks every 50 ms while leaving and ends when there are none. Before: not reproduced; the window is the 5 ms of the stand-in's idle check. Conclusion: a target that ends at 0 open calls cuts none off, whatever the machine's load.

--- a/src/node/admin_service.cc
+++ b/src/node/admin_service.cc
@@ -47,8 +47,9 @@
                                        FormatFindings(announcement.error())));
     return;
   }
-  this->hooks.on_announcement(*announcement);
-  exchange.Respond({204, {}, ""});
+  const std::size_t open_calls = this->hooks.on_announcement(*announcement);
+  exchange.Respond(TextResponse(200, "application/json",
+                                R"({"open_calls":)" + std::to_string(open_calls) + "}"));
 }
 
 }  // namespace fireflyrun::node
--- a/src/node/admin_service.h
+++ b/src/node/admin_service.h
@@ -14,7 +14,8 @@
 class AdminService {
  public:
   struct Hooks {
-    std::function<void(const TargetAnnouncement&)> on_announcement;
+    /// Returns how many calls the node still has at the target or on the way to it.
+    std::function<std::size_t(const TargetAnnouncement&)> on_announcement;
     std::function<std::string()> render_metrics;
     /// Collects the fleet's report as JSON.
     std::function<void(std::function<void(std::string)>)> collect_fleet;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -397,6 +397,7 @@
   AdminService::Hooks hooks;
   hooks.on_announcement = [this](const TargetAnnouncement& announcement) {
     this->target_watcher->OnAnnouncement(announcement);
+    return this->target->OpenCalls();
   };
   hooks.render_metrics = [this] { return this->metrics.Render(); };
   hooks.collect_fleet = [this](std::function<void(std::string)> respond) {
--- a/tests/standins/target_standin_announcer.cc
+++ b/tests/standins/target_standin_announcer.cc
@@ -7,8 +7,16 @@
 namespace {
 
 constexpr std::chrono::seconds kAnnouncePeriod(1);
+/// While the target waits for its last calls.
+constexpr std::chrono::milliseconds kLeavingPeriod(50);
 constexpr int kFirstErrorStatus = 300;
 
+/// The node has no call here and sends none. An answer that does not say counts as none.
+bool SaysNoOpenCalls(const http::Response& answer) {
+  const auto body = nlohmann::json::parse(answer.body, nullptr, false);
+  return !body.is_object() || body.value("open_calls", 0) == 0;
+}
+
 }  // namespace
 
 Announcer::Announcer(const TargetOptions& target_options, std::uint16_t target_port,
@@ -26,6 +34,7 @@
     this->confirmation = this->timers.After(Duration::zero(), [this] { this->Confirm(); });
     return;
   }
+  this->timer = this->timers.Every(kLeavingPeriod, [this] { this->Announce(); });
   this->Announce();
 }
 
@@ -43,7 +52,7 @@
   const bool tells_leaving = this->leaving;
   this->client.Send(std::move(request), [this, tells_leaving](const auto& result) {
     // A node that cannot be reached carries no calls here either.
-    const bool told = result ? result->status < kFirstErrorStatus
+    const bool told = result ? result->status < kFirstErrorStatus && SaysNoOpenCalls(*result)
                              : result.error().kind == http::ClientErrorKind::kNotSent;
     if (tells_leaving && told) this->Confirm();
   });
--- a/tests/standins/target_standin_announcer.h
+++ b/tests/standins/target_standin_announcer.h
@@ -15,8 +15,8 @@
   Announcer(const TargetOptions& target_options, std::uint16_t target_port, TimerService& timers,
             http::Client& http_client);
 
-  /// Announces the state "leaving" from now on; calls `told` once the node has confirmed it, or
-  /// when there is no node to tell.
+  /// Announces the state "leaving" from now on; calls `told` once the node has confirmed it and has
+  /// no call here, or when there is no node to tell.
   void Leave(std::function<void()> told);
 
  private:
