--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kStartLimit{10'000};
 constexpr std::chrono::milliseconds kCommandLimit{30'000};
 constexpr int kFirstHostOctet = 10;
+constexpr int kFirstExtraOctet = 200;  // Above hosts and their advertised addresses.
 /// From a host's own address to the one at which a FaultNetwork stands for it.
 constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
@@ -111,16 +112,32 @@
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
+  host.node = this->StartNodeProcess("test", host);
+}
+
+std::unique_ptr<Process> Fleet::StartExtraNode(const std::string& cluster,
+                                               const std::string& node) {
+  Host host;
+  host.layout = this->hosts.front().layout;
+  host.layout.node = node;
+  host.address = this->address_prefix + std::to_string(kFirstExtraOctet + this->starts);
+  host.advertised = host.address;
+  host.store = this->store_address;
+  return this->StartNodeProcess(cluster, host);
+}
+
+std::unique_ptr<Process> Fleet::StartNodeProcess(const std::string& cluster, const Host& host) {
+  const auto& layout = host.layout;
   std::vector<std::string> command{FIREFLYRUN_PATH,
                                    "node",
                                    "--cluster",
-                                   "test",
+                                   cluster,
                                    "--node",
-                                   node,
+                                   layout.node,
                                    "--region",
-                                   host.layout.region,
+                                   layout.region,
                                    "--zone",
-                                   host.layout.zone,
+                                   layout.zone,
                                    "--address",
                                    host.address,
                                    "--advertised-address",
@@ -131,10 +148,9 @@
                                    this->Seeds(),
                                    "--log-level",
                                    "debug"};
-  const auto& flags = host.layout.node_flags;
-  command.insert(command.end(), flags.begin(), flags.end());
-  host.node = std::make_unique<Process>(
-      std::move(command), this->folder + "/" + node + "-" + std::to_string(this->starts++));
+  command.insert(command.end(), layout.node_flags.begin(), layout.node_flags.end());
+  return std::make_unique<Process>(
+      std::move(command), this->folder + "/" + layout.node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
