--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -211,6 +211,23 @@
   EXPECT_EQ(fleet->RunsOfKey("during-outage"), 0);
 }
 
+TEST_F(AtMostOnceTest, TicketThatItsNodeRefusedRunsOnlyAtItsSuccessor) {
+  std::string ticket;
+  ASSERT_TRUE(WaitUntil(kLimit, [&ticket] {
+    ticket = NewTicket("a0");
+    return ticket.ends_with(".a1");
+  }));
+  recorder->KeepRunsOf("a1");
+  fleet->TargetProcess("a1").Kill();
+  ASSERT_TRUE(WaitUntil(kLimit, [&ticket] { return File("a0", ticket).status == 200; }));
+  fleet->StartTarget("a1");
+  ASSERT_TRUE(fleet->WaitReady(kLimit));
+  EXPECT_EQ(File("b0", ticket).status, 200);
+  EXPECT_EQ(File("a0", ticket).status, 200);
+  EXPECT_EQ(NodeThatRan(kFilingsNodes, ticket), "b1");
+  EXPECT_EQ(fleet->RunsOfKey(ticket), 1);
+}
+
 TEST_F(AtMostOnceTest, NodeOfTheChildKilledWhileTheChildRuns) {
   SetFaults(kPostingsNodes, kSlow);
   auto first = FileInBackground("a0", "child-killed");
