Tell apart what nodes and delegates send in the capacity benchmark

Cause: in a fleet of 8 nodes a zone a quarter are delegates, in one of 193 one in a hundred, so the mean of the small fleet says nothing of the large one. Ruled out: asking each node for its role; as many of the highest senders as there are delegates are they. Change: idle bytes and processor time also by role; 15 s instead of 6 s to settle, since the contact that 128 nodes started at once had asked was still answering them in the measured span (5.7 KB/s).

--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -5,7 +5,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <numeric>
 #include <sstream>
+#include <vector>
 
 #include "bench/capacity_fleet.h"
 #include "bench/capacity_samples.h"
@@ -22,7 +24,7 @@
 
 constexpr seconds kStartLimit{120};
 constexpr seconds kLimit{60};
-constexpr seconds kSettleTime{6};
+constexpr seconds kSettleTime{15};
 constexpr seconds kIdleTime{20};
 constexpr seconds kTail{3};
 constexpr int kRepeats = 5;
@@ -31,6 +33,7 @@
 constexpr int kEvents = 40;
 constexpr int kZoneNodes = 8;  // Of the shapes that differ only in zones.
 constexpr int kBurstShare = 10;
+constexpr int kDelegatesPerZone = 2;
 
 double SecondsSince(steady_clock::time_point start) {
   return std::chrono::duration<double>(steady_clock::now() - start).count();
@@ -46,6 +49,10 @@
   double processor = 0;
 };
 
+double MeanOf(std::vector<double>::const_iterator first, std::vector<double>::const_iterator last) {
+  return std::accumulate(first, last, 0.0) / static_cast<double>(last - first);
+}
+
 /// All measures of one fleet.
 class FleetMeasures {
  public:
@@ -60,6 +67,7 @@
   }
   bool InOrder(const std::function<bool(int)>& condition);
   void MeasureIdle();
+  void NoteByRole(const std::string& measure, std::vector<double> values);
   void MeasureChangeTime();
   void MeasureChangeCost();
   void MeasureEventCost();
@@ -111,6 +119,8 @@
   double resident = 0;
   double resident_highest = 0;
   double messages = 0;
+  std::vector<double> sent_rates;
+  std::vector<double> processor_rates;
   for (std::size_t i = 0; i < after.nodes.size(); ++i) {
     const NodeUsage& now = after.nodes[i];
     const NodeUsage& then = before.nodes[i];
@@ -120,6 +130,8 @@
     this->idle.sent += rates.sent;
     this->idle.received += rates.received;
     this->idle.processor += rates.processor;
+    sent_rates.push_back(rates.sent);
+    processor_rates.push_back(100 * rates.processor);
     highest.sent = std::max(highest.sent, rates.sent);
     highest.received = std::max(highest.received, rates.received);
     highest.processor = std::max(highest.processor, rates.processor);
@@ -130,6 +142,8 @@
   const double count = this->fleet.Nodes();
   this->Note("idle_sent_bytes_per_second", this->idle.sent / count);
   this->Note("idle_sent_highest_bytes_per_second", highest.sent);
+  this->NoteByRole("idle_sent_bytes_per_second", sent_rates);
+  this->NoteByRole("idle_processor_percent", processor_rates);
   this->Note("idle_received_bytes_per_second", this->idle.received / count);
   this->Note("idle_received_highest_bytes_per_second", highest.received);
   this->Note("idle_messages_per_second", messages / count);
@@ -140,6 +154,15 @@
   this->Note("store_calls_per_second", (after.store_calls - before.store_calls) / span);
 }
 
+/// Delegates send most, so the highest figures, as many as there are delegates, are theirs.
+void FleetMeasures::NoteByRole(const std::string& measure, std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  const auto delegates = values.end() - std::min(this->fleet.Zones() * kDelegatesPerZone,
+                                                 this->fleet.Nodes() - 1);
+  this->Note("node_" + measure, MeanOf(values.begin(), delegates));
+  this->Note("delegate_" + measure, MeanOf(delegates, values.end()));
+}
+
 std::string FleetMeasures::ChangeFile(int records) {
   std::ostringstream text;
   text << '[';
