Notice a silent link in 0.6 s

Change: heartbeats every 150 ms while calls are pending, silence after 600 ms. A pause of the far node that long only costs a fresh connection and a question.

--- a/src/peer/link_options.h
+++ b/src/peer/link_options.h
@@ -18,8 +18,8 @@
   std::size_t max_body_bytes = std::size_t{8} << 20;
   std::size_t chunk_bytes = std::size_t{32} << 10;  ///< Small calls pass between two chunks.
   std::size_t retained_answer_bytes = std::size_t{8} << 20;
-  Duration heartbeat_period = std::chrono::milliseconds(250);
-  Duration silence_limit = std::chrono::milliseconds(1000);  ///< Then the link is replaced.
+  Duration heartbeat_period = std::chrono::milliseconds(150);
+  Duration silence_limit = std::chrono::milliseconds(600);  ///< Then the link is replaced.
   Duration connect_limit = std::chrono::milliseconds(1000);
   /// Calls already sent end with kUnknown when nothing was heard from their node for so long.
   Duration give_up_limit = std::chrono::milliseconds(2000);
