Name the deadline as the reason when a call ends by it unheard

Cause: a call whose deadline passed before its target's answer was refused 502 link-lost although the link was well; the interface names 504 for it. Ruled out: a loss of the link (logs of both nodes show it in use). Change: a refusal without an answer at or past the deadline says deadline, so 504; the outcome stays unknown. Before: five calls expired in a queue got 502 link-lost; after: 504 deadline.

--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -346,7 +346,9 @@
   CallResult end;
   const auto& head = result.answer.head;
   end.outcome = this->TruthOf(result.outcome);
-  end.reason = result.reason;
+  const bool expired = SteadyClock::now() >= this->call.deadline;
+  const bool unheard = result.reason == RefusalReason::kLinkLost;
+  end.reason = expired && unheard ? RefusalReason::kDeadline : result.reason;
   end.retry_after = std::chrono::milliseconds(head.retry_after_ms());
   end.final = head.final() || this->call.allotment->Exhausted();
   this->Finish(std::move(end));
