--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -211,6 +211,12 @@
   EXPECT_EQ(fleet->RunsOfKey("during-outage"), 0);
 }
 
+TEST_F(AtMostOnceTest, KeyThatRanIsNotCalledNotRunDuringAStoreOutage) {
+  ASSERT_EQ(File("a0", "ran-before-outage").status, 200);
+  fleet->SetStoreFault(R"({"mode": "down"})");
+  EXPECT_NE(File("b0", "ran-before-outage").Header("firefly-outcome"), "not-run");
+}
+
 TEST_F(AtMostOnceTest, TicketThatItsNodeRefusedRunsOnlyAtItsSuccessor) {
   std::string ticket;
   ASSERT_TRUE(WaitUntil(kLimit, [&ticket] {
--- a/tests/integration/misleading_health_test.cc
+++ b/tests/integration/misleading_health_test.cc
@@ -51,13 +51,17 @@
 TEST_F(MisleadingHealthTest, CallsLeaveATargetThatHangsAndSaysItIsUp) {
   this->fleet.SetTargetFault("a1", R"({"hang": true, "health": "up"})");
   EXPECT_TRUE(this->Settles());
+  const int before = this->RunsOf("a1");
   EXPECT_GE(this->CountAnswered(), kMinAnswered);
+  EXPECT_LE(this->RunsOf("a1"), before + kCalls - kMinAnswered);
 }
 
 TEST_F(MisleadingHealthTest, CallsLeaveATargetThatFailsAndSaysItIsUp) {
   this->fleet.SetTargetFault("a1", R"({"fail": true, "health": "up"})");
   EXPECT_TRUE(this->Settles());
+  const int before = this->RunsOf("a1");
   EXPECT_GE(this->CountAnswered(), kMinAnswered);
+  EXPECT_LE(this->RunsOf("a1"), before + kCalls - kMinAnswered);
 }
 
 TEST_F(MisleadingHealthTest, TargetThatWorksAndSaysItIsDownStillServes) {
