--- a/bench/bench_fleet.cc
+++ b/bench/bench_fleet.cc
@@ -74,6 +74,7 @@
 
 std::vector<std::string> ChainFleet::CallerAddresses() const {
   std::vector<std::string> addresses;
+  addresses.reserve(kEntryNodes.size());
   for (const auto& node : kEntryNodes) addresses.push_back(this->fleet->Address(node) + ":7400");
   return addresses;
 }
@@ -90,6 +91,7 @@
 
 std::vector<std::size_t> ChainFleet::DeepRunCounts() const {
   std::vector<std::size_t> counts;
+  counts.reserve(kDeepNodes.size());
   for (const auto& node : kDeepNodes) {
     counts.push_back(json::parse(this->fleet->RunCounts(node)).at("runs").get<std::size_t>());
   }
--- a/bench/load.cc
+++ b/bench/load.cc
@@ -57,7 +57,7 @@
   const auto planned =
       std::chrono::milliseconds(static_cast<long>(this->seconds * kMillisecondsPerSecond));
   this->process->WaitForExit(planned + kDrainLimit);
-  const json summary = json::parse(this->process->Output(), nullptr, false);
+  json summary = json::parse(this->process->Output(), nullptr, false);
   if (!summary.is_object()) {
     throw std::runtime_error("a load gave no summary: " + this->process->ErrorOutput());
   }
--- a/bench/recovery_bench.cc
+++ b/bench/recovery_bench.cc
@@ -21,6 +21,7 @@
 constexpr int kBeforeSettleSeconds = 2;
 constexpr double kRecoveredShare = 0.95;
 constexpr double kLongestRecoverySeconds = 5;
+constexpr std::size_t kSettledSeconds = 5;
 
 struct Trigger {
   std::string name;
@@ -48,7 +49,7 @@
 /// goodput is back; the span watched if it never is.
 double SecondsToRecover(const json& summary, double before, int trigger_end) {
   for (int second = 0; second + 2 <= kAfterSeconds; ++second) {
-    const auto from = static_cast<std::size_t>(trigger_end + second);
+    const auto from = static_cast<std::size_t>(trigger_end) + static_cast<std::size_t>(second);
     if (MeanGoodput(summary, from, from + 2) >= kRecoveredShare * before) return second;
   }
   return kAfterSeconds;
@@ -77,8 +78,8 @@
   Recovery result;
   result.before = MeanGoodput(summary, kBeforeSettleSeconds, kBeforeSeconds);
   result.during = MeanGoodput(summary, kBeforeSeconds, static_cast<std::size_t>(end));
-  result.after = MeanGoodput(summary, static_cast<std::size_t>(end + kLongestRecoverySeconds),
-                             static_cast<std::size_t>(end + kAfterSeconds));
+  const auto ended = static_cast<std::size_t>(end);
+  result.after = MeanGoodput(summary, ended + kSettledSeconds, ended + kAfterSeconds);
   result.seconds = SecondsToRecover(summary, result.before, end);
   return result;
 }
