Tell other zones of a change by a notice, not by the whole change set

Cause: all 28 delegates watch the store, and each pushed every change set to a delegate of each of 13 other zones, which mostly had it already from its own watch. 10 records (1.9 KB) cost a delegate 19.4 KB, so 231 KB that its budget allows in 5 s were used up by 12 such changes. Ruled out: no word at all between zones, since a zone whose delegates have lost the store must hear of changes from the others; waiting for digests, one remote delegate a second. Change: between zones goes the record notice; a delegate that lacks the change asks for it. Within a zone the change set is pushed whole as before.

--- a/src/membership/record_spread.cc
+++ b/src/membership/record_spread.cc
@@ -30,20 +30,24 @@
 
 void RecordSpread::Push(const pb::ChangeSet& change_set, bool to_other_zones) {
   PeerPicker& picker = this->context.picker;
-  std::vector<std::string> peers = picker.PickNeighbours(this->context.options.fanout);
-  if (to_other_zones && picker.SelfIsDelegate()) {
-    for (const MemberState* remote : picker.RemoteDelegates()) {
-      peers.push_back(ControlAddressOf(remote->member));
-    }
-  }
+  pb::Part notice;
+  notice.mutable_record_notice()->set_revision(change_set.revision());
   pb::Part part;
   const std::size_t bound = this->context.options.max_message_bytes - kPieceHeadroom;
   if (change_set.ByteSizeLong() <= bound) {
     *part.mutable_change_set() = change_set;
   } else {
-    part.mutable_record_notice()->set_revision(change_set.revision());
+    part = notice;
   }
+  const auto peers = picker.PickNeighbours(this->context.options.fanout);
   this->context.outbox.AddToAll(peers, part, Lane::kNews);
+  if (!to_other_zones || !picker.SelfIsDelegate()) return;
+  // Delegates of other zones mostly have the change from their own watch of the store.
+  std::vector<std::string> remotes;
+  for (const MemberState* remote : picker.RemoteDelegates()) {
+    remotes.push_back(ControlAddressOf(remote->member));
+  }
+  this->context.outbox.AddToAll(remotes, notice, Lane::kNews);
 }
 
 void RecordSpread::OnChangeSet(const pb::ChangeSet& change_set, const std::string& from,
