--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds kStartLimit{10'000};
 constexpr std::chrono::milliseconds kCommandLimit{30'000};
 constexpr int kFirstHostOctet = 10;
+constexpr int kFirstExtraOctet = 200;  // Above hosts and their advertised addresses.
 /// From a host's own address to the one at which a FaultNetwork stands for it.
 constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
@@ -34,13 +35,13 @@
          std::to_string(id % kOctetValues) + ".";
 }
 
-/// The port that a stand-in prints when it is ready.
-int ReadPort(const Process& process) {
+/// The port that a stand-in prints under `name` when it is ready.
+int ReadPort(const Process& process, const std::string& name = "port") {
   int port = 0;
-  const bool ready = WaitUntil(kStartLimit, [&process, &port] {
+  const bool ready = WaitUntil(kStartLimit, [&process, &name, &port] {
     const json line = json::parse(process.Output(), nullptr, false);
-    if (!line.is_object() || !line.contains("port")) return false;
-    port = line["port"].get<int>();
+    if (!line.is_object() || !line.contains(name)) return false;
+    port = line[name].get<int>();
     return true;
   });
   if (!ready) throw std::runtime_error("a stand-in does not start: " + process.ErrorOutput());
@@ -97,6 +98,8 @@
   this->store = std::make_unique<Process>(
       std::vector<std::string>{STORE_STANDIN_PATH, "--port", "0"}, this->folder + "/store");
   this->store_address = "127.0.0.1:" + std::to_string(ReadPort(*this->store));
+  this->store_control_url =
+      "http://127.0.0.1:" + std::to_string(ReadPort(*this->store, "control_port"));
 }
 
 std::string Fleet::Seeds() const {
@@ -109,16 +112,32 @@
 
 void Fleet::StartNode(const std::string& node) {
   Host& host = this->Find(node);
+  host.node = this->StartNodeProcess("test", host);
+}
+
+std::unique_ptr<Process> Fleet::StartExtraNode(const std::string& cluster,
+                                               const std::string& node) {
+  Host host;
+  host.layout = this->hosts.front().layout;
+  host.layout.node = node;
+  host.address = this->address_prefix + std::to_string(kFirstExtraOctet + this->starts);
+  host.advertised = host.address;
+  host.store = this->store_address;
+  return this->StartNodeProcess(cluster, host);
+}
+
+std::unique_ptr<Process> Fleet::StartNodeProcess(const std::string& cluster, const Host& host) {
+  const auto& layout = host.layout;
   std::vector<std::string> command{FIREFLYRUN_PATH,
                                    "node",
                                    "--cluster",
-                                   "test",
+                                   cluster,
                                    "--node",
-                                   node,
+                                   layout.node,
                                    "--region",
-                                   host.layout.region,
+                                   layout.region,
                                    "--zone",
-                                   host.layout.zone,
+                                   layout.zone,
                                    "--address",
                                    host.address,
                                    "--advertised-address",
@@ -129,10 +148,9 @@
                                    this->Seeds(),
                                    "--log-level",
                                    "debug"};
-  const auto& flags = host.layout.node_flags;
-  command.insert(command.end(), flags.begin(), flags.end());
-  host.node = std::make_unique<Process>(
-      std::move(command), this->folder + "/" + node + "-" + std::to_string(this->starts++));
+  command.insert(command.end(), layout.node_flags.begin(), layout.node_flags.end());
+  return std::make_unique<Process>(
+      std::move(command), this->folder + "/" + layout.node + "-" + std::to_string(this->starts++));
 }
 
 void Fleet::StartTarget(const std::string& node) {
@@ -225,7 +243,9 @@
   return MakeCall(call);
 }
 
-void Fleet::SetStoreFault(const std::string& fault) const { PostFault(this->StoreUrl(), fault); }
+void Fleet::SetStoreFault(const std::string& fault) const {
+  PostFault(this->store_control_url, fault);
+}
 
 void Fleet::SetTargetFault(const std::string& node, const std::string& fault) const {
   PostFault(this->Find(node).target_url, fault);
@@ -243,6 +263,14 @@
   return Get(this->Find(node).target_url + "/runs?full=1").body;
 }
 
+std::vector<std::string> Fleet::NodesWithTargets() const {
+  std::vector<std::string> nodes;
+  for (const auto& host : this->hosts) {
+    if (!host.layout.service.empty()) nodes.push_back(host.layout.node);
+  }
+  return nodes;
+}
+
 int Fleet::RunsOfKey(const std::string& key) const {
   int runs = 0;
   for (const auto& host : this->hosts) {
@@ -286,6 +314,8 @@
     {"kind": "service", "schema": 1, "name": "deep", "priority": "status",
      "retry_allowance": "standard", "deadline_ms": 4000, "idempotent": true},
     {"kind": "service", "schema": 1, "name": "filings", "priority": "critical",
+     "retry_allowance": "standard", "deadline_ms": 4000, "idempotent": false},
+    {"kind": "service", "schema": 1, "name": "postings", "priority": "critical",
      "retry_allowance": "standard", "deadline_ms": 4000, "idempotent": false}
   ])";
 }
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -47,6 +48,9 @@
   void StartNode(const std::string& node);
   void StartTarget(const std::string& node);
 
+  /// Starts a node that is none of the hosts, on an address of its own, with the fleet's seeds.
+  std::unique_ptr<Process> StartExtraNode(const std::string& cluster, const std::string& node);
+
   /// Switches a fault of the store stand-in, or of a node's target, on or off.
   void SetStoreFault(const std::string& json) const;
   void SetTargetFault(const std::string& node, const std::string& json) const;
@@ -55,6 +59,7 @@
   const std::string& TargetUrl(const std::string& node) const;
   /// How much the target of a node has run: the text of its `GET /runs`.
   std::string RunCounts(const std::string& node) const;
+  std::vector<std::string> NodesWithTargets() const;
   /// What the target of a node has run: the text of its `GET /runs?full=1`.
   std::string Runs(const std::string& node) const;
   /// Runs of all targets of the fleet whose key is `key`.
@@ -82,6 +87,7 @@
   };
 
   void StartStore();
+  std::unique_ptr<Process> StartNodeProcess(const std::string& cluster, const Host& host);
   void AddHost(HostLayout layout);
   Host& Find(const std::string& node);
   const Host& Find(const std::string& node) const;
@@ -91,15 +97,16 @@
   std::string folder;
   std::string address_prefix;
   std::string store_address;
+  std::string store_control_url;  ///< Answers while the store is down, too.
   std::unique_ptr<Process> store;
   std::unique_ptr<FaultNetwork> network;
   std::vector<Host> hosts;
-  mutable int commands = 0;
+  mutable std::atomic<int> commands = 0;
   int starts = 0;
 };
 
 /// Records for the three-service chain used by most tests: `entry` (idempotent, class `status`),
-/// `middle`, `deep`, and `filings` (not idempotent, class `critical`).
+/// `middle`, `deep`, and `filings` and `postings` (not idempotent, class `critical`).
 std::string ChainRecords();
 
 }  // namespace fireflyrun::integration
