--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -157,8 +157,8 @@
 /// Delegates send most, so the highest figures, as many as there are delegates, are theirs.
 void FleetMeasures::NoteByRole(const std::string& measure, std::vector<double> values) {
   std::sort(values.begin(), values.end());
-  const auto delegates = values.end() - std::min(this->fleet.Zones() * kDelegatesPerZone,
-                                                 this->fleet.Nodes() - 1);
+  const auto delegates =
+      values.end() - std::min(this->fleet.Zones() * kDelegatesPerZone, this->fleet.Nodes() - 1);
   this->Note("node_" + measure, MeanOf(values.begin(), delegates));
   this->Note("delegate_" + measure, MeanOf(delegates, values.end()));
 }
@@ -266,6 +266,7 @@
   const int count = std::max(1, this->fleet.Nodes() / kBurstShare);
   auto& processes = this->fleet.Processes();
   std::vector<int> restarted;
+  restarted.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) restarted.push_back(i * kBurstShare % this->fleet.Nodes());
   FleetUsage before = this->fleet.Read();
   for (const int node : restarted) processes.NodeProcess(this->fleet.Name(node)).Kill();
