--- a/src/membership/zero_mq_transport_options.h
+++ b/src/membership/zero_mq_transport_options.h
@@ -18,7 +18,7 @@
   std::size_t max_waiting = 16;  ///< Messages a peer not yet connected may have waiting.
   Duration retry_period = std::chrono::milliseconds(5);
   Duration connect_timeout = std::chrono::seconds(1);  ///< Then waiting messages are dropped.
-  std::size_t max_message_bytes = 256 * 1024;
+  std::size_t max_message_bytes = std::size_t{256} << 10;
 };
 
 }  // namespace fireflyrun::membership
--- a/tests/integration/cancellation_test.cc
+++ b/tests/integration/cancellation_test.cc
@@ -79,6 +79,7 @@
       std::async(std::launch::async, [this] { return this->fleet.Call("a0", "GET", "/deep/x"); });
   ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("b1", "runs") == 1; }));
   std::vector<std::future<HttpAnswer>> expiring;
+  expiring.reserve(kExpiringCalls);
   for (int i = 0; i < kExpiringCalls; ++i) {
     expiring.push_back(std::async(std::launch::async, [this] {
       return this->fleet.Call("a0", "GET", "/deep/x", {"Firefly-Deadline-Ms: 200"});
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -255,7 +255,7 @@
 }
 
 std::string Fleet::WriteFile(const std::string& name, const std::string& text) const {
-  const std::string path = this->folder + "/" + name;
+  std::string path = this->folder + "/" + name;
   std::ofstream(path) << text;
   return path;
 }
--- a/tests/integration/own_answer_test.cc
+++ b/tests/integration/own_answer_test.cc
@@ -75,6 +75,7 @@
   static int RunCallers(const std::string& name) {
     std::atomic<int> answered = 0;
     std::vector<std::thread> callers;
+    callers.reserve(kCallers);
     for (int i = 0; i < kCallers; ++i) {
       callers.emplace_back([&answered, &name, i] {
         for (int j = 0; j < kCallsPerCaller; ++j) {
@@ -115,6 +116,7 @@
   fleet->Network().LimitRate({"a1", "a2"}, kRate);
   std::atomic<int> large_left = 2;
   std::vector<std::thread> large;
+  large.reserve(2);
   for (int i = 0; i < 2; ++i) {
     large.emplace_back([&large_left, i] {
       Call("large-" + std::to_string(i), kLargeBytes);
--- a/tests/integration/random_faults_test.cc
+++ b/tests/integration/random_faults_test.cc
@@ -54,8 +54,8 @@
   /// One fault for a while, then none.
   void InjectFault() {
     auto& network = this->fleet.Network();
-    const std::string node = kNodes[this->Pick(kNodes.size())];
-    const std::string other = kEntries[this->Pick(kEntries.size())];
+    const std::string& node = kNodes[this->Pick(kNodes.size())];
+    const std::string& other = kEntries[this->Pick(kEntries.size())];
     switch (this->Pick(10)) {
       case 0:
         this->fleet.NodeProcess(node).Kill();
--- a/tests/integration/retry_bound_test.cc
+++ b/tests/integration/retry_bound_test.cc
@@ -58,6 +58,7 @@
   ASSERT_TRUE(fleet.WaitReady());
   fleet.SetTargetFault("n4", R"({"fail": true})");
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&fleet, i] {
       for (int j = 0; j < kCallsPerCaller; ++j) {
