--- a/src/membership/zero_mq_transport_options.h
+++ b/src/membership/zero_mq_transport_options.h
@@ -17,8 +17,8 @@
   int high_water_mark = 16;      ///< Messages a sending socket holds.
   std::size_t max_waiting = 16;  ///< Messages a peer not yet connected may have waiting.
   Duration retry_period = std::chrono::milliseconds(5);
-  Duration connect_timeout = std::chrono::seconds(1);  ///< Then waiting messages are dropped.
-  std::size_t max_message_bytes = std::size_t{256} << 10;
+  Duration connect_timeout = std::chrono::seconds(2);  ///< Then waiting messages are dropped.
+  std::size_t max_message_bytes = std::size_t{256} * 1024;
 };
 
 }  // namespace fireflyrun::membership
