Use targets of like speed alike for sequential calls

Cause: between two targets of equal load the one with the lower smoothed latency always won. The other got no call, so its latency never changed: 0 of 400 sequential calls went to a target 1 ms slower. Ruled out: the subset and the load heard (both equal). Change: latency decides only where it differs by a factor of 2, and in 15 of 16 choices.

--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -11,6 +11,10 @@
 
 constexpr Duration kWarmUp = std::chrono::seconds(5);
 constexpr double kLeastWarmth = 0.1;
+/// Of two targets with equal load, one is passed over when its latency is so many times higher...
+constexpr double kMuchSlower = 2;
+/// ...but for one such choice in so many, which brings news of it.
+constexpr std::uint64_t kTrySlowerEvery = 16;
 
 bool TakesCalls(const Candidate& candidate) { return !candidate.leaving && candidate.slots > 0; }
 
@@ -156,7 +160,12 @@
   const double one_score = this->Score(one, now);
   const double other_score = this->Score(other, now);
   if (one_score != other_score) return one_score < other_score;
-  return this->KnownOf(one).load.LatencySeconds() < this->KnownOf(other).load.LatencySeconds();
+  // A latency grows stale while its target is avoided, so only a great difference counts, and not
+  // always.
+  const double one_latency = this->KnownOf(one).load.LatencySeconds();
+  const double other_latency = this->KnownOf(other).load.LatencySeconds();
+  const bool much_faster = one_latency * kMuchSlower < other_latency;
+  return much_faster && this->hooks.random_below(kTrySlowerEvery) != 0;
 }
 
 double TargetChooser::Score(const Candidate& candidate, SteadyTime now) {
--- a/tests/policy/target_chooser_test.cc
+++ b/tests/policy/target_chooser_test.cc
@@ -45,6 +45,12 @@
                              AtSeconds(at));
   }
 
+  void AnswerAfter(const std::string& node, Duration latency) {
+    this->chooser.OnSent(node);
+    this->chooser.OnAnswered("tills", node, CallOutcome::kSucceeded, latency, {}, std::nullopt,
+                             AtSeconds(0));
+  }
+
   void Fail(const std::string& node, double at = 0) {
     for (int i = 0; i < 5; ++i) this->Answer(node, CallOutcome::kTimedOut, {}, std::nullopt, at);
   }
@@ -135,6 +141,25 @@
   EXPECT_LT(sent["cold"], 5);
 }
 
+TEST_F(TargetChooserTest, SequentialCallsUseTargetsOfLikeSpeedAlike) {
+  this->candidates = {Make("a", "erie-a"), Make("b", "erie-a")};
+  this->ChooseMany(10);
+  this->AnswerAfter("a", std::chrono::milliseconds(5));
+  this->AnswerAfter("b", std::chrono::milliseconds(6));
+  auto counts = this->ChooseMany(400);
+  EXPECT_GT(counts["b"], 150);
+}
+
+TEST_F(TargetChooserTest, SequentialCallsAvoidAMuchSlowerTargetButKeepTryingIt) {
+  this->candidates = {Make("a", "erie-a"), Make("b", "erie-a")};
+  this->ChooseMany(10);
+  this->AnswerAfter("a", std::chrono::milliseconds(5));
+  this->AnswerAfter("b", std::chrono::milliseconds(500));
+  auto counts = this->ChooseMany(400);
+  EXPECT_GT(counts["b"], 0);
+  EXPECT_LT(counts["b"], 60);
+}
+
 TEST_F(TargetChooserTest, EjectsAFailingTargetThenProbesItWithOneCall) {
   this->candidates = {Make("a", "erie-a"), Make("b", "erie-a"), Make("c", "erie-a")};
   this->ChosenNode();
