Split the node into what it shares with the fleet and the path of a call

Change: ControlPlane (store, records, membership, roster, key bindings) and CallPlane (callers' side, targets, links) with their parts and metrics; Node wires them. No behaviour changes.

--- /dev/null
+++ b/src/node/call_plane.cc
@@ -0,0 +1,260 @@
+#include "node/call_plane.h"
+
+#include <asio/post.hpp>
+#include <utility>
+
+#include "common/random.h"
+#include "common/timer_service.h"
+#include "http/client.h"
+#include "membership/member_state.h"
+#include "membership/membership.h"
+#include "membership/view.h"
+#include "membership/view_change.h"
+#include "node/call_dispatcher.h"
+#include "node/control_plane.h"
+#include "node/level_key.h"
+#include "node/node_metrics.h"
+#include "node/record_keeper.h"
+#include "node/target_announcement.h"
+#include "node/target_directory.h"
+#include "node/target_service.h"
+#include "node/target_watcher.h"
+#include "peer/link_pool.h"
+#include "peer/link_server.h"
+
+namespace fireflyrun::node {
+namespace {
+
+constexpr double kLinkBurstSeconds = 2;
+/// A target's node that drops a call at its deadline is given this long to say so; otherwise the
+/// caller would hear "unknown" of a call that is known not to have run.
+constexpr Duration kTruthGrace = std::chrono::milliseconds(50);
+
+peer::LinkOptions MakeLinkOptions(const NodeSettings& settings, std::uint64_t incarnation) {
+  peer::LinkOptions options;
+  options.cluster = settings.cluster;
+  options.node = settings.node;
+  options.incarnation = incarnation;
+  options.ip = settings.address;
+  options.port = settings.peer_port;
+  options.max_body_bytes = settings.max_body_bytes;
+  return options;
+}
+
+policy::TargetChooserOptions MakeChooserOptions(const NodeSettings& settings) {
+  policy::TargetChooserOptions options;
+  options.node = settings.node;
+  options.zone = settings.zone;
+  options.region = settings.region;
+  return options;
+}
+
+}  // namespace
+
+CallPlane::CallPlane(TimerService& timer_service, http::Client& http_client,
+                     const NodeSettings& node_settings, std::uint64_t own_incarnation,
+                     ControlPlane& control_plane, NodeMetrics& node_metrics)
+    : timers(timer_service),
+      settings(node_settings),
+      control(control_plane),
+      metrics(node_metrics),
+      link_budget(node_settings.link_bytes_per_second,
+                  node_settings.link_bytes_per_second * kLinkBurstSeconds, SteadyClock::now()),
+      chooser(MakeChooserOptions(node_settings),
+              {[](std::uint64_t bound) { return RandomBelow(bound); },
+               [this](std::uint64_t bytes, SteadyTime now) {
+                 return this->link_budget.TryTake(bytes, now);
+               }}),
+      directory(std::make_unique<TargetDirectory>(control_plane.Fleet())) {
+  this->ForgetGoneTargets();
+  this->CreateTarget(http_client, own_incarnation);
+  this->CreateLinks(own_incarnation);
+  this->sender = std::make_unique<AttemptSender>(this->SenderHooks(), this->chooser);
+  this->dispatcher = std::make_unique<CallDispatcher>(this->MakeDispatchServices());
+  this->caller_service =
+      std::make_unique<CallerService>(*this->dispatcher, this->contexts, this->CallerHooks());
+}
+
+CallPlane::~CallPlane() = default;
+
+void CallPlane::ForgetGoneTargets() {
+  this->control.Fleet().Subscribe(
+      [this](membership::ViewChange change, const membership::MemberState& state) {
+        const bool gone = change == membership::ViewChange::kForgotten || !state.IsPresent();
+        if (gone) this->chooser.Forget(state.member.node);
+      });
+}
+
+void CallPlane::CreateTarget(http::Client& client, std::uint64_t incarnation) {
+  TargetService::Options options;
+  options.node = this->settings.node;
+  options.incarnation = incarnation;
+  options.max_body_bytes = this->settings.max_body_bytes;
+  options.admit_all = this->settings.decisions_off;
+  this->target = std::make_unique<TargetService>(this->timers, client, this->contexts, options,
+                                                 this->metrics.TargetHooks());
+  this->target_watcher = std::make_unique<TargetWatcher>(
+      this->timers, this->control.Fleet(), *this->target, this->settings.announcement_limit);
+}
+
+void CallPlane::CreateLinks(std::uint64_t incarnation) {
+  const auto link_options = MakeLinkOptions(this->settings, incarnation);
+  this->links = std::make_unique<peer::LinkPool>(this->timers, link_options);
+  this->link_server = std::make_unique<peer::LinkServer>(
+      this->timers, link_options,
+      [this](peer::Call call, peer::LinkServer::Reply reply) {
+        this->target->OnCall(std::move(call), std::move(reply));
+      },
+      [this](const Id128& call_id) { this->target->OnCancel(call_id); });
+}
+
+Part CallPlane::LinksPart() {
+  Part part;
+  part.name = "links";
+  part.start = [this] { return this->link_server->Start(); };
+  part.stop = [this](const std::function<void()>& done) {
+    this->link_server->Close();
+    this->links->Close();
+    done();
+  };
+  return part;
+}
+
+void CallPlane::AddMetrics(NodeMetrics* out) const {
+  out->AddGauge("fireflyrun_admission_limit", "Calls that may run at the target at once.", [this] {
+    return static_cast<double>(this->target->Admission().Limit(SteadyClock::now()));
+  });
+  out->AddGauge("fireflyrun_admission_in_flight", "Calls running at the target.",
+                [this] { return static_cast<double>(this->target->Admission().InFlight()); });
+  out->AddGauge("fireflyrun_admission_queue_length", "Calls waiting for the target.",
+                [this] { return static_cast<double>(this->target->Admission().QueueLength()); });
+  out->AddGauge("fireflyrun_tickets", "Tickets remembered.",
+                [this] { return static_cast<double>(this->target->Ledger().Entries()); });
+  out->AddGauge("fireflyrun_open_links", "Links to other nodes.",
+                [this] { return static_cast<double>(this->links->OpenLinks()); });
+}
+
+void CallPlane::OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange) {
+  this->caller_service->OnRequest(std::move(request), exchange);
+}
+
+std::size_t CallPlane::OnAnnouncement(const TargetAnnouncement& announcement) {
+  this->target_watcher->OnAnnouncement(announcement);
+  return this->target->OpenCalls();
+}
+
+std::string CallPlane::DescribeTargets() const { return this->directory->Describe(); }
+
+std::uint32_t CallPlane::TicketWindow() { return this->target->TicketWindow(); }
+
+void CallPlane::Leave() {
+  this->leaving = true;
+  this->target_watcher->LeaveForGood();
+}
+
+bool CallPlane::Busy() const {
+  return this->target->OpenCalls() > 0 || this->dispatcher->InProgress() > 0;
+}
+
+bool CallPlane::HasUnclaimedAnswers() const { return this->link_server->RetainedAnswers() > 0; }
+
+AttemptSender::Hooks CallPlane::SenderHooks() {
+  AttemptSender::Hooks hooks;
+  hooks.send = [this](const peer::PeerAddress& address, peer::Call call, SteadyTime deadline,
+                      AttemptSender::AnswerHandler handler) {
+    this->SendCall(address, std::move(call), deadline, std::move(handler));
+  };
+  hooks.cancel = [this](const std::string& node, const Id128& call_id) {
+    if (node == this->settings.node) {
+      this->target->OnCancel(call_id);
+    } else {
+      this->links->Cancel(call_id);
+    }
+  };
+  hooks.one_way_delay = [this](const std::string& node) { return this->links->OneWayDelay(node); };
+  hooks.report = [this](const std::string& node, bool answered) {
+    if (answered) {
+      this->control.Fleet().ReportSuccess(node);
+    } else {
+      this->control.Fleet().ReportFailure(node);
+    }
+  };
+  return hooks;
+}
+
+DispatchServices CallPlane::MakeDispatchServices() {
+  DispatchServices services;
+  services.timers = &this->timers;
+  services.directory = this->directory.get();
+  services.chooser = &this->chooser;
+  services.sender = this->sender.get();
+  services.budgets = &this->budgets;
+  services.fixed_retries = this->settings.decisions_off;
+  services.count_repeat = [this](const OutboundCall& call, bool is_move) {
+    this->metrics.CountRepeat(call, is_move);
+  };
+  services.bind_key = [this](const std::string& service, const std::string& key,
+                             std::string proposed, const DispatchServices::TicketHandler& handler) {
+    this->control.BindKey(service, key, std::move(proposed), handler);
+  };
+  services.move_key = [this](const std::string& service, const std::string& key, std::string from,
+                             std::string to, const DispatchServices::TicketHandler& handler) {
+    this->control.MoveKey(service, key, std::move(from), std::move(to), handler);
+  };
+  return services;
+}
+
+CallerService::Hooks CallPlane::CallerHooks() {
+  CallerService::Hooks hooks;
+  hooks.configuration = [this] { return this->control.Records().InForce(); };
+  hooks.mint_ticket = [this](const records::RoutePolicy& route) { return this->MintTicket(route); };
+  hooks.on_ended = [this](const OutboundCall& call, const CallResult& result, Duration latency) {
+    this->metrics.OnEnded(call, result, latency);
+  };
+  hooks.stopping = [this] { return this->leaving; };
+  return hooks;
+}
+
+bool CallPlane::IsInOtherRegion(const std::string& node) const {
+  const auto* state = this->control.Fleet().GetView().Find(node);
+  return state != nullptr && state->member.region != this->settings.region;
+}
+
+AttemptSender::AnswerHandler CallPlane::ChargingLink(AttemptSender::AnswerHandler handler) {
+  return [this, handler = std::move(handler)](tl::expected<peer::Answer, peer::LinkError> ended) {
+    if (ended) this->link_budget.Charge(ended->body.size(), SteadyClock::now());
+    handler(std::move(ended));
+  };
+}
+
+void CallPlane::SendCall(const peer::PeerAddress& address, peer::Call call, SteadyTime deadline,
+                         AttemptSender::AnswerHandler handler) {
+  if (address.node != this->settings.node) {
+    if (this->IsInOtherRegion(address.node)) handler = this->ChargingLink(std::move(handler));
+    this->links->Send(address, std::move(call), deadline + kTruthGrace, std::move(handler));
+    return;
+  }
+  // The local target's own node: no link, but still a later turn of the loop.
+  asio::post(this->timers.Loop(),
+             [this, call = std::move(call), handler = std::move(handler)]() mutable {
+               this->target->OnCall(std::move(call), [this, handler](peer::Answer answer) {
+                 asio::post(this->timers.Loop(), [handler, answer = std::move(answer)]() mutable {
+                   handler(std::move(answer));
+                 });
+               });
+             });
+}
+
+std::optional<std::string> CallPlane::MintTicket(const records::RoutePolicy& route) {
+  const auto key = policy::KeyFor(static_cast<std::uint32_t>(route.rank), Id128::Random());
+  const policy::CallClass call_class{route.class_name, static_cast<std::uint32_t>(route.rank),
+                                     route.may_leave_region};
+  const policy::TargetQuery query{route.service, LevelKey(route), call_class, key, {}, 0};
+  const auto choice =
+      this->chooser.Choose(query, this->directory->CandidatesOf(route.service), SteadyClock::now());
+  if (!choice) return std::nullopt;
+  const auto window = this->directory->TicketWindowOf(choice->node);
+  return policy::Ticket::Mint(choice->node, choice->incarnation, window).ToText();
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/call_plane.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "common/clock.h"
+#include "node/attempt_sender.h"
+#include "node/caller_service.h"
+#include "node/context_table.h"
+#include "node/dispatch_services.h"
+#include "node/node_settings.h"
+#include "node/part.h"
+#include "node/retry_budgets.h"
+#include "policy/byte_budget.h"
+#include "policy/target_chooser.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+namespace fireflyrun::http {
+class Client;
+}
+namespace fireflyrun::peer {
+class LinkPool;
+class LinkServer;
+}  // namespace fireflyrun::peer
+
+namespace fireflyrun::node {
+
+class CallDispatcher;
+class ControlPlane;
+class NodeMetrics;
+class TargetDirectory;
+class TargetService;
+class TargetWatcher;
+struct TargetAnnouncement;
+
+/// The path of a call through a node: the callers' side, the choice of targets, the links to other
+/// nodes, and the local target's side.
+class CallPlane {
+ public:
+  CallPlane(TimerService& timer_service, http::Client& http_client,
+            const NodeSettings& node_settings, std::uint64_t own_incarnation,
+            ControlPlane& control_plane, NodeMetrics& node_metrics);
+  ~CallPlane();
+  CallPlane(const CallPlane&) = delete;
+  CallPlane& operator=(const CallPlane&) = delete;
+
+  /// The links as a part of the node.
+  Part LinksPart();
+  void AddMetrics(NodeMetrics* metrics) const;
+
+  void OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange);
+  /// Returns how many calls are still open at the target or on the way to it.
+  std::size_t OnAnnouncement(const TargetAnnouncement& announcement);
+  std::string DescribeTargets() const;
+  std::uint32_t TicketWindow();
+
+  /// The local target takes no new call from now on, and callers are sent elsewhere.
+  void Leave();
+  bool Leaving() const { return this->leaving; }
+  bool Busy() const;
+  bool HasUnclaimedAnswers() const;
+
+ private:
+  void CreateTarget(http::Client& client, std::uint64_t incarnation);
+  void CreateLinks(std::uint64_t incarnation);
+  AttemptSender::Hooks SenderHooks();
+  DispatchServices MakeDispatchServices();
+  CallerService::Hooks CallerHooks();
+  void ForgetGoneTargets();
+  void SendCall(const peer::PeerAddress& address, peer::Call call, SteadyTime deadline,
+                AttemptSender::AnswerHandler handler);
+  bool IsInOtherRegion(const std::string& node) const;
+  /// Takes the answer's bytes from the inter-region budget, too.
+  AttemptSender::AnswerHandler ChargingLink(AttemptSender::AnswerHandler handler);
+  std::optional<std::string> MintTicket(const records::RoutePolicy& route);
+
+  TimerService& timers;
+  const NodeSettings& settings;
+  ControlPlane& control;
+  NodeMetrics& metrics;
+  ContextTable contexts;
+  RetryBudgets budgets;
+  policy::ByteBudget link_budget;
+  policy::TargetChooser chooser;
+  std::unique_ptr<TargetDirectory> directory;
+  std::unique_ptr<TargetService> target;
+  std::unique_ptr<TargetWatcher> target_watcher;
+  std::unique_ptr<peer::LinkPool> links;
+  std::unique_ptr<peer::LinkServer> link_server;
+  std::unique_ptr<AttemptSender> sender;
+  std::unique_ptr<CallDispatcher> dispatcher;
+  std::unique_ptr<CallerService> caller_service;
+  bool leaving = false;
+};
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/control_plane.cc
@@ -0,0 +1,213 @@
+#include "node/control_plane.h"
+
+#include <stdexcept>
+#include <utility>
+
+#include "common/timer_service.h"
+#include "http/client.h"
+#include "membership/membership.h"
+#include "membership/zero_mq_transport.h"
+#include "node/node_metrics.h"
+#include "node/record_keeper.h"
+#include "store/etcd_store.h"
+#include "store/key_binder.h"
+#include "store/record_store.h"
+#include "store/roster.h"
+
+namespace fireflyrun::node {
+namespace {
+
+using policy::RefusalReason;
+
+constexpr Duration kTicketWindowPeriod = std::chrono::seconds(1);
+constexpr Duration kContactPeriod = std::chrono::seconds(1);
+/// Delegates look for a part of the fleet that they have never met once in so many periods.
+constexpr unsigned kReunionPeriods = 30;
+
+std::string Endpoint(const std::string& ip, std::uint16_t port) {
+  return ip + ':' + std::to_string(port);
+}
+
+const std::string& AdvertisedAddress(const NodeSettings& settings) {
+  return settings.advertised_address.empty() ? settings.address : settings.advertised_address;
+}
+
+membership::Member SelfMember(const NodeSettings& settings, std::uint64_t incarnation) {
+  membership::Member self;
+  self.node = settings.node;
+  self.incarnation = incarnation;
+  self.region = settings.region;
+  self.zone = settings.zone;
+  self.ip = AdvertisedAddress(settings);
+  self.caller_port = settings.caller_port;
+  self.peer_port = settings.peer_port;
+  self.control_port = settings.control_port;
+  self.admin_port = settings.admin_port;
+  return self;
+}
+
+store::RosterEntry SelfRosterEntry(const NodeSettings& settings) {
+  return {settings.zone, settings.node,
+          Endpoint(AdvertisedAddress(settings), settings.control_port),
+          Endpoint(settings.address, settings.admin_port)};
+}
+
+tl::expected<std::string, RefusalReason> ToTicketAnswer(
+    tl::expected<std::string, store::StoreError> standing) {
+  if (!standing) return tl::unexpected(RefusalReason::kStoreUnavailable);
+  return std::move(*standing);
+}
+
+}  // namespace
+
+ControlPlane::ControlPlane(TimerService& timer_service, http::Client& http_client,
+                           const NodeSettings& node_settings, std::uint64_t own_incarnation)
+    : timers(timer_service), settings(node_settings), supervisor(timer_service, "control") {
+  this->CreateStore(http_client);
+  this->CreateMembership(own_incarnation);
+  this->supervisor.Add(this->MembershipPart());
+  this->supervisor.Add(this->RecordsPart());
+  if (this->roster) this->supervisor.Add(this->RosterPart());
+}
+
+ControlPlane::~ControlPlane() = default;
+
+Part ControlPlane::AsPart(std::function<std::uint32_t()> ticket_window) {
+  this->current_window = std::move(ticket_window);
+  return this->supervisor.AsPart();
+}
+
+void ControlPlane::CreateStore(http::Client& client) {
+  if (!this->settings.store_endpoints.empty()) {
+    store::EtcdStoreOptions options;
+    options.endpoints = this->settings.store_endpoints;
+    this->store = std::make_unique<store::EtcdStore>(client, this->timers, options);
+    this->record_store =
+        std::make_unique<store::RecordStore>(*this->store, this->timers, this->settings.cluster);
+    this->key_binder =
+        std::make_unique<store::KeyBinder>(*this->store, this->timers, this->settings.cluster);
+    this->roster = std::make_unique<store::Roster>(
+        *this->store, this->timers, this->settings.cluster, SelfRosterEntry(this->settings));
+  }
+  this->records = std::make_unique<RecordKeeper>(this->timers, this->record_store.get());
+}
+
+void ControlPlane::CreateMembership(std::uint64_t incarnation) {
+  membership::MembershipOptions options;
+  options.cluster = this->settings.cluster;
+  options.self = SelfMember(this->settings, incarnation);
+  const auto send = [this](const std::string& address, std::string bytes) {
+    if (this->transport) this->transport->Send(address, std::move(bytes));
+  };
+  this->membership =
+      std::make_unique<membership::Membership>(this->timers, options, send, this->records->Hooks());
+}
+
+void ControlPlane::AddMetrics(NodeMetrics* metrics) const {
+  const auto counters = [this]() -> const auto& { return this->membership->Counters(); };
+  metrics->AddGauge("fireflyrun_records_revision", "Revision of the records in force.",
+                    [this] { return static_cast<double>(this->records->Book().Revision()); });
+  metrics->AddGauge("fireflyrun_members", "Nodes known, this one included.", [this] {
+    return static_cast<double>(this->membership->GetView().CountPresent());
+  });
+  metrics->AddCounter("fireflyrun_control_sent_bytes_total", "Control bytes sent.",
+                      [counters] { return static_cast<double>(counters().bytes_sent); });
+  metrics->AddCounter("fireflyrun_control_received_bytes_total", "Control bytes received.",
+                      [counters] { return static_cast<double>(counters().bytes_received); });
+  metrics->AddCounter("fireflyrun_control_sent_messages_total", "Control messages sent.",
+                      [counters] { return static_cast<double>(counters().messages_sent); });
+}
+
+void ControlPlane::BindKey(const std::string& service, const std::string& key, std::string proposed,
+                           const DispatchServices::TicketHandler& handler) {
+  if (!this->key_binder) {
+    handler(tl::unexpected(RefusalReason::kStoreUnavailable));
+    return;
+  }
+  this->key_binder->Bind(service, key, std::move(proposed), [handler](auto standing) {
+    handler(ToTicketAnswer(std::move(standing)));
+  });
+}
+
+void ControlPlane::MoveKey(const std::string& service, const std::string& key, std::string from,
+                           std::string to, const DispatchServices::TicketHandler& handler) {
+  if (!this->key_binder) {
+    handler(tl::unexpected(RefusalReason::kStoreUnavailable));
+    return;
+  }
+  this->key_binder->Move(service, key, std::move(from), std::move(to), [handler](auto standing) {
+    handler(ToTicketAnswer(std::move(standing)));
+  });
+}
+
+Part ControlPlane::MembershipPart() {
+  Part part;
+  part.name = "membership";
+  part.start = [this]() -> tl::expected<void, std::string> {
+    membership::ZeroMqTransportOptions options;
+    options.ip = this->settings.address;
+    options.port = this->settings.control_port;
+    try {
+      this->transport = std::make_unique<membership::ZeroMqTransport>(
+          this->timers, options,
+          [this](std::string_view bytes) { this->membership->OnMessage(bytes); });
+    } catch (const std::runtime_error& error) {
+      return tl::unexpected(std::string(error.what()));
+    }
+    for (const auto& seed : this->settings.seeds) this->membership->AddContact(seed);
+    this->membership->SetTicketWindow(this->current_window());
+    this->membership->Start();
+    this->window_timer = this->timers.Every(
+        kTicketWindowPeriod, [this] { this->membership->SetTicketWindow(this->current_window()); });
+    return {};
+  };
+  part.stop = [this](std::function<void()> done) {
+    this->window_timer.Reset();
+    this->membership->Leave(std::move(done));
+  };
+  return part;
+}
+
+Part ControlPlane::RecordsPart() {
+  Part part;
+  part.name = "records";
+  part.start = [this]() -> tl::expected<void, std::string> {
+    this->records->Start(*this->membership);
+    return {};
+  };
+  part.stop = [this](const std::function<void()>& done) {
+    this->records->Stop();
+    done();
+  };
+  return part;
+}
+
+void ControlPlane::RefreshContacts() {
+  const bool reunion_due = ++this->contact_rounds % kReunionPeriods == 0;
+  const bool look_for_others = this->membership->WantsWatch() && reunion_due;
+  if (this->membership->HasJoined() && !look_for_others) return;
+  store::ReadRoster(*this->store, this->settings.cluster, [this](auto entries) {
+    if (!entries) return;
+    for (const auto& entry : *entries) {
+      if (entry.node != this->settings.node) this->membership->AddContact(entry.control_address);
+    }
+  });
+}
+
+Part ControlPlane::RosterPart() {
+  Part part;
+  part.name = "roster";
+  part.start = [this]() -> tl::expected<void, std::string> {
+    this->roster->Start();
+    this->RefreshContacts();
+    this->contact_timer = this->timers.Every(kContactPeriod, [this] { this->RefreshContacts(); });
+    return {};
+  };
+  part.stop = [this](std::function<void()> done) {
+    this->contact_timer.Reset();
+    this->roster->Leave(std::move(done));
+  };
+  return part;
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/control_plane.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "common/timer_subscription.h"
+#include "node/dispatch_services.h"
+#include "node/node_settings.h"
+#include "node/part.h"
+#include "node/supervisor.h"
+
+namespace fireflyrun {
+class TimerService;
+}
+namespace fireflyrun::http {
+class Client;
+}
+namespace fireflyrun::membership {
+class Membership;
+class ZeroMqTransport;
+}  // namespace fireflyrun::membership
+namespace fireflyrun::store {
+class EtcdStore;
+class KeyBinder;
+class RecordStore;
+class Roster;
+}  // namespace fireflyrun::store
+
+namespace fireflyrun::node {
+
+class NodeMetrics;
+class RecordKeeper;
+
+/// What a node shares with the fleet and the platform: membership, records, the roster, and the
+/// bindings of callers' keys.
+class ControlPlane {
+ public:
+  ControlPlane(TimerService& timer_service, http::Client& http_client,
+               const NodeSettings& node_settings, std::uint64_t own_incarnation);
+  ~ControlPlane();
+  ControlPlane(const ControlPlane&) = delete;
+  ControlPlane& operator=(const ControlPlane&) = delete;
+
+  /// Its parts as one, for the node's supervisor. `ticket_window` gives the local target's current
+  /// ticket window, which is told to the fleet.
+  Part AsPart(std::function<std::uint32_t()> ticket_window);
+  void AddMetrics(NodeMetrics* metrics) const;
+
+  membership::Membership& Fleet() { return *this->membership; }
+  const RecordKeeper& Records() const { return *this->records; }
+
+  /// Binds a key to a ticket in the store; kStoreUnavailable without a store.
+  void BindKey(const std::string& service, const std::string& key, std::string proposed,
+               const DispatchServices::TicketHandler& handler);
+  /// Moves a binding from a voided ticket to its successor.
+  void MoveKey(const std::string& service, const std::string& key, std::string from, std::string to,
+               const DispatchServices::TicketHandler& handler);
+
+ private:
+  void CreateStore(http::Client& client);
+  void CreateMembership(std::uint64_t incarnation);
+  Part MembershipPart();
+  Part RecordsPart();
+  Part RosterPart();
+  void RefreshContacts();
+
+  TimerService& timers;
+  const NodeSettings& settings;
+  std::unique_ptr<store::EtcdStore> store;
+  std::unique_ptr<store::RecordStore> record_store;
+  std::unique_ptr<store::KeyBinder> key_binder;
+  std::unique_ptr<store::Roster> roster;
+  std::unique_ptr<RecordKeeper> records;
+  std::unique_ptr<membership::ZeroMqTransport> transport;
+  std::unique_ptr<membership::Membership> membership;
+  Supervisor supervisor;
+  std::function<std::uint32_t()> current_window;
+  TimerSubscription window_timer;
+  TimerSubscription contact_timer;
+  unsigned contact_rounds = 0;
+};
+
+}  // namespace fireflyrun::node
