Keep a replaced target's last words from withdrawing the new one

Cause: a target that leaves repeats "leaving" while it finishes; if another target on the host has taken its place, the node flipped between leaving and serving with each announcement. And it was told of all open calls, the new target's included, so it might never have ended. A reading of the store that failed after a gap was not tried again before the next change. Change: "leaving" from an address that has been replaced is not heeded; open calls are counted for each address; the reading is repeated until it succeeds.

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -140,7 +140,7 @@
 
 std::size_t CallPlane::OnAnnouncement(const TargetAnnouncement& announcement) {
   this->target_watcher->OnAnnouncement(announcement);
-  return this->target->OpenCalls();
+  return this->target->OpenCallsOf(announcement.target.address);
 }
 
 std::string CallPlane::DescribeTargets() const { return this->directory->Describe(); }
--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -33,6 +33,7 @@
   SteadyTime deadline;
   std::optional<policy::Ticket> ticket;
   std::shared_ptr<CallContext> context;  ///< Set once the target runs it.
+  std::string target_address;            ///< Set with the context.
   http::Client::RequestId request = 0;
   std::vector<Joined> joined;
 };
--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -58,7 +58,8 @@
     this->store->StopWatch();
     this->watching = false;
   }
-  if (this->book.Revision() == 0 && !this->watching) this->ReadStore();
+  const bool without_records = this->book.Revision() == 0 && !this->watching;
+  if (this->read_wanted || without_records) this->ReadStore();
 }
 
 void RecordKeeper::WatchStore() {
@@ -90,9 +91,12 @@
 void RecordKeeper::ReadStore() {
   if (this->store == nullptr || this->reading) return;
   this->reading = true;
+  this->read_wanted = true;
   this->store->Read([this](tl::expected<store::RecordListing, store::StoreError> listing) {
     this->reading = false;
-    if (listing) this->OnTransfer(listing->transfer);
+    if (!listing) return;
+    this->read_wanted = false;
+    this->OnTransfer(listing->transfer);
   });
 }
 
--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -58,6 +58,7 @@
   TimerSubscription check_timer;
   bool watching = false;
   bool reading = false;
+  bool read_wanted = false;  ///< Until a reading of the store succeeds.
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -108,6 +108,15 @@
 
 policy::Ticket TargetService::MintOwnTicket() { return this->ledger.MintOwn(SteadyClock::now()); }
 
+std::size_t TargetService::OpenCallsOf(const std::string& address) const {
+  const bool is_current = this->target && this->target->address == address;
+  const auto belongs = [&](const auto& entry) {
+    const InboundCall& inbound = *entry.second;
+    return inbound.context ? inbound.target_address == address : is_current;
+  };
+  return static_cast<std::size_t>(std::count_if(this->calls.begin(), this->calls.end(), belongs));
+}
+
 TargetService::CallPointer TargetService::Find(const Id128& id) const {
   const auto found = this->calls.find(id);
   return found == this->calls.end() ? nullptr : found->second;
@@ -225,6 +234,7 @@
 
 void TargetService::SendToTarget(const CallPointer& inbound) {
   inbound->context = MakeContext(*inbound);
+  inbound->target_address = this->target->address;
   this->contexts.Add(inbound->context);
   auto request = BuildTargetRequest(inbound->call, this->target->address, inbound->context->handle,
                                     inbound->deadline);
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -69,6 +69,10 @@
   policy::Ticket MintOwnTicket();
 
   std::size_t OpenCalls() const { return this->calls.size(); }
+  /// Calls that the target at `address` runs, and those waiting for it.
+  std::size_t OpenCallsOf(const std::string& address) const;
+  /// Null while there is none.
+  const TargetAddress* Target() const { return this->target ? &*this->target : nullptr; }
   const policy::AdmissionController& Admission() const { return this->admission; }
   const policy::TicketLedger& Ledger() const { return this->ledger; }
 
--- a/src/node/target_watcher.cc
+++ b/src/node/target_watcher.cc
@@ -19,6 +19,7 @@
 }
 
 void TargetWatcher::OnAnnouncement(const TargetAnnouncement& announcement) {
+  if (this->IsReplaced(announcement)) return;
   const bool first = !this->last_heard;
   this->last_heard = SteadyClock::now();
   this->target.SetTarget(announcement.target);
@@ -29,12 +30,21 @@
     this->SetLeaving();
     return;
   }
+  this->serving = true;
   this->target.SetLeaving(false);
   this->membership.AnnounceTarget(service, announcement.target.slots);
   this->membership.SetTargetState(membership::TargetState::kServing);
 }
 
+bool TargetWatcher::IsReplaced(const TargetAnnouncement& announcement) const {
+  const TargetAddress* current = this->target.Target();
+  const bool other_serves =
+      current != nullptr && this->serving && current->address != announcement.target.address;
+  return other_serves && announcement.state == membership::TargetState::kLeaving;
+}
+
 void TargetWatcher::SetLeaving() {
+  this->serving = false;
   this->target.SetLeaving(true);
   this->membership.SetTargetState(membership::TargetState::kLeaving);
 }
@@ -47,6 +57,7 @@
 void TargetWatcher::CheckSilence() {
   if (!this->last_heard || SteadyClock::now() - *this->last_heard < this->limit) return;
   this->last_heard.reset();
+  this->serving = false;
   Log(LogLevel::kWarning, "target", "event=silent");
   this->target.WithdrawTarget();
   this->membership.SetTargetState(membership::TargetState::kAbsent);
--- a/src/node/target_watcher.h
+++ b/src/node/target_watcher.h
@@ -32,11 +32,14 @@
  private:
   void CheckSilence();
   void SetLeaving();
+  /// A leaving target whose place on this host another one has taken already.
+  bool IsReplaced(const TargetAnnouncement& announcement) const;
 
   membership::Membership& membership;
   TargetService& target;
   Duration limit;
   std::optional<SteadyTime> last_heard;
+  bool serving = false;
   bool node_stopping = false;
   TimerSubscription silence_timer;
 };
