Refuse a service named tickets, and name server errors in one place

Cause: a record for a service "tickets" passed the check, but nodes answer /tickets themselves, so it could never be called. The first status of server errors stood in five files. Before: RefusesTheNameOfTheNodesOwnPath failed.

--- a/src/node/attempt_sender.cc
+++ b/src/node/attempt_sender.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/status.h"
 #include "node/level_key.h"
 #include "node/outbound_call.h"
 #include "node/ticket_codec.h"
@@ -17,8 +18,6 @@
 using policy::CallOutcome;
 using policy::RefusalReason;
 
-constexpr int kFirstServerErrorStatus = 500;
-
 bool IsLoadRefusal(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kOverload:
@@ -38,7 +37,7 @@
   if (!result.from_target_node) return CallOutcome::kLinkLost;
   if (result.reason == RefusalReason::kDownstreamFailed) return CallOutcome::kRefused;
   if (result.outcome == peer::pb::OUTCOME_ANSWERED) {
-    const bool server_error = result.answer.head.status() >= kFirstServerErrorStatus;
+    const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
     return server_error ? CallOutcome::kFailed : CallOutcome::kSucceeded;
   }
   if (IsLoadRefusal(result.reason)) return CallOutcome::kRefused;
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "http/request_target.h"
+#include "http/status.h"
 #include "node/call_context.h"
 #include "node/call_dispatcher.h"
 #include "node/call_result.h"
@@ -27,10 +28,9 @@
 constexpr std::uint64_t kMaxDeadlineMs = 600'000;
 constexpr std::uint32_t kMaxDepth = 64;
 constexpr int kCreatedStatus = 201;
-constexpr int kFirstServerErrorStatus = 500;
 
 bool IsServerError(const CallResult& result) {
-  return !result.Answered() || result.status >= kFirstServerErrorStatus;
+  return !result.Answered() || http::IsServerError(result.status);
 }
 
 /// What the calls below tell about the call that they were made for.
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -6,6 +6,7 @@
 
 #include "common/random.h"
 #include "common/timer_service.h"
+#include "http/status.h"
 #include "node/attempt_sender.h"
 #include "node/call_context.h"
 #include "node/level_key.h"
@@ -24,7 +25,6 @@
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(4);
 constexpr std::uint32_t kMaxDelayDoublings = 4;
 constexpr Duration kRedeliveryDelay = std::chrono::milliseconds(50);
-constexpr int kFirstServerErrorStatus = 500;
 
 Duration RetryDelay(std::uint32_t retries) {
   const Duration longest = kFirstRetryDelay * (1U << std::min(retries, kMaxDelayDoublings));
@@ -231,7 +231,7 @@
   this->attempt_id.reset();
   if (result.outcome == Outcome::OUTCOME_ANSWERED) {
     this->ran = true;
-    const bool server_error = result.answer.head.status() >= kFirstServerErrorStatus;
+    const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
     if (!server_error) this->services.budgets->Of(this->call.route->retry).OnSuccess();
     const bool repeatable = this->call.ticket_source == TicketSource::kNone;
     if (server_error && repeatable && this->MayRetry(result)) {
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/status.h"
 #include "node/call_result.h"
 #include "node/outbound_call.h"
 #include "policy/refusal_reason.h"
@@ -13,8 +14,6 @@
 using metrics::CallCounter;
 using metrics::CallTiming;
 
-constexpr int kFirstServerErrorStatus = 500;
-
 /// In the order of the enum's values, which index the refusal counters.
 std::vector<std::string> ReasonNames() {
   std::vector<std::string> names;
@@ -60,7 +59,7 @@
   if (!result.Answered()) {
     this->calls.CountRefusal(series, static_cast<std::size_t>(result.reason));
   }
-  if (!result.Answered() || result.status >= kFirstServerErrorStatus) {
+  if (!result.Answered() || http::IsServerError(result.status)) {
     this->calls.Count(series, CallCounter::kFailures);
   }
 }
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "common/timer_service.h"
+#include "http/status.h"
 #include "node/answer_codec.h"
 #include "node/call_context.h"
 #include "node/context_table.h"
@@ -19,7 +20,6 @@
 using policy::ClaimState;
 using policy::RefusalReason;
 
-constexpr int kFirstServerErrorStatus = 500;
 constexpr int kServiceUnavailableStatus = 503;
 constexpr std::uint32_t kRememberedWindows = 12;
 constexpr std::size_t kTicketsPerWindow = 16'000;
@@ -259,7 +259,7 @@
 void TargetService::OnTargetAnswer(const CallPointer& inbound, http::Response response) {
   const SteadyTime now = SteadyClock::now();
   const Duration service_time = now - inbound->started;
-  const bool server_error = response.status >= kFirstServerErrorStatus;
+  const bool server_error = http::IsServerError(response.status);
   const bool child_failed = inbound->context->child_failed;
   if (!server_error) {
     this->admission.Finished(inbound->id, service_time, true, now);
@@ -335,7 +335,7 @@
   }
   const bool all_spent = lent > 0 && unused == 0;
   const bool failed = answer.head.outcome() != Outcome::OUTCOME_ANSWERED ||
-                      answer.head.status() >= kFirstServerErrorStatus;
+                      http::IsServerError(static_cast<int>(answer.head.status()));
   const bool child_final = context && context->child_final;
   answer.head.set_final(failed && (all_spent || child_final));
   this->ReplyTo(inbound->call.head.call_id(), inbound->reply, unused, std::move(answer));
--- a/src/records/record_parser.cc
+++ b/src/records/record_parser.cc
@@ -18,6 +18,8 @@
 constexpr std::int64_t kMinDeadlineMs = 10;
 constexpr std::int64_t kMaxDeadlineMs = 600'000;
 constexpr std::int64_t kMaxBodyBytesLimit = std::int64_t{256} << 20;
+/// The first path segment under which nodes themselves issue tickets.
+constexpr std::string_view kReservedServiceName = "tickets";
 constexpr std::int64_t kMaxRank = 63;
 constexpr std::int64_t kMaxRetriesPerRequest = 20;
 constexpr std::int64_t kMaxRetryBurst = 10'000;
@@ -98,6 +100,9 @@
 ServiceRecord ParseService(FieldReader& reader, const RecordKey& key, Findings& findings) {
   ServiceRecord service;
   service.name = key.name;
+  if (key.name == kReservedServiceName) {
+    reader.Report("name", "is \"tickets\"; allowed is any other name, for nodes answer /tickets");
+  }
   service.schema = key.schema;
   service.priority = reader.Name("priority", Presence::kRequired).value_or("");
   service.retry_allowance = reader.Name("retry_allowance", Presence::kRequired).value_or("");
--- a/tests/records/record_checker_test.cc
+++ b/tests/records/record_checker_test.cc
@@ -56,6 +56,16 @@
   EXPECT_EQ(report.find("F:/3/retry_allowance"), std::string::npos) << report;
 }
 
+TEST(RecordCheckerTest, RefusesTheNameOfTheNodesOwnPath) {
+  const std::string report = Check(R"([
+    {"kind":"priority","schema":1,"name":"p","rank":1,"may_leave_region":true},
+    {"kind":"retry_allowance","schema":1,"name":"r","retries_per_request":1,"success_ratio":0.1,
+     "burst":1},
+    {"kind":"service","schema":1,"name":"tickets","priority":"p","retry_allowance":"r",
+     "deadline_ms":50,"idempotent":true}])");
+  EXPECT_NE(report.find("F:/2/name: is \"tickets\""), std::string::npos) << report;
+}
+
 TEST(RecordCheckerTest, ReportsRoutes) {
   const std::string report = Check(R"({"kind":"service","schema":2,"name":"s","priority":"reads",
     "retry_allowance":"standard","deadline_ms":50,"idempotent":true,"max_body_bytes":-1,"routes":[
