Check IP:PORT in one place

Cause: the node's settings and the target's announcement each parsed IP:PORT with the same code. Change: common/endpoint.h, called by both; no behaviour changes. The operators' commands keep their own check, which builds on their number parser.

--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -9,6 +9,8 @@
 #include <set>
 #include <string_view>
 
+#include "common/endpoint.h"
+
 namespace fireflyrun::node {
 namespace {
 
@@ -31,19 +33,9 @@
 }
 
 Problem CheckEndpoint(std::string_view value) {
-  const auto colon = value.rfind(':');
-  const std::string message =
-      fmt::format("\"{}\" is not an address; allowed is IP:PORT with a port of 1 to 65535", value);
-  if (colon == std::string_view::npos) return message;
-  asio::error_code error;
-  asio::ip::make_address(std::string(value.substr(0, colon)), error);
-  unsigned port = 0;
-  const std::string_view digits = value.substr(colon + 1);
-  const auto [end, number_error] =
-      std::from_chars(digits.data(), digits.data() + digits.size(), port);
-  const bool whole = number_error == std::errc{} && end == digits.data() + digits.size();
-  if (error || !whole || port < 1 || port > 65535) return message;
-  return std::nullopt;
+  if (IsEndpoint(value)) return std::nullopt;
+  return fmt::format("\"{}\" is not an address; allowed is IP:PORT with a port of 1 to 65535",
+                     value);
 }
 
 template <typename Number>
--- a/src/node/target_announcement.cc
+++ b/src/node/target_announcement.cc
@@ -1,9 +1,8 @@
 #include "node/target_announcement.h"
 
-#include <asio/ip/address.hpp>
-#include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "common/endpoint.h"
 #include "records/record_key.h"
 
 namespace fireflyrun::node {
@@ -12,19 +11,6 @@
 using nlohmann::json;
 
 constexpr std::uint32_t kMaxSlots = 10'000;
-constexpr unsigned kMaxPort = 65'535;
-
-bool IsAddress(const std::string& text) {
-  const auto colon = text.rfind(':');
-  if (colon == std::string::npos) return false;
-  asio::error_code error;
-  asio::ip::make_address(text.substr(0, colon), error);
-  unsigned port = 0;
-  const char* const first = text.data() + colon + 1;
-  const char* const last = text.data() + text.size();
-  const auto [end, number_error] = std::from_chars(first, last, port);
-  return !error && number_error == std::errc{} && end == last && port >= 1 && port <= kMaxPort;
-}
 
 void ReadService(const json& document, TargetAnnouncement* announcement, Findings* findings) {
   const auto field = document.find("service");
@@ -38,7 +24,7 @@
 
 void ReadAddress(const json& document, TargetAnnouncement* announcement, Findings* findings) {
   const auto field = document.find("address");
-  if (field == document.end() || !field->is_string() || !IsAddress(field->get<std::string>())) {
+  if (field == document.end() || !field->is_string() || !IsEndpoint(field->get<std::string>())) {
     findings->push_back({"/address", "is not IP:PORT with a port of 1 to 65535"});
     return;
   }
