--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -4,7 +4,9 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <optional>
 #include <string>
 
@@ -12,6 +14,7 @@
 #include "common/log.h"
 #include "node/node.h"
 #include "node/node_setting_table.h"
+#include "platform/adapter.h"
 
 namespace fireflyrun::cli {
 namespace {
@@ -22,6 +25,12 @@
   return std::string(value);
 }
 
+std::optional<std::string> ReadWholeFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
 /// Stops the node on the first signal and the loop on the second.
 class SignalHandler {
  public:
@@ -59,7 +68,9 @@
   InitializeLog(settings.node, settings.log_level);
   // One thread runs the loop, so Asio needs no locks.
   asio::io_context loop(1);
-  node::Node node(loop, settings);
+  const bool on_platform = settings.store_protocol == node::StoreProtocol::kPlatform;
+  node::Node node(loop, settings,
+                  on_platform ? platform::MakeAdapter() : node::PlatformAdapter());
   if (const auto started = node.Start(); !started) {
     Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
     return kExitFailed;
@@ -76,7 +87,7 @@
 }  // namespace
 
 int RunNode(int argc, char** argv) {
-  const auto parsed = node::ParseNodeSettings(argc, argv, ReadEnvironmentVariable);
+  const auto parsed = node::ParseNodeSettings(argc, argv, ReadEnvironmentVariable, ReadWholeFile);
   if (parsed.help) {
     std::cout << node::NodeHelp();
     return kExitDone;
--- a/src/node/admin_service.cc
+++ b/src/node/admin_service.cc
@@ -8,6 +8,14 @@
 namespace {
 
 constexpr std::string_view kJson = "application/json";
+constexpr std::string_view kTargetPath = "/target";
+constexpr std::string_view kTargetWithId = "/target?id=";
+
+/// Empty when the request names none.
+std::string_view TargetIdOf(const http::Request& request) {
+  const std::string_view target = request.target;
+  return target.starts_with(kTargetWithId) ? target.substr(kTargetWithId.size()) : "";
+}
 
 http::Response TextResponse(int status, std::string_view type, std::string body) {
   return {status, {{"Content-Type", std::string(type)}}, std::move(body)};
@@ -20,8 +28,13 @@
 void AdminService::OnRequest(const http::Request& request,
                              const std::shared_ptr<http::Exchange>& exchange) {
   const bool get = request.method == "GET";
-  if (request.method == "PUT" && request.target == "/target") {
+  const bool about_target =
+      request.target == kTargetPath || request.target.starts_with(kTargetWithId);
+  if (request.method == "PUT" && about_target) {
     this->OnAnnouncement(request, *exchange);
+  } else if (request.method == "DELETE" && about_target) {
+    this->hooks.on_departure(std::string(TargetIdOf(request)));
+    exchange->Respond(TextResponse(200, kJson, "{}"));
   } else if (get && request.target == "/metrics") {
     exchange->Respond(TextResponse(200, "text/plain; version=0.0.4", this->hooks.render_metrics()));
   } else if (get && request.target == "/fleet") {
@@ -42,7 +55,7 @@
 }
 
 void AdminService::OnAnnouncement(const http::Request& request, http::Exchange& exchange) {
-  const auto announcement = ParseAnnouncement(request.body);
+  const auto announcement = ParseAnnouncement(TargetIdOf(request), request.body);
   if (!announcement) {
     exchange.Respond(http::MakeProblem(400, "bad-announcement", "The announcement is not valid",
                                        FormatFindings(announcement.error())));
--- a/src/node/admin_service.h
+++ b/src/node/admin_service.h
@@ -16,6 +16,8 @@
   struct Hooks {
     /// Returns how many calls the node still has at the target or on the way to it.
     std::function<std::size_t(const TargetAnnouncement&)> on_announcement;
+    /// The target with this id leaves.
+    std::function<void(const std::string& id)> on_departure;
     std::function<std::string()> render_metrics;
     /// Collects the fleet's report as JSON.
     std::function<void(std::function<void(std::string)>)> collect_fleet;
@@ -28,7 +30,7 @@
 
   explicit AdminService(Hooks service_hooks);
 
-  /// `PUT /target`, `GET /metrics`, `/fleet`, `/records`, `/targets`, `/health`.
+  /// `PUT /target[?id=ID]`, `DELETE /target?id=ID`, `GET /metrics`, `/fleet`, `/records`, `/targets`, `/health`.
   void OnRequest(const http::Request& request, const std::shared_ptr<http::Exchange>& exchange);
 
  private:
--- a/src/node/attempt_sender.cc
+++ b/src/node/attempt_sender.cc
@@ -27,6 +27,7 @@
     case RefusalReason::kLeaving:
     case RefusalReason::kNoTarget:
     case RefusalReason::kTicketVoid:
+    case RefusalReason::kTargetRefused:
       return true;
     default:
       return false;
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -72,7 +72,8 @@
   this->sender = std::make_unique<AttemptSender>(this->SenderHooks(), this->chooser);
   this->dispatcher = std::make_unique<CallDispatcher>(this->MakeDispatchServices());
   this->caller_service =
-      std::make_unique<CallerService>(*this->dispatcher, this->contexts, this->CallerHooks());
+      std::make_unique<CallerService>(*this->dispatcher, this->contexts, this->settings.wire,
+                                      this->CallerHooks());
 }
 
 CallPlane::~CallPlane() = default;
@@ -91,6 +92,7 @@
   options.incarnation = incarnation;
   options.max_body_bytes = this->settings.max_body_bytes;
   options.admit_all = this->settings.decisions_off;
+  options.wire = this->settings.wire;
   this->target = std::make_unique<TargetService>(this->timers, client, this->contexts, options,
                                                  this->metrics.TargetHooks());
   this->target_watcher = std::make_unique<TargetWatcher>(
@@ -143,12 +145,17 @@
   return this->target->OpenCallsOf(announcement.target.address);
 }
 
+void CallPlane::OnDeparture(const std::string& target_id) {
+  this->target_watcher->OnDeparture(target_id);
+}
+
 std::string CallPlane::DescribeTargets() const { return this->directory->Describe(); }
 
 std::uint32_t CallPlane::TicketWindow() { return this->target->TicketWindow(); }
 
 void CallPlane::Leave() {
   this->leaving = true;
+  this->left_at = SteadyClock::now();
   this->target_watcher->LeaveForGood();
 }
 
@@ -212,9 +219,19 @@
     this->metrics.OnEnded(call, result, latency);
   };
   hooks.stopping = [this] { return this->leaving; };
+  hooks.turns_away = [this] {
+    return this->leaving && SteadyClock::now() >= this->left_at + this->settings.stop_notice;
+  };
+  hooks.own_service = [this] { return this->OwnService(); };
   return hooks;
 }
 
+std::string CallPlane::OwnService() const {
+  if (!this->settings.target_service.empty()) return this->settings.target_service;
+  const TargetAddress* announced = this->target->Target();
+  return announced == nullptr ? std::string() : announced->service;
+}
+
 bool CallPlane::IsInOtherRegion(const std::string& node) const {
   const auto* state = this->control.Fleet().GetView().Find(node);
   return state != nullptr && state->member.region != this->settings.region;
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -57,6 +57,7 @@
   void OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange);
   /// Returns how many calls are still open at the target or on the way to it.
   std::size_t OnAnnouncement(const TargetAnnouncement& announcement);
+  void OnDeparture(const std::string& target_id);
   std::string DescribeTargets() const;
   std::uint32_t TicketWindow();
 
@@ -75,6 +76,8 @@
   void ForgetGoneTargets();
   void SendCall(const peer::PeerAddress& address, peer::Call call, SteadyTime deadline,
                 AttemptSender::AnswerHandler handler);
+  /// The service on this host; empty while it isn't known.
+  std::string OwnService() const;
   bool IsInOtherRegion(const std::string& node) const;
   /// Takes the answer's bytes from the inter-region budget, too.
   AttemptSender::AnswerHandler ChargingLink(AttemptSender::AnswerHandler handler);
@@ -97,6 +100,7 @@
   std::unique_ptr<CallDispatcher> dispatcher;
   std::unique_ptr<CallerService> caller_service;
   bool leaving = false;
+  SteadyTime left_at;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -23,6 +23,7 @@
 using peer::pb::Outcome;
 using policy::RefusalReason;
 
+constexpr std::string_view kHostHeader = "Host";
 constexpr std::string_view kTicketsService = "tickets";
 constexpr std::size_t kMaxKeyLength = 255;
 constexpr std::uint64_t kMaxDeadlineMs = 600'000;
@@ -41,12 +42,19 @@
   parent->child_final = parent->child_final || result.final;
 }
 
-void CopyCallerHeaders(http::Headers headers, http::Headers* out) {
-  for (auto& header : headers) {
-    if (!IsOwnHeader(header.name)) out->push_back(std::move(header));
+void CopyCallerHeaders(const http::Headers& headers, const WireNames& wire, http::Headers* out) {
+  for (const auto& header : headers) {
+    const bool replaced = IsOwnHeader(header.name) || IsReplacedHeader(header.name, wire);
+    if (!replaced) out->push_back(header);
   }
 }
 
+/// How often the call may be repeated, all that is made for it included.
+std::uint32_t RetriesOf(const records::RoutePolicy& route) {
+  if (route.max_attempts > 0) return static_cast<std::uint32_t>(route.max_attempts - 1);
+  return static_cast<std::uint32_t>(route.retry.retries_per_request);
+}
+
 /// A node without records can't tell what became of earlier requests with the same key.
 Outcome OutcomeOfTurnedAway(RefusalReason reason, const http::Headers& headers) {
   const bool has_key = http::FindHeader(headers, kIdempotencyKeyHeader).has_value();
@@ -73,16 +81,61 @@
 }  // namespace
 
 CallerService::CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table,
-                             Hooks service_hooks)
-    : dispatcher(call_dispatcher), contexts(context_table), hooks(std::move(service_hooks)) {}
+                             WireNames wire_names, Hooks service_hooks)
+    : dispatcher(call_dispatcher),
+      contexts(context_table),
+      wire(std::move(wire_names)),
+      hooks(std::move(service_hooks)) {}
 
 void CallerService::OnRequest(http::Request request,
                               const std::shared_ptr<http::Exchange>& exchange) {
+  const auto configuration = this->hooks.configuration();
+  if (!configuration) {
+    this->Refuse({RefusalReason::kNotReady, "this node holds no records yet"}, request.headers,
+                 *exchange);
+    return;
+  }
+  if (auto route = this->FindRoute(configuration, request)) {
+    this->OnRoutedRequest(std::move(request), std::move(route), exchange);
+  } else {
+    this->OnServiceRequest(std::move(request), configuration, exchange);
+  }
+}
+
+CallerService::PolicyPointer CallerService::FindRoute(
+    const std::shared_ptr<const records::Configuration>& configuration,
+    const http::Request& request) const {
+  const auto host = http::FindHeader(request.headers, kHostHeader).value_or("");
+  const auto* route = configuration->FindRoute(host, request.target);
+  if (route == nullptr) return nullptr;
+  return {configuration, &route->parts.front().policy};
+}
+
+void CallerService::OnRoutedRequest(http::Request request, PolicyPointer route,
+                                    const std::shared_ptr<http::Exchange>& exchange) {
+  auto target = request.target;
+  const auto host = http::FindHeader(request.headers, kHostHeader);
+  const http::Header host_header{std::string(kHostHeader), std::string(host.value_or(""))};
+  auto call = this->BuildCall(&request, std::move(route));
+  if (!call) {
+    this->Refuse(call.error(), request.headers, *exchange);
+    return;
+  }
+  call->target = std::move(target);
+  call->headers.push_back(host_header);
+  // Each request through a route is one call; the node at which it arrives is the only one that can
+  // send it on.
+  if (!call->route->idempotent) call->ticket_source = TicketSource::kFresh;
+  this->Dispatch(std::move(*call), exchange);
+}
+
+void CallerService::OnServiceRequest(
+    http::Request request, const std::shared_ptr<const records::Configuration>& configuration,
+    const std::shared_ptr<http::Exchange>& exchange) {
   const auto target = http::SplitTarget(request.target);
   if (!target) {
-    this->Respond(RefusalResponse(RefusalReason::kBadRequest,
-                                  "the request target is not /SERVICE or /SERVICE/PATH"),
-                  *exchange);
+    this->Refuse({RefusalReason::kBadRequest, "the request target is not /SERVICE or /SERVICE/PATH"},
+                 request.headers, *exchange);
     return;
   }
   if (target->service == kTicketsService) {
@@ -90,57 +143,71 @@
     return;
   }
   const bool first_on_connection = request.sequence == 0;
-  auto call = this->BuildCall(&request, *target);
+  auto call = this->BuildServiceCall(&request, *target, configuration);
   if (!call) {
-    this->Respond(RefusalResponse(call.error().reason, call.error().detail,
-                                  OutcomeOfTurnedAway(call.error().reason, request.headers)),
-                  *exchange);
+    this->Refuse(call.error(), request.headers, *exchange);
     return;
   }
   // The local target finishes what it runs, by calls on new connections if need be.
-  if (this->hooks.stopping() && first_on_connection && !call->parent) {
+  if (this->hooks.turns_away() && first_on_connection && !call->parent) {
     const bool has_key = call->ticket_source != TicketSource::kNone;
     this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
-                                  has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN),
+                                  has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN,
+                                  this->wire),
                   *exchange);
     return;
   }
   this->Dispatch(std::move(*call), exchange);
 }
 
-tl::expected<OutboundCall, CallerService::Refusal> CallerService::BuildCall(
-    http::Request* request, const http::RequestTarget& target) const {
-  const auto configuration = this->hooks.configuration();
-  if (!configuration) {
-    return tl::unexpected(Refusal{RefusalReason::kNotReady, "this node holds no records yet"});
-  }
+void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
+                           http::Exchange& exchange) const {
+  this->Respond(RefusalResponse(refusal.reason, refusal.detail,
+                                OutcomeOfTurnedAway(refusal.reason, headers), this->wire),
+                exchange);
+}
+
+tl::expected<OutboundCall, CallerService::Refusal> CallerService::BuildServiceCall(
+    http::Request* request, const http::RequestTarget& target,
+    const std::shared_ptr<const records::Configuration>& configuration) const {
   const auto* route = configuration->Find(target.service, request->method, target.path);
   if (route == nullptr) {
     return tl::unexpected(
         Refusal{RefusalReason::kUnknownService,
                 "no record describes the service \"" + std::string(target.service) + "\""});
   }
+  std::string path_and_query(target.path);
+  if (!target.query.empty()) path_and_query += '?' + std::string(target.query);
+  auto call = this->BuildCall(request, PolicyPointer(configuration, route));
+  if (!call) return call;
+  call->target = std::move(path_and_query);
+  if (auto set = this->SetTicketSource(*request, &*call); !set) return tl::unexpected(set.error());
+  return call;
+}
+
+tl::expected<OutboundCall, CallerService::Refusal> CallerService::BuildCall(
+    http::Request* request, PolicyPointer route) const {
   if (request->body.size() > route->max_body_bytes) {
     return tl::unexpected(
         Refusal{RefusalReason::kBodyTooLarge,
                 "the body is larger than " + std::to_string(route->max_body_bytes) + " bytes"});
   }
   OutboundCall call;
-  call.route = std::shared_ptr<const records::RoutePolicy>(configuration, route);
   call.call_class = {route->class_name, static_cast<std::uint32_t>(route->rank),
                      route->may_leave_region};
   call.tenant = request->remote_address;
   call.method = request->method;
-  call.target = std::string(target.path);
-  if (!target.query.empty()) call.target += '?' + std::string(target.query);
-  const auto handle = http::FindHeader(request->headers, kRequestHeader);
+  const auto handle = this->wire.handle.empty()
+                          ? std::nullopt
+                          : http::FindHeader(request->headers, this->wire.handle);
   const auto parent = handle ? this->contexts.Find(*handle) : nullptr;
+  call.route = std::move(route);
   if (parent) {
     this->InheritFrom(parent, &call);
   } else {
     call.root_id = Id128::Random();
     // A handle of a call that has ended, or that never was, comes with no retries.
-    const auto retries = handle ? 0U : static_cast<std::uint32_t>(route->retry.retries_per_request);
+    const auto retries = handle ? 0U : RetriesOf(*call.route);
     call.allotment = std::make_shared<policy::RetryAllotment>(retries);
   }
   if (call.depth > kMaxDepth) {
@@ -148,8 +215,10 @@
   }
   call.key = policy::KeyFor(call.call_class.rank, call.root_id);
   if (auto set = this->SetDeadline(*request, &call); !set) return tl::unexpected(set.error());
-  if (auto set = this->SetTicketSource(*request, &call); !set) return tl::unexpected(set.error());
-  CopyCallerHeaders(std::move(request->headers), &call.headers);
+  CopyCallerHeaders(request->headers, this->wire, &call.headers);
+  if (!this->wire.caller_service.empty()) {
+    call.headers.push_back({this->wire.caller_service, this->hooks.own_service()});
+  }
   call.body = std::move(request->body);
   return call;
 }
@@ -170,7 +239,8 @@
   const SteadyTime now = SteadyClock::now();
   call->deadline = now + call->route->deadline;
   if (call->parent) call->deadline = std::min(call->deadline, call->parent->deadline);
-  const auto header = http::FindHeader(request.headers, kDeadlineHeader);
+  if (this->wire.deadline.empty()) return {};
+  const auto header = http::FindHeader(request.headers, this->wire.deadline);
   if (!header) return {};
   std::uint64_t left_ms = 0;
   const auto [end, error] =
@@ -178,7 +248,7 @@
   const bool whole = error == std::errc{} && end == header->data() + header->size();
   if (!whole || left_ms > kMaxDeadlineMs) {
     return tl::unexpected(Refusal{RefusalReason::kBadRequest,
-                                  "Firefly-Deadline-Ms is not a whole number of 0 to 600000"});
+                                  this->wire.deadline + " is not a whole number of 0 to 600000"});
   }
   call->deadline = std::min(call->deadline, now + std::chrono::milliseconds(left_ms));
   return {};
@@ -218,13 +288,16 @@
   if (route == nullptr) {
     this->Respond(
         RefusalResponse(configuration ? RefusalReason::kUnknownService : RefusalReason::kNotReady,
-                        "no record describes the service \"" + service + "\""),
+                        "no record describes the service \"" + service + "\"",
+                        Outcome::OUTCOME_NOT_RUN, this->wire),
         exchange);
     return;
   }
   const auto ticket = this->hooks.mint_ticket(*route);
   if (!ticket) {
-    this->Respond(RefusalResponse(RefusalReason::kNoTarget, "the service has no target"), exchange);
+    this->Respond(RefusalResponse(RefusalReason::kNoTarget, "the service has no target",
+                                  Outcome::OUTCOME_NOT_RUN, this->wire),
+                  exchange);
     return;
   }
   http::Response response;
@@ -264,14 +337,14 @@
   LogEnd(call, result, latency);
   if (call.parent) NoteChild(result, call.parent.get());
   if (!result.Answered()) {
-    this->Respond(RefusalResponse(result), exchange);
+    this->Respond(RefusalResponse(result, this->wire), exchange);
     return;
   }
   http::Response response;
   response.status = result.status;
   response.headers = std::move(result.headers);
-  if (IsServerError(result)) {
-    response.headers.push_back({std::string(kOutcomeHeader), "ran"});
+  if (IsServerError(result) && !this->wire.outcome.empty()) {
+    response.headers.push_back({this->wire.outcome, "ran"});
   }
   response.body = std::move(result.body);
   this->Respond(std::move(response), exchange);
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -12,6 +12,7 @@
 #include "http/exchange.h"
 #include "http/request.h"
 #include "node/outbound_call.h"
+#include "node/wire_names.h"
 #include "policy/refusal_reason.h"
 
 namespace fireflyrun::http {
@@ -40,9 +41,14 @@
     std::function<void(const OutboundCall&, const CallResult&, Duration latency)> on_ended;
     /// True while the node stops: callers are told to use another connection.
     std::function<bool()> stopping;
+    /// True once callers had time to notice that the node stops: new ones are refused.
+    std::function<bool()> turns_away;
+    /// The service on this host; empty while it isn't known.
+    std::function<std::string()> own_service;
   };
 
-  CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table, Hooks service_hooks);
+  CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table, WireNames wire_names,
+                Hooks service_hooks);
 
   void OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange);
 
@@ -52,9 +58,23 @@
     std::string detail;
   };
 
-  /// Takes the headers and the body out of the request.
-  tl::expected<OutboundCall, Refusal> BuildCall(http::Request* request,
-                                                const http::RequestTarget& target) const;
+  using PolicyPointer = std::shared_ptr<const records::RoutePolicy>;
+
+  /// By a route record, which sees host and path; null when none matches.
+  PolicyPointer FindRoute(const std::shared_ptr<const records::Configuration>& configuration,
+                          const http::Request& request) const;
+  void OnRoutedRequest(http::Request request, PolicyPointer route,
+                       const std::shared_ptr<http::Exchange>& exchange);
+  /// By the service that the first path segment names.
+  void OnServiceRequest(http::Request request,
+                        const std::shared_ptr<const records::Configuration>& configuration,
+                        const std::shared_ptr<http::Exchange>& exchange);
+  tl::expected<OutboundCall, Refusal> BuildServiceCall(
+      http::Request* request, const http::RequestTarget& target,
+      const std::shared_ptr<const records::Configuration>& configuration) const;
+  /// All but the target's path. Takes the headers and the body out of the request.
+  tl::expected<OutboundCall, Refusal> BuildCall(http::Request* request, PolicyPointer route) const;
+  void Refuse(const Refusal& refusal, const http::Headers& headers, http::Exchange& exchange) const;
   tl::expected<void, Refusal> SetDeadline(const http::Request& request, OutboundCall* call) const;
   tl::expected<void, Refusal> SetTicketSource(const http::Request& request,
                                               OutboundCall* call) const;
@@ -67,6 +87,7 @@
 
   CallDispatcher& dispatcher;
   ContextTable& contexts;
+  WireNames wire;
   Hooks hooks;
 };
 
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -11,6 +11,7 @@
 #include "node/record_keeper.h"
 #include "store/etcd_store.h"
 #include "store/key_binder.h"
+#include "store/record_source.h"
 #include "store/record_store.h"
 #include "store/roster.h"
 
@@ -52,6 +53,13 @@
           Endpoint(settings.address, settings.admin_port)};
 }
 
+std::unique_ptr<store::Store> MakeEtcdStore(http::Client& client, TimerService& timers,
+                                            const NodeSettings& settings) {
+  store::EtcdStoreOptions options;
+  options.endpoints = settings.store_endpoints;
+  return std::make_unique<store::EtcdStore>(client, timers, options);
+}
+
 tl::expected<std::string, RefusalReason> ToTicketAnswer(
     tl::expected<std::string, store::StoreError> standing) {
   if (!standing) return tl::unexpected(RefusalReason::kStoreUnavailable);
@@ -61,9 +69,10 @@
 }  // namespace
 
 ControlPlane::ControlPlane(TimerService& timer_service, http::Client& http_client,
-                           const NodeSettings& node_settings, std::uint64_t own_incarnation)
+                           const NodeSettings& node_settings, std::uint64_t own_incarnation,
+                           const PlatformAdapter& platform)
     : timers(timer_service), settings(node_settings), supervisor(timer_service, "control") {
-  this->CreateStore(http_client);
+  this->CreateStore(http_client, platform);
   this->CreateMembership(own_incarnation);
   this->supervisor.Add(this->MembershipPart());
   this->supervisor.Add(this->RecordsPart());
@@ -77,19 +86,22 @@
   return this->supervisor.AsPart();
 }
 
-void ControlPlane::CreateStore(http::Client& client) {
+void ControlPlane::CreateStore(http::Client& client, const PlatformAdapter& platform) {
   if (!this->settings.store_endpoints.empty()) {
-    store::EtcdStoreOptions options;
-    options.endpoints = this->settings.store_endpoints;
-    this->store = std::make_unique<store::EtcdStore>(client, this->timers, options);
-    this->record_store =
-        std::make_unique<store::RecordStore>(*this->store, this->timers, this->settings.cluster);
+    this->store = platform.make_store ? platform.make_store(client, this->timers, this->settings)
+                                      : MakeEtcdStore(client, this->timers, this->settings);
+    if (platform.make_record_source) {
+      this->record_source = platform.make_record_source(*this->store, this->timers);
+    } else {
+      this->record_source =
+          std::make_unique<store::RecordStore>(*this->store, this->timers, this->settings.cluster);
+    }
     this->key_binder =
         std::make_unique<store::KeyBinder>(*this->store, this->timers, this->settings.cluster);
     this->roster = std::make_unique<store::Roster>(
         *this->store, this->timers, this->settings.cluster, SelfRosterEntry(this->settings));
   }
-  this->records = std::make_unique<RecordKeeper>(this->timers, this->record_store.get());
+  this->records = std::make_unique<RecordKeeper>(this->timers, this->record_source.get());
 }
 
 void ControlPlane::CreateMembership(std::uint64_t incarnation) {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -9,6 +9,7 @@
 #include "node/dispatch_services.h"
 #include "node/node_settings.h"
 #include "node/part.h"
+#include "node/platform_adapter.h"
 #include "node/supervisor.h"
 
 namespace fireflyrun {
@@ -22,10 +23,10 @@
 class ZeroMqTransport;
 }  // namespace fireflyrun::membership
 namespace fireflyrun::store {
-class EtcdStore;
 class KeyBinder;
-class RecordStore;
+class RecordSource;
 class Roster;
+class Store;
 }  // namespace fireflyrun::store
 
 namespace fireflyrun::node {
@@ -38,7 +39,8 @@
 class ControlPlane {
  public:
   ControlPlane(TimerService& timer_service, http::Client& http_client,
-               const NodeSettings& node_settings, std::uint64_t own_incarnation);
+               const NodeSettings& node_settings, std::uint64_t own_incarnation,
+               const PlatformAdapter& platform);
   ~ControlPlane();
   ControlPlane(const ControlPlane&) = delete;
   ControlPlane& operator=(const ControlPlane&) = delete;
@@ -59,7 +61,7 @@
                const DispatchServices::TicketHandler& handler);
 
  private:
-  void CreateStore(http::Client& client);
+  void CreateStore(http::Client& client, const PlatformAdapter& platform);
   void CreateMembership(std::uint64_t incarnation);
   Part MembershipPart();
   Part RecordsPart();
@@ -68,8 +70,8 @@
 
   TimerService& timers;
   const NodeSettings& settings;
-  std::unique_ptr<store::EtcdStore> store;
-  std::unique_ptr<store::RecordStore> record_store;
+  std::unique_ptr<store::Store> store;
+  std::unique_ptr<store::RecordSource> record_source;
   std::unique_ptr<store::KeyBinder> key_binder;
   std::unique_ptr<store::Roster> roster;
   std::unique_ptr<RecordKeeper> records;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -47,7 +47,8 @@
 
 class Node::Implementation {
  public:
-  Implementation(asio::io_context& loop, NodeSettings node_settings);
+  Implementation(asio::io_context& loop, NodeSettings node_settings,
+                 const PlatformAdapter& platform);
 
   tl::expected<void, std::string> Start() { return this->root.Start(); }
   void Stop(std::function<void()> done) { this->root.Stop(std::move(done)); }
@@ -55,6 +56,7 @@
  private:
   AdminService::Hooks AdminHooks();
   NodeDrain::Hooks DrainHooks();
+  std::unique_ptr<http::Server> MakeHealthServer(asio::io_context& loop);
   Part ServerPart(std::string name, http::Server& server);
   Part DrainPart();
 
@@ -68,18 +70,20 @@
   CallPlane calls;
   AdminService admin_service;
   http::Server admin_server;
+  std::unique_ptr<http::Server> health_server;
   http::Server caller_server;
   NodeDrain drain;
   Supervisor call_supervisor;
   Supervisor root;
 };
 
-Node::Implementation::Implementation(asio::io_context& loop, NodeSettings node_settings)
+Node::Implementation::Implementation(asio::io_context& loop, NodeSettings node_settings,
+                                     const PlatformAdapter& platform)
     : settings(std::move(node_settings)),
       incarnation(NewIncarnation()),
       timers(loop),
       client(loop, kIdleTargetConnections),
-      control(timers, client, settings, incarnation),
+      control(timers, client, settings, incarnation, platform),
       calls(timers, client, settings, incarnation, control, metrics),
       admin_service(AdminHooks()),
       admin_server(loop, AdminServerOptions(settings),
@@ -90,12 +94,16 @@
                     [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
                       this->calls.OnRequest(std::move(request), exchange);
                     }),
-      drain(timers, settings.stop_limit, DrainHooks()),
+      drain(timers, settings.stop_notice, settings.stop_limit, DrainHooks()),
       call_supervisor(timers, "calls"),
       root(timers, "node") {
   this->call_supervisor.Add(this->calls.LinksPart());
   this->call_supervisor.Add(this->ServerPart("caller-server", this->caller_server));
   this->root.Add(this->ServerPart("admin-server", this->admin_server));
+  if (settings.health_port != 0) {
+    this->health_server = this->MakeHealthServer(loop);
+    this->root.Add(this->ServerPart("health-server", *this->health_server));
+  }
   this->root.Add(this->control.AsPart([this] { return this->calls.TicketWindow(); }));
   this->root.Add(this->call_supervisor.AsPart());
   this->root.Add(this->DrainPart());
@@ -108,6 +116,7 @@
   hooks.on_announcement = [this](const TargetAnnouncement& announcement) {
     return this->calls.OnAnnouncement(announcement);
   };
+  hooks.on_departure = [this](const std::string& id) { this->calls.OnDeparture(id); };
   hooks.render_metrics = [this] { return this->metrics.Render(); };
   hooks.collect_fleet = [this](std::function<void(std::string)> respond) {
     this->control.Fleet().CollectFleet(
@@ -128,6 +137,15 @@
   return hooks;
 }
 
+std::unique_ptr<http::Server> Node::Implementation::MakeHealthServer(asio::io_context& loop) {
+  http::ServerOptions options = AdminServerOptions(this->settings);
+  options.port = this->settings.health_port;
+  return std::make_unique<http::Server>(
+      loop, options, [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
+        this->admin_service.OnRequest(request, exchange);
+      });
+}
+
 Part Node::Implementation::ServerPart(std::string name, http::Server& server) {
   Part part;
   part.name = std::move(name);
@@ -150,8 +168,8 @@
   return part;
 }
 
-Node::Node(asio::io_context& loop, NodeSettings node_settings)
-    : implementation(std::make_unique<Implementation>(loop, std::move(node_settings))) {}
+Node::Node(asio::io_context& loop, NodeSettings node_settings, const PlatformAdapter& platform)
+    : implementation(std::make_unique<Implementation>(loop, std::move(node_settings), platform)) {}
 
 Node::~Node() = default;
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -8,13 +8,14 @@
 #include <tl/expected.hpp>
 
 #include "node/node_settings.h"
+#include "node/platform_adapter.h"
 
 namespace fireflyrun::node {
 
 /// The whole node: every subsystem, wired and supervised. Lives on one event loop.
 class Node {
  public:
-  Node(asio::io_context& loop, NodeSettings node_settings);
+  Node(asio::io_context& loop, NodeSettings node_settings, const PlatformAdapter& platform);
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
--- a/src/node/node_drain.cc
+++ b/src/node/node_drain.cc
@@ -16,8 +16,12 @@
 
 }  // namespace
 
-NodeDrain::NodeDrain(TimerService& timer_service, Duration drain_limit, Hooks drain_hooks)
-    : timers(timer_service), limit(drain_limit), hooks(std::move(drain_hooks)) {}
+NodeDrain::NodeDrain(TimerService& timer_service, Duration notice, Duration drain_limit,
+                     Hooks drain_hooks)
+    : timers(timer_service),
+      shortest(notice),
+      limit(drain_limit),
+      hooks(std::move(drain_hooks)) {}
 
 void NodeDrain::Start(std::function<void()> on_drained) {
   this->done = std::move(on_drained);
@@ -31,9 +35,11 @@
   if (this->hooks.busy()) this->last_busy = now;
   const Duration idle_time = now - this->last_busy;
   const Duration needed = this->hooks.unclaimed() ? kUnclaimedTime : kIdleTime;
-  const bool given_up = now - this->started >= this->limit;
-  if (idle_time < needed && !given_up) return;
-  if (idle_time < needed) Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
+  const Duration waited = now - this->started;
+  const bool given_up = waited >= this->limit;
+  const bool drained = idle_time >= needed && waited >= this->shortest;
+  if (!drained && !given_up) return;
+  if (!drained) Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
   this->check_timer.Reset();
   std::exchange(this->done, nullptr)();
 }
--- a/src/node/node_drain.h
+++ b/src/node/node_drain.h
@@ -21,7 +21,8 @@
     std::function<bool()> unclaimed;
   };
 
-  NodeDrain(TimerService& timer_service, Duration drain_limit, Hooks drain_hooks);
+  /// Waits at least `notice`, and at most `drain_limit`.
+  NodeDrain(TimerService& timer_service, Duration notice, Duration drain_limit, Hooks drain_hooks);
 
   /// Calls `done` once.
   void Start(std::function<void()> done);
@@ -30,6 +31,7 @@
   void Check();
 
   TimerService& timers;
+  Duration shortest;
   Duration limit;
   Hooks hooks;
   std::function<void()> done;
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "common/endpoint.h"
+#include "http/headers.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -52,12 +53,17 @@
   return std::nullopt;
 }
 
-Problem StoreSeconds(std::string_view value, std::uint64_t lowest, std::uint64_t highest,
-                     Duration* duration) {
-  std::uint64_t seconds = 0;
-  auto problem = StoreNumber(value, lowest, highest, " seconds", &seconds);
-  if (!problem) *duration = std::chrono::seconds(seconds);
-  return problem;
+/// Seconds, with fractions if need be.
+Problem StoreSeconds(std::string_view value, double lowest, double highest, Duration* duration) {
+  double seconds = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), seconds);
+  const bool whole = error == std::errc{} && end == value.data() + value.size();
+  if (!whole || !(seconds >= lowest && seconds <= highest)) {
+    return fmt::format("\"{}\" is out of range; allowed is a number of {} to {} seconds", value,
+                       lowest, highest);
+  }
+  *duration = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  return std::nullopt;
 }
 
 Problem StoreEndpoints(std::string_view value, std::vector<std::string>* endpoints) {
@@ -81,9 +87,11 @@
           }};
 }
 
+/// Also takes IP:PORT, as sites tell it, where the IP number is that of the host.
 Spec PortSpec(std::string_view flag, std::string_view variable, std::string_view help,
               std::uint16_t NodeSettings::*field) {
   return {flag, variable, "PORT", help, [field](std::string_view value, NodeSettings& settings) {
+            if (IsEndpoint(value)) value.remove_prefix(value.rfind(':') + 1);
             return StoreNumber(value, 1, 65535, "", &(settings.*field));
           }};
 }
@@ -108,6 +116,19 @@
           }};
 }
 
+Problem StoreOptionalName(std::string_view value, std::string* name) {
+  auto problem = CheckName(value);
+  if (!problem) *name = std::string(value);
+  return problem;
+}
+
+Problem StoreStoreProtocol(std::string_view value, NodeSettings& settings) {
+  const auto protocol = kStoreProtocolNames.ValueOf(value);
+  if (!protocol) return fmt::format("\"{}\" is no protocol; allowed are etcd, platform", value);
+  settings.store_protocol = *protocol;
+  return std::nullopt;
+}
+
 Problem StoreLogLevel(std::string_view value, NodeSettings& settings) {
   const auto level = kLogLevelNames.ValueOf(value);
   if (!level) {
@@ -149,12 +170,16 @@
                &NodeSettings::caller_port),
       PortSpec("admin-port", "FIREFLYRUN_ADMIN_PORT",
                "takes announcements; serves /metrics and /fleet [7401]", &NodeSettings::admin_port),
+      PortSpec("health-port", "FIREFLYRUN_HEALTH_PORT",
+               "serves /health as well [the admin port alone]", &NodeSettings::health_port),
       PortSpec("peer-port", "FIREFLYRUN_PEER_PORT", "takes calls from other nodes [7402]",
                &NodeSettings::peer_port),
       PortSpec("control-port", "FIREFLYRUN_CONTROL_PORT", "takes control messages [7403]",
                &NodeSettings::control_port),
       EndpointsSpec("store", "FIREFLYRUN_STORE", "the platform's key-value service",
                     &NodeSettings::store_endpoints),
+      {"store-protocol", "FIREFLYRUN_STORE_PROTOCOL", "NAME",
+       "what the store speaks: etcd, platform [etcd]", StoreStoreProtocol},
       EndpointsSpec("seeds", "FIREFLYRUN_SEEDS", "control addresses of nodes to join by",
                     &NodeSettings::seeds),
   };
@@ -184,6 +209,11 @@
        [](std::string_view value, NodeSettings& settings) {
          return StoreSeconds(value, 1, 3600, &settings.stop_limit);
        }},
+      {"stop-notice", "FIREFLYRUN_STOP_NOTICE", "SECONDS",
+       "a stopping node takes requests this long, until callers see it in /health, 0 to 600 [0]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSeconds(value, 0, 600, &settings.stop_notice);
+       }},
       {"link-bytes", "FIREFLYRUN_LINK_BYTES", "BYTES",
        "bytes of calls a second to other regions, 0 to 1000000000 [2000]",
        [](std::string_view value, NodeSettings& settings) {
@@ -197,8 +227,60 @@
   };
 }
 
+Spec HeaderSpec(std::string_view flag, std::string_view variable, std::string_view help,
+                std::string WireNames::*field) {
+  return {flag, variable, "HEADER", help,
+          [field](std::string_view value, NodeSettings& settings) -> Problem {
+            if (!value.empty() && !http::IsToken(value)) {
+              return fmt::format("\"{}\" is not the name of a header", value);
+            }
+            settings.wire.*field = std::string(value);
+            return std::nullopt;
+          }};
+}
+
+std::vector<Spec> WireSpecs() {
+  return {
+      HeaderSpec("request-id-header", "FIREFLYRUN_REQUEST_ID_HEADER",
+                 "names a request; its target echoes it [none]", &WireNames::request_id),
+      HeaderSpec("deadline-header", "FIREFLYRUN_DEADLINE_HEADER",
+                 "milliseconds left [Firefly-Deadline-Ms]", &WireNames::deadline),
+      HeaderSpec("handle-header", "FIREFLYRUN_HANDLE_HEADER",
+                 "names the call that a target runs; empty: none [Firefly-Request]",
+                 &WireNames::handle),
+      HeaderSpec("outcome-header", "FIREFLYRUN_OUTCOME_HEADER",
+                 "whether a refused call ran [Firefly-Outcome]", &WireNames::outcome),
+      HeaderSpec("expected-target-header", "FIREFLYRUN_EXPECTED_TARGET_HEADER",
+                 "id of the target that a call is meant for [none]", &WireNames::expected_target),
+      HeaderSpec("target-id-header", "FIREFLYRUN_TARGET_ID_HEADER",
+                 "id of the target that answers a probe [none]", &WireNames::target_id),
+      HeaderSpec("not-run-header", "FIREFLYRUN_NOT_RUN_HEADER",
+                 "in a target's answer: it has not run the call [none]", &WireNames::not_run),
+      HeaderSpec("caller-service-header", "FIREFLYRUN_CALLER_SERVICE_HEADER",
+                 "service of the host where a call began [none]", &WireNames::caller_service),
+      {"retry-after-fractions", "FIREFLYRUN_RETRY_AFTER_FRACTIONS", "on|off",
+       "Retry-After with fractions of a second [off]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSwitch(value, &settings.wire.retry_after_fractions);
+       }},
+      {"target-service", "FIREFLYRUN_TARGET_SERVICE", "NAME",
+       "service of this host's target [as announced]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreOptionalName(value, &settings.target_service);
+       }},
+      {"target-address", "FIREFLYRUN_TARGET_ADDRESS", "IP:PORT",
+       "where alone this host's target may be [as announced]",
+       [](std::string_view value, NodeSettings& settings) {
+         auto problem = CheckEndpoint(value);
+         if (!problem) settings.target_address = std::string(value);
+         return problem;
+       }},
+  };
+}
+
 std::vector<Spec> BuildTable() {
   std::vector<Spec> table = IdentitySpecs();
+  for (auto& spec : WireSpecs()) table.push_back(std::move(spec));
   for (auto& spec : AddressSpecs()) table.push_back(std::move(spec));
   for (auto& spec : LimitSpecs()) table.push_back(std::move(spec));
   return table;
@@ -222,6 +304,19 @@
   if (problem) parsed->findings.push_back({place, *problem});
 }
 
+void ReadFileLine(std::string_view line, const std::string& place, ParsedNodeSettings* parsed) {
+  const auto equals = line.find('=');
+  const std::string_view variable = line.substr(0, equals);
+  const auto& table = NodeSettingTable();
+  const auto spec = std::find_if(table.begin(), table.end(),
+                                 [&](const Spec& entry) { return entry.variable == variable; });
+  if (equals == std::string_view::npos || spec == table.end()) {
+    parsed->findings.push_back({place, "is not VARIABLE=VALUE of a setting"});
+    return;
+  }
+  StoreValue(*spec, place, line.substr(equals + 1), parsed);
+}
+
 void ReadEnvironment(const EnvironmentHook& environment, ParsedNodeSettings* parsed) {
   for (const Spec& spec : NodeSettingTable()) {
     const std::string variable(spec.variable);
@@ -230,6 +325,23 @@
   }
 }
 
+/// The file's lines are `VARIABLE=VALUE`; empty ones and those that begin with "#" are passed over.
+void ReadFile(const std::string& path, const FileHook& read_file, ParsedNodeSettings* parsed) {
+  const auto text = read_file(path);
+  if (!text) {
+    parsed->findings.push_back({path, "can't be read"});
+    return;
+  }
+  std::string_view rest = *text;
+  for (int line_number = 1; !rest.empty(); ++line_number) {
+    const auto end = std::min(rest.find('\n'), rest.size());
+    const std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(std::min(end + 1, rest.size()));
+    if (line.empty() || line.front() == '#') continue;
+    ReadFileLine(line, path + ':' + std::to_string(line_number), parsed);
+  }
+}
+
 void ReadFlags(int argc, char** argv, ParsedNodeSettings* parsed) {
   const auto& table = NodeSettingTable();
   const auto options = LongOptions(table);
@@ -280,8 +392,11 @@
   return table;
 }
 
-ParsedNodeSettings ParseNodeSettings(int argc, char** argv, const EnvironmentHook& environment) {
+ParsedNodeSettings ParseNodeSettings(int argc, char** argv, const EnvironmentHook& environment,
+                                     const FileHook& read_file) {
   ParsedNodeSettings parsed;
+  parsed.file = environment(std::string(kSettingsFileVariable)).value_or("");
+  if (!parsed.file.empty()) ReadFile(parsed.file, read_file, &parsed);
   ReadEnvironment(environment, &parsed);
   ReadFlags(argc, argv, &parsed);
   if (parsed.help || parsed.wrong_usage) return parsed;
@@ -294,7 +409,8 @@
   std::string text =
       "Usage: fireflyrun node [FLAGS]\n\n"
       "Runs the node of this host until SIGTERM or SIGINT, then stops gracefully.\n"
-      "Each flag has an environment variable; the flag goes before it.\n\n";
+      "Each flag has an environment variable; the flag goes before it. Before both, lines of\n"
+      "VARIABLE=VALUE are read from the file that FIREFLYRUN_BOOT names, if it is set.\n\n";
   for (const Spec& spec : NodeSettingTable()) {
     text +=
         fmt::format("  --{:<32} {}\n  {:<34} ({})\n",
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -7,6 +7,8 @@
 
 #include "common/clock.h"
 #include "common/log_level.h"
+#include "node/store_protocol.h"
+#include "node/wire_names.h"
 
 namespace fireflyrun::node {
 
@@ -22,15 +24,21 @@
   std::uint16_t admin_port = 7401;
   std::uint16_t peer_port = 7402;
   std::uint16_t control_port = 7403;
+  std::uint16_t health_port = 0;  ///< 0: health is told at the admin port only.
   std::vector<std::string> store_endpoints;
+  StoreProtocol store_protocol = StoreProtocol::kEtcd;
   std::vector<std::string> seeds;
   LogLevel log_level = LogLevel::kInfo;
   std::size_t max_body_bytes = std::size_t{8} << 20;
   std::size_t max_connections = 700;
   Duration announcement_limit = std::chrono::seconds(5);
   Duration stop_limit = std::chrono::seconds(60);
+  Duration stop_notice = Duration::zero();  ///< Callers leave a stopping node within this time.
   std::uint32_t link_bytes_per_second = 2'000;
   bool decisions_off = false;
+  WireNames wire;
+  std::string target_service;  ///< Of this host's target; empty: as it announces itself.
+  std::string target_address;  ///< IP:PORT, where alone it may announce itself; empty: anywhere.
 };
 
 }  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/platform_adapter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+namespace fireflyrun {
+class TimerService;
+}
+namespace fireflyrun::http {
+class Client;
+}
+namespace fireflyrun::store {
+class RecordSource;
+class Store;
+}  // namespace fireflyrun::store
+
+namespace fireflyrun::node {
+
+struct NodeSettings;
+
+/// How a node reaches what its site provides. Empty hooks: etcd, and the records that operators
+/// write with `fireflyrun apply`.
+struct PlatformAdapter {
+  std::function<std::unique_ptr<store::Store>(http::Client&, TimerService&, const NodeSettings&)>
+      make_store;
+  std::function<std::unique_ptr<store::RecordSource>(store::Store&, TimerService&)>
+      make_record_source;
+};
+
+}  // namespace fireflyrun::node
--- a/src/node/refusal_response.cc
+++ b/src/node/refusal_response.cc
@@ -1,11 +1,13 @@
 #include "node/refusal_response.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <string>
 
 #include "http/problem.h"
 #include "node/call_result.h"
-#include "node/header_names.h"
+#include "node/wire_names.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -14,8 +16,13 @@
 using policy::RefusalReason;
 
 constexpr std::chrono::milliseconds kShortestRetryAfter{1000};
+/// Where callers understand fractions of a second.
+constexpr std::chrono::milliseconds kShortestFraction{100};
+/// Told when nothing better is known, in whole seconds at the least as above.
+constexpr std::chrono::milliseconds kDefaultRetryAfter{300};
+constexpr double kMillisecondsPerSecond = 1000;
 
-int StatusOfNotRun(RefusalReason reason) {
+int StatusOfNotRun(RefusalReason reason, const WireNames& wire) {
   switch (reason) {
     case RefusalReason::kUnknownService:
       return 404;
@@ -25,7 +32,7 @@
     case RefusalReason::kBodyTooLarge:
       return 413;
     case RefusalReason::kDeadline:
-      return 504;
+      return wire.outcome.empty() ? 503 : 504;
     default:
       return 503;
   }
@@ -37,8 +44,9 @@
          reason == RefusalReason::kNotReady || reason == RefusalReason::kNoTarget;
 }
 
-int StatusOf(Outcome outcome, RefusalReason reason) {
-  if (outcome == Outcome::OUTCOME_NOT_RUN || IsTurnedAway(reason)) return StatusOfNotRun(reason);
+int StatusOf(Outcome outcome, RefusalReason reason, const WireNames& wire) {
+  const bool told_by_header = !wire.outcome.empty() && IsTurnedAway(reason);
+  if (outcome == Outcome::OUTCOME_NOT_RUN || told_by_header) return StatusOfNotRun(reason, wire);
   return reason == RefusalReason::kDeadline ? 504 : 502;
 }
 
@@ -53,17 +61,22 @@
   }
 }
 
-/// Whole seconds, rounded up, as HTTP has it.
-std::string RetryAfterSeconds(std::chrono::milliseconds wait) {
+/// Whole seconds, rounded up, as HTTP has it, or with fractions.
+std::string RetryAfterSeconds(std::chrono::milliseconds wait, const WireNames& wire) {
+  if (wire.retry_after_fractions) {
+    const auto at_least = std::max(wait, kShortestFraction);
+    return fmt::format("{:.3f}", static_cast<double>(at_least.count()) / kMillisecondsPerSecond);
+  }
   const auto at_least = std::max(wait, kShortestRetryAfter);
   return std::to_string(std::chrono::ceil<std::chrono::seconds>(at_least).count());
 }
 
 http::Response BuildResponse(Outcome outcome, RefusalReason reason, std::string_view detail,
-                             std::chrono::milliseconds retry_after) {
-  const int status = StatusOf(outcome, reason);
-  http::Headers headers{{std::string(kOutcomeHeader), std::string(OutcomeName(outcome))}};
-  if (status == 503) headers.push_back({"Retry-After", RetryAfterSeconds(retry_after)});
+                             std::chrono::milliseconds retry_after, const WireNames& wire) {
+  const int status = StatusOf(outcome, reason, wire);
+  http::Headers headers;
+  if (!wire.outcome.empty()) headers.push_back({wire.outcome, std::string(OutcomeName(outcome))});
+  if (status == 503) headers.push_back({"Retry-After", RetryAfterSeconds(retry_after, wire)});
   return http::MakeProblem(status, policy::kRefusalReasonNames.NameOf(reason), TitleOf(outcome),
                            detail, std::move(headers));
 }
@@ -82,12 +95,13 @@
   }
 }
 
-http::Response RefusalResponse(const CallResult& result) {
-  return BuildResponse(result.outcome, result.reason, "", result.retry_after);
+http::Response RefusalResponse(const CallResult& result, const WireNames& wire) {
+  return BuildResponse(result.outcome, result.reason, "", result.retry_after, wire);
 }
 
-http::Response RefusalResponse(RefusalReason reason, std::string_view detail, Outcome outcome) {
-  return BuildResponse(outcome, reason, detail, kShortestRetryAfter);
+http::Response RefusalResponse(RefusalReason reason, std::string_view detail, Outcome outcome,
+                               const WireNames& wire) {
+  return BuildResponse(outcome, reason, detail, kDefaultRetryAfter, wire);
 }
 
 }  // namespace fireflyrun::node
--- a/src/node/target_announcement.cc
+++ b/src/node/target_announcement.cc
@@ -55,17 +55,42 @@
   announcement->state = *state;
 }
 
+void ReadCount(const json& document, const char* name, std::uint64_t* count, Findings* findings) {
+  const auto field = document.find(name);
+  if (field == document.end()) return;
+  if (!field->is_number_unsigned()) {
+    findings->push_back({std::string("/") + name, "is not a whole number of 0 or more"});
+    return;
+  }
+  *count = field->get<std::uint64_t>();
+}
+
+void ReadColdTime(const json& document, TargetAnnouncement* announcement, Findings* findings) {
+  const auto field = document.find("cold_left");
+  if (field == document.end()) return;
+  if (!field->is_number() || field->get<double>() < 0) {
+    findings->push_back({"/cold_left", "is not a number of seconds of 0 or more"});
+    return;
+  }
+  announcement->cold_left = field->get<double>();
+}
+
 }  // namespace
 
-tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view text) {
+tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view id,
+                                                             std::string_view text) {
   const json document = json::parse(text, nullptr, false);
   if (!document.is_object()) return tl::unexpected(Findings{{"/", "is not a JSON object"}});
   TargetAnnouncement announcement;
+  announcement.target.id = std::string(id);
   Findings findings;
   ReadService(document, &announcement, &findings);
   ReadAddress(document, &announcement, &findings);
   ReadSlots(document, &announcement, &findings);
   ReadState(document, &announcement, &findings);
+  ReadCount(document, "born", &announcement.born, &findings);
+  ReadCount(document, "seq", &announcement.seq, &findings);
+  ReadColdTime(document, &announcement, &findings);
   if (!findings.empty()) return tl::unexpected(std::move(findings));
   return announcement;
 }
--- a/src/node/target_announcement.h
+++ b/src/node/target_announcement.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -14,10 +15,15 @@
 struct TargetAnnouncement {
   TargetAddress target;
   membership::TargetState state = membership::TargetState::kServing;
+  std::uint64_t born = 0;  ///< Orders the runs of a target; 0: not told.
+  std::uint64_t seq = 0;   ///< Orders what one run says; 0: not told.
+  double cold_left = 0;    ///< Seconds for which the target stays slow after its start.
 };
 
-/// Parses `{"service", "address": "IP:PORT", "slots": 1..10000, "state": "serving"|"leaving"}`;
-/// reports everything that is wrong, with JSON pointers as places.
-tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view json);
+/// Parses `{"service", "address": "IP:PORT", "slots": 1..10000, "state": "serving"|"leaving"}`, of
+/// which `state` may be absent, with the optional numbers `born`, `seq` and `cold_left`. `id` may be
+/// empty. Reports everything that is wrong, with JSON pointers as places.
+tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view id,
+                                                             std::string_view json);
 
 }  // namespace fireflyrun::node
--- a/src/node/target_request.cc
+++ b/src/node/target_request.cc
@@ -6,7 +6,8 @@
 #include <array>
 #include <string_view>
 
-#include "node/header_names.h"
+#include "node/target_address.h"
+#include "node/wire_names.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -29,18 +30,28 @@
                      [name](std::string_view own) { return EqualsIgnoringCase(name, own); });
 }
 
-http::ClientRequest BuildTargetRequest(const peer::Call& call, const std::string& address,
-                                       const Id128& handle, SteadyTime deadline) {
+bool IsReplacedHeader(std::string_view name, const WireNames& wire) {
+  return EqualsIgnoringCase(name, wire.deadline) || EqualsIgnoringCase(name, wire.handle) ||
+         EqualsIgnoringCase(name, wire.expected_target) ||
+         EqualsIgnoringCase(name, wire.caller_service);
+}
+
+http::ClientRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
+                                       const Id128& handle, SteadyTime deadline,
+                                       const WireNames& wire) {
   http::ClientRequest request;
   request.method = call.head.method();
-  request.url = "http://" + address + call.head.target();
+  request.url = "http://" + target.address + call.head.target();
   for (const auto& header : call.head.headers()) {
     request.headers.push_back({header.name(), header.value()});
   }
   const Duration left = std::max<Duration>(deadline - SteadyClock::now(), Duration::zero());
-  request.headers.push_back({std::string(kRequestHeader), handle.ToHex()});
-  request.headers.push_back(
-      {std::string(kDeadlineHeader), std::to_string(ToMilliseconds(left).count())});
+  const std::string left_ms = std::to_string(ToMilliseconds(left).count());
+  if (!wire.handle.empty()) request.headers.push_back({wire.handle, handle.ToHex()});
+  if (!wire.deadline.empty()) request.headers.push_back({wire.deadline, left_ms});
+  if (!wire.expected_target.empty() && !target.id.empty()) {
+    request.headers.push_back({wire.expected_target, target.id});
+  }
   request.body = call.body;
   request.timeout = std::max<Duration>(left, std::chrono::milliseconds(1));
   return request;
--- a/src/node/target_request.h
+++ b/src/node/target_request.h
@@ -10,10 +10,15 @@
 
 namespace fireflyrun::node {
 
-/// The HTTP request by which a call is handed to the target at `address` (`IP:PORT`): the caller's
-/// own headers, and Firefly-Request and Firefly-Deadline-Ms. Its timeout is the time left.
-http::ClientRequest BuildTargetRequest(const peer::Call& call, const std::string& address,
-                                       const Id128& handle, SteadyTime deadline);
+struct TargetAddress;
+struct WireNames;
+
+/// The HTTP request by which a call is handed to the target: the caller's own headers, the handle,
+/// the deadline and, where the site has it, the id of the target that is meant. Its timeout is the
+/// time left.
+http::ClientRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
+                                       const Id128& handle, SteadyTime deadline,
+                                       const WireNames& wire);
 
 /// Copies the end-to-end headers of the target's answer.
 void CopyAnswerHeaders(const http::Headers& headers, peer::pb::AnswerHead* head);
@@ -21,4 +26,7 @@
 /// True for headers that belong to one connection or to the nodes themselves and are not passed on.
 bool IsOwnHeader(std::string_view name);
 
+/// True for headers of a caller that the nodes set themselves, whatever the caller sent.
+bool IsReplacedHeader(std::string_view name, const WireNames& wire);
+
 }  // namespace fireflyrun::node
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "common/timer_service.h"
+#include "http/headers.h"
 #include "http/status.h"
 #include "node/answer_codec.h"
 #include "node/call_context.h"
@@ -21,6 +22,7 @@
 using policy::RefusalReason;
 
 constexpr int kServiceUnavailableStatus = 503;
+constexpr int kMisdirectedStatus = 421;
 constexpr std::uint32_t kRememberedWindows = 12;
 constexpr std::size_t kTicketsPerWindow = 16'000;
 constexpr std::size_t kRetainedAnswerBytes = std::size_t{2} << 20;
@@ -236,8 +238,8 @@
   inbound->context = MakeContext(*inbound);
   inbound->target_address = this->target->address;
   this->contexts.Add(inbound->context);
-  auto request = BuildTargetRequest(inbound->call, this->target->address, inbound->context->handle,
-                                    inbound->deadline);
+  auto request = BuildTargetRequest(inbound->call, *this->target, inbound->context->handle,
+                                    inbound->deadline, this->options.wire);
   request.fresh_connection = inbound->ticket.has_value();
   request.max_response_bytes = this->options.max_body_bytes;
   inbound->request = this->client.Send(
@@ -249,13 +251,31 @@
 void TargetService::OnTargetEnded(const CallPointer& inbound,
                                   tl::expected<http::Response, http::ClientError> ended) {
   if (!this->Find(inbound->id)) return;  // Cancelled in the meantime.
-  if (ended) {
+  if (ended && this->SaysNotRun(*ended)) {
+    this->OnTargetRefusal(inbound);
+  } else if (ended) {
     this->OnTargetAnswer(inbound, std::move(*ended));
   } else {
     this->OnTargetError(inbound, ended.error());
   }
 }
 
+bool TargetService::SaysNotRun(const http::Response& response) const {
+  const WireNames& wire = this->options.wire;
+  if (!wire.expected_target.empty() && response.status == kMisdirectedStatus) return true;
+  return !wire.not_run.empty() && http::FindHeader(response.headers, wire.not_run).has_value();
+}
+
+void TargetService::OnTargetRefusal(const CallPointer& inbound) {
+  const SteadyTime now = SteadyClock::now();
+  this->admission.Finished(inbound->id, now - inbound->started, false, now);
+  if (inbound->ticket && !this->ledger.WithdrawUnsent(*inbound->ticket)) {
+    this->Answer(inbound, RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kOutcomeUnknown));
+    return;
+  }
+  this->Refuse(inbound, RefusalReason::kTargetRefused);
+}
+
 void TargetService::OnTargetAnswer(const CallPointer& inbound, http::Response response) {
   const SteadyTime now = SteadyClock::now();
   const Duration service_time = now - inbound->started;
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -13,6 +13,7 @@
 #include "http/client.h"
 #include "node/inbound_call.h"
 #include "node/target_address.h"
+#include "node/wire_names.h"
 #include "peer/link_server.h"
 #include "policy/admission_controller.h"
 #include "policy/refusal_reason.h"
@@ -37,6 +38,7 @@
     std::string node;
     std::uint64_t incarnation = 0;
     std::size_t max_body_bytes = 0;
+    WireNames wire = {};
     bool admit_all = false;  ///< Baseline for benchmarks: no shedding, first in first out.
   };
 
@@ -86,6 +88,9 @@
   void SendToTarget(const CallPointer& inbound);
   void OnTargetEnded(const CallPointer& inbound,
                      tl::expected<http::Response, http::ClientError> ended);
+  /// The target's own word that it has not run the call.
+  bool SaysNotRun(const http::Response& response) const;
+  void OnTargetRefusal(const CallPointer& inbound);
   void OnTargetAnswer(const CallPointer& inbound, http::Response response);
   void OnTargetError(const CallPointer& inbound, const http::ClientError& error);
   void Refuse(const CallPointer& inbound, policy::RefusalReason reason);
--- a/src/node/target_watcher.cc
+++ b/src/node/target_watcher.cc
@@ -20,12 +20,18 @@
 
 void TargetWatcher::OnAnnouncement(const TargetAnnouncement& announcement) {
   if (this->IsReplaced(announcement)) return;
-  const bool first = !this->last_heard;
-  this->last_heard = SteadyClock::now();
-  this->target.SetTarget(announcement.target);
+  const bool leaves = announcement.state == membership::TargetState::kLeaving;
+  const bool same_run = announcement.target.id == this->latest.target.id &&
+                        announcement.born == this->latest.born;
+  // A run never takes back that it leaves, so even a late word of that holds.
+  if (same_run && leaves) this->has_departed = !announcement.target.id.empty();
+  if (this->IsStale(announcement)) {
+    if (same_run && leaves) this->SetLeaving();
+    return;
+  }
+  this->TakeOver(announcement);
   const auto& service = announcement.target.service;
-  if (first) Log(LogLevel::kInfo, "target", "event=announced service=" + service);
-  if (this->node_stopping || announcement.state == membership::TargetState::kLeaving) {
+  if (this->node_stopping || this->has_departed || leaves) {
     this->membership.AnnounceTarget(service, announcement.target.slots);
     this->SetLeaving();
     return;
@@ -36,6 +42,32 @@
   this->membership.SetTargetState(membership::TargetState::kServing);
 }
 
+void TargetWatcher::OnDeparture(const std::string& id) {
+  if (id != this->latest.target.id) return;
+  this->has_departed = true;
+  if (this->last_heard) this->SetLeaving();
+}
+
+bool TargetWatcher::IsStale(const TargetAnnouncement& announcement) const {
+  if (announcement.born != this->latest.born) return announcement.born < this->latest.born;
+  const bool same_id = announcement.target.id == this->latest.target.id;
+  return same_id && announcement.seq != 0 && announcement.seq <= this->latest.seq;
+}
+
+void TargetWatcher::TakeOver(const TargetAnnouncement& announcement) {
+  const bool other_run = announcement.target.id != this->latest.target.id ||
+                         announcement.born != this->latest.born;
+  if (other_run || !this->last_heard) {
+    Log(LogLevel::kInfo, "target",
+        "event=announced service=" + announcement.target.service + " id=" +
+            announcement.target.id + " born=" + std::to_string(announcement.born));
+  }
+  if (other_run) this->has_departed = announcement.state == membership::TargetState::kLeaving;
+  this->last_heard = SteadyClock::now();
+  this->latest = announcement;
+  this->target.SetTarget(announcement.target);
+}
+
 bool TargetWatcher::IsReplaced(const TargetAnnouncement& announcement) const {
   const TargetAddress* current = this->target.Target();
   const bool other_serves =
--- a/src/node/target_watcher.h
+++ b/src/node/target_watcher.h
@@ -26,6 +26,9 @@
 
   void OnAnnouncement(const TargetAnnouncement& announcement);
 
+  /// The target with this id takes no new work from now on, whatever it announces later.
+  void OnDeparture(const std::string& id);
+
   /// The node itself stops: the target leaves, whatever it announces later.
   void LeaveForGood();
 
@@ -34,11 +37,16 @@
   void SetLeaving();
   /// A leaving target whose place on this host another one has taken already.
   bool IsReplaced(const TargetAnnouncement& announcement) const;
+  /// Said by an earlier run of the target, or overtaken by what this run said since.
+  bool IsStale(const TargetAnnouncement& announcement) const;
+  void TakeOver(const TargetAnnouncement& announcement);
 
   membership::Membership& membership;
   TargetService& target;
   Duration limit;
   std::optional<SteadyTime> last_heard;
+  TargetAnnouncement latest;   ///< Of the run that is believed to be there.
+  bool has_departed = false;   ///< That run said that it leaves; it can't take this back.
   bool serving = false;
   bool node_stopping = false;
   TimerSubscription silence_timer;
--- a/src/policy/refusal_reason.h
+++ b/src/policy/refusal_reason.h
@@ -29,6 +29,7 @@
   kAdmissionLevel,    ///< The call's key is beyond the admission level.
   kCancelled,         ///< The caller went away.
   kTargetFailed,      ///< The target closed, broke or garbled the exchange.
+  kTargetRefused,     ///< The target itself said that it has not run the call.
   kDownstreamFailed,  ///< The target failed because a call that it made did.
   kLinkLost,          ///< The link to the target's node was lost.
   kLinkBudget,        ///< The inter-region byte budget is spent.
@@ -60,6 +61,7 @@
     std::pair{RefusalReason::kAdmissionLevel, std::string_view("admission-level")},
     std::pair{RefusalReason::kCancelled, std::string_view("cancelled")},
     std::pair{RefusalReason::kTargetFailed, std::string_view("target-failed")},
+    std::pair{RefusalReason::kTargetRefused, std::string_view("target-refused")},
     std::pair{RefusalReason::kDownstreamFailed, std::string_view("downstream-failed")},
     std::pair{RefusalReason::kLinkLost, std::string_view("link-lost")},
     std::pair{RefusalReason::kLinkBudget, std::string_view("link-budget")},
--- a/tests/node/codec_test.cc
+++ b/tests/node/codec_test.cc
@@ -46,14 +46,14 @@
 
 TEST(TargetAnnouncementTest, ReportsEveryWrongField) {
   const auto parsed =
-      ParseAnnouncement(R"({"service":"Bad Name","address":"host:1","slots":0,"state":"odd"})");
+      ParseAnnouncement("", R"({"service":"Bad Name","address":"host:1","slots":0,"state":"odd"})");
   ASSERT_FALSE(parsed);
   EXPECT_EQ(parsed.error().size(), 4U);
-  EXPECT_FALSE(ParseAnnouncement("not json"));
+  EXPECT_FALSE(ParseAnnouncement("", "not json"));
 }
 
 TEST(TargetAnnouncementTest, TakesAWholeAnnouncement) {
-  const auto parsed = ParseAnnouncement(
+  const auto parsed = ParseAnnouncement("",
       R"({"service":"calendar","address":"127.0.0.1:8080","slots":90,"state":"leaving"})");
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->target.slots, 90U);
