Add records of routes and limits, and services that only routes reach

A call could be given to a service only by its first path segment. Route records choose services by host and path prefix, with weights; service schema 3 says what concerns a service's targets; the limits record says what callers may send.

Tests that used service schema 3 as one that no build understands use the schema after the highest one, for 3 is understood now.

--- a/src/records/configuration.cc
+++ b/src/records/configuration.cc
@@ -47,6 +47,9 @@
     for (const auto& [name, service] : this->chosen_services) {
       this->AddService(service);
     }
+    for (const auto& [key, route] : this->chosen_routes) {
+      this->AddRoute(key, route);
+    }
     return this->result;
   }
 
@@ -84,14 +87,17 @@
       this->priorities.emplace(record.key.name, std::move(*priority));
     } else if (auto* allowance = std::get_if<RetryAllowanceRecord>(&record.content)) {
       this->allowances.emplace(record.key.name, std::move(*allowance));
+    } else if (auto* route = std::get_if<RouteRecord>(&record.content)) {
+      this->chosen_routes.emplace(record.key, std::move(*route));
+    } else if (auto* limits = std::get_if<LimitsRecord>(&record.content)) {
+      this->result->limits = limits->limits;
     }
   }
 
-  bool SetPriority(const ServiceRecord& service, const std::string& name, RoutePolicy& policy) {
+  bool SetPriority(const RecordKey& key, const std::string& name, RoutePolicy& policy) {
     const auto found = this->priorities.find(name);
     if (found == this->priorities.end()) {
-      this->Report({RecordKind::kService, service.name, service.schema},
-                   "names the priority \"" + name + "\", which is not in force");
+      this->Report(key, "names the priority \"" + name + "\", which is not in force");
       return false;
     }
     policy.class_name = name;
@@ -100,12 +106,10 @@
     return true;
   }
 
-  bool SetRetry(const ServiceRecord& service, RoutePolicy& policy) {
-    const auto found = this->allowances.find(service.retry_allowance);
+  bool SetRetry(const RecordKey& key, const std::string& name, RoutePolicy& policy) {
+    const auto found = this->allowances.find(name);
     if (found == this->allowances.end()) {
-      this->Report(
-          {RecordKind::kService, service.name, service.schema},
-          "names the retry_allowance \"" + service.retry_allowance + "\", which is not in force");
+      this->Report(key, "names the retry_allowance \"" + name + "\", which is not in force");
       return false;
     }
     const RetryAllowanceRecord& allowance = found->second;
@@ -116,18 +120,20 @@
 
   /// A service is left out whole: a part of its routes would mean another policy than its author's.
   void AddService(const ServiceRecord& record) {
+    const RecordKey key{RecordKind::kService, record.name, record.schema};
     Configuration::Service service;
+    service.whole = record.policy;
     RoutePolicy& policy = service.policy;
     policy.service = record.name;
     policy.idempotent = record.idempotent;
     policy.deadline = record.deadline;
-    policy.max_body_bytes = record.max_body_bytes.value_or(kDefaultMaxBodyBytes);
-    bool usable = this->SetPriority(record, record.priority, policy);
-    usable = this->SetRetry(record, policy) && usable;
+    policy.max_body_bytes = record.max_body_bytes.value_or(this->result->limits.max_body_bytes);
+    bool usable = this->SetPriority(key, record.priority, policy);
+    usable = this->SetRetry(key, record.retry_allowance, policy) && usable;
     for (const ServiceRoute& route : record.routes) {
       RoutePolicy route_policy = policy;
       if (route.priority) {
-        usable = this->SetPriority(record, *route.priority, route_policy) && usable;
+        usable = this->SetPriority(key, *route.priority, route_policy) && usable;
       }
       route_policy.idempotent = route.idempotent.value_or(policy.idempotent);
       route_policy.deadline = route.deadline.value_or(policy.deadline);
@@ -139,6 +145,46 @@
     this->result->service_names.push_back(record.name);
   }
 
+  /// Parts whose service is not in force are left out; the others keep their proportions.
+  void AddRoute(const RecordKey& key, const RouteRecord& record) {
+    RoutePolicy common;
+    bool usable = this->SetPriority(key, record.priority, common);
+    usable = this->SetRetry(key, record.retry_allowance, common) && usable;
+    if (!usable) return;
+    common.name = record.name;
+    common.idempotent = record.idempotent;
+    common.max_attempts = record.max_attempts;
+    common.timeout = record.timeout;
+    common.target_latency = record.target_latency;
+    RouteEntry entry{record.name, {}, {}};
+    bool has_weight = false;
+    for (const RoutePart& part : record.parts) {
+      has_weight = (this->AddPart(key, part, common, entry) && part.weight > 0) || has_weight;
+    }
+    if (!has_weight) {
+      this->Report(key, "is left out, for no service that it gives a weight to is in force");
+    } else if (!this->result->routes.Add(record.host, record.prefix, std::move(entry))) {
+      this->Report(key, "is left out, for another route has the same host and prefix");
+    }
+  }
+
+  bool AddPart(const RecordKey& key, const RoutePart& part, const RoutePolicy& common,
+               RouteEntry& entry) {
+    const auto found = this->result->services.find(part.service);
+    if (found == this->result->services.end()) {
+      this->Report(key, "names the service \"" + part.service + "\", which is not in force");
+      return false;
+    }
+    const RoutePolicy& service = found->second.policy;
+    RoutePolicy policy = common;
+    policy.service = part.service;
+    policy.deadline = common.timeout.value_or(service.deadline);
+    policy.max_body_bytes = service.max_body_bytes;
+    entry.parts.push_back({part.weight, std::move(policy)});
+    entry.weights.push_back(part.weight);
+    return true;
+  }
+
   static bool ComesFirst(const Configuration::Route& a, const Configuration::Route& b) {
     if (a.path.size() != b.path.size()) return a.path.size() > b.path.size();
     return a.method != "*" && b.method == "*";
@@ -147,6 +193,7 @@
   const RecordBook& book;
   std::shared_ptr<Configuration> result;
   std::map<std::string, ServiceRecord> chosen_services;
+  std::map<RecordKey, RouteRecord> chosen_routes;
   std::map<std::string, PriorityRecord> priorities;
   std::map<std::string, RetryAllowanceRecord> allowances;
 };
@@ -158,7 +205,7 @@
 const RoutePolicy* Configuration::Find(std::string_view service, std::string_view method,
                                        std::string_view path) const {
   const auto found = this->services.find(service);
-  if (found == this->services.end()) return nullptr;
+  if (found == this->services.end() || !found->second.whole.by_path) return nullptr;
   path = path.substr(0, path.find('?'));
   for (const Route& route : found->second.routes) {
     const bool has_method = route.method == "*" || route.method == method;
@@ -167,4 +214,9 @@
   return &found->second.policy;
 }
 
+const ServicePolicy* Configuration::FindService(std::string_view service) const {
+  const auto found = this->services.find(service);
+  return found == this->services.end() ? nullptr : &found->second.whole;
+}
+
 }  // namespace fireflyrun::records
--- a/src/records/configuration.h
+++ b/src/records/configuration.h
@@ -9,7 +9,11 @@
 #include <vector>
 
 #include "common/finding.h"
+#include "records/caller_limits.h"
+#include "records/name_hash.h"
 #include "records/route_policy.h"
+#include "records/route_table.h"
+#include "records/service_policy.h"
 
 namespace fireflyrun::records {
 
@@ -24,12 +28,25 @@
 
   std::int64_t Revision() const { return this->revision; }
 
-  /// The policy of a call, or null for an unknown service. `path` is what follows the service's
-  /// own path segment; a query is ignored. The longest matching path prefix wins, then a named
-  /// method over "*". Does not allocate.
+  /// The policy of a call by service name, or null for a service that is unknown or that only route
+  /// records lead to. `path` is what follows the service's own path segment; a query is ignored.
+  /// The longest matching path prefix wins, then a named method over "*". Does not allocate.
   const RoutePolicy* Find(std::string_view service, std::string_view method,
                           std::string_view path) const;
 
+  /// The route record of a call, or null. Among the routes of the host the longest prefix wins;
+  /// those without a host are tried after them. Case and port of the host and a query are ignored;
+  /// the path is compared byte for byte. Does not allocate.
+  const RouteEntry* FindRoute(std::string_view host, std::string_view path) const {
+    return this->routes.Find(host, path);
+  }
+
+  /// Null for an unknown service.
+  const ServicePolicy* FindService(std::string_view service) const;
+
+  /// What callers may send.
+  const CallerLimits& Limits() const { return this->limits; }
+
   /// Sorted.
   const std::vector<std::string>& ServiceNames() const { return this->service_names; }
 
@@ -48,18 +65,14 @@
   struct Service {
     std::vector<Route> routes;  ///< In the order in which they are tried.
     RoutePolicy policy;         ///< For calls that no route matches.
-  };
-
-  struct NameHash {
-    using is_transparent = void;  // NOLINT(readability-identifier-naming)
-    std::size_t operator()(std::string_view name) const {
-      return std::hash<std::string_view>{}(name);
-    }
+    ServicePolicy whole;        ///< What does not depend on the call.
   };
 
   std::int64_t revision = 0;
   std::unordered_map<std::string, Service, NameHash, std::equal_to<>> services;
   std::vector<std::string> service_names;
+  RouteTable routes;
+  CallerLimits limits;
   Findings problems;
 };
 
--- a/src/records/field_reader.cc
+++ b/src/records/field_reader.cc
@@ -90,6 +90,15 @@
   return std::nullopt;
 }
 
+std::optional<std::chrono::milliseconds> FieldReader::Milliseconds(std::string_view field,
+                                                                   std::int64_t lowest,
+                                                                   std::int64_t highest,
+                                                                   Presence presence) {
+  const auto number = this->Integer(field, lowest, highest, presence);
+  if (!number) return std::nullopt;
+  return std::chrono::milliseconds(*number);
+}
+
 std::optional<double> FieldReader::Number(std::string_view field, double lowest, double highest) {
   const std::string allowed = fmt::format("a number from {} to {}", lowest, highest);
   const Json* value = this->Get(field, Presence::kRequired, allowed);
--- a/src/records/field_reader.h
+++ b/src/records/field_reader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -27,6 +28,8 @@
   std::optional<bool> Boolean(std::string_view field, Presence presence);
   std::optional<std::int64_t> Integer(std::string_view field, std::int64_t lowest,
                                       std::int64_t highest, Presence presence);
+  std::optional<std::chrono::milliseconds> Milliseconds(std::string_view field, std::int64_t lowest,
+                                                        std::int64_t highest, Presence presence);
   std::optional<double> Number(std::string_view field, double lowest, double highest);
   /// Null when absent or no array.
   const nlohmann::json* Array(std::string_view field, Presence presence);
--- /dev/null
+++ b/src/records/limits_record.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+#include "records/caller_limits.h"
+
+namespace fireflyrun::records {
+
+/// The limits on callers. There is one, "default".
+struct LimitsRecord {
+  std::string name;
+  CallerLimits limits;
+};
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/name_hash.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <string_view>
+
+namespace fireflyrun::records {
+
+/// Lets an unordered map with string keys be searched by string_view without an allocation.
+struct NameHash {
+  using is_transparent = void;  // NOLINT(readability-identifier-naming)
+  std::size_t operator()(std::string_view name) const {
+    return std::hash<std::string_view>{}(name);
+  }
+};
+
+}  // namespace fireflyrun::records
--- a/src/records/record_kind.h
+++ b/src/records/record_kind.h
@@ -13,15 +13,19 @@
   kService,         ///< A service: its priority, retry allowance and deadline.
   kPriority,        ///< A class of calls and when it is shed.
   kRetryAllowance,  ///< Bounds on retries.
+  kRoute,           ///< Calls by host and path prefix, and the services that take them.
+  kLimits,          ///< What callers may send.
 };
 
 inline constexpr EnumNames kRecordKindNames(std::array{
     std::pair{RecordKind::kService, std::string_view("service")},
     std::pair{RecordKind::kPriority, std::string_view("priority")},
     std::pair{RecordKind::kRetryAllowance, std::string_view("retry_allowance")},
+    std::pair{RecordKind::kRoute, std::string_view("route")},
+    std::pair{RecordKind::kLimits, std::string_view("limits")},
 });
 
 /// The highest schema of `kind` that this build understands; schemas count from 1.
-constexpr int HighestSchema(RecordKind kind) { return kind == RecordKind::kService ? 2 : 1; }
+constexpr int HighestSchema(RecordKind kind) { return kind == RecordKind::kService ? 3 : 1; }
 
 }  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/record_limits.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace fireflyrun::records {
+
+inline constexpr std::int64_t kMinDeadlineMs = 10;
+inline constexpr std::int64_t kMaxDeadlineMs = 600'000;
+inline constexpr std::size_t kMaxPathBytes = 512;
+
+/// True for "/" and up to 512 bytes that a request line can carry as a path without query.
+inline bool IsAbsolutePath(std::string_view path) {
+  if (!path.starts_with('/') || path.size() > kMaxPathBytes) return false;
+  return std::all_of(path.begin(), path.end(),
+                     [](char c) { return c > ' ' && c <= '~' && c != '?' && c != '#'; });
+}
+
+}  // namespace fireflyrun::records
--- a/src/records/record_parser.cc
+++ b/src/records/record_parser.cc
@@ -9,14 +9,14 @@
 
 #include "records/field_reader.h"
 #include "records/json_reader.h"
+#include "records/record_limits.h"
+#include "records/route_record_parser.h"
 
 namespace fireflyrun::records {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::int64_t kMinDeadlineMs = 10;
-constexpr std::int64_t kMaxDeadlineMs = 600'000;
 constexpr std::int64_t kMaxBodyBytesLimit = std::int64_t{256} << 20;
 /// The first path segment under which nodes themselves issue tickets.
 constexpr std::string_view kReservedServiceName = "tickets";
@@ -24,8 +24,13 @@
 constexpr std::int64_t kMaxRetriesPerRequest = 20;
 constexpr std::int64_t kMaxRetryBurst = 10'000;
 constexpr std::size_t kMaxRoutes = 64;
-constexpr std::size_t kMaxRoutePathBytes = 512;
 constexpr std::size_t kMaxMethodBytes = 20;
+constexpr std::int64_t kMaxConnections = 100'000;
+constexpr std::int64_t kMinHeaderBytes = 1024;
+constexpr std::int64_t kMaxHeaderBytes = std::int64_t{1} << 20;
+constexpr std::int64_t kMinCallerTimeoutMs = 100;
+constexpr std::int64_t kMaxCallerTimeoutMs = 3'600'000;
+constexpr std::string_view kLimitsName = "default";
 
 bool IsRouteMethod(std::string_view method) {
   if (method == "*") return true;
@@ -35,17 +40,11 @@
 
 bool IsRoutePath(std::string_view path) {
   if (path == "/") return true;
-  if (path.size() < 2 || path.size() > kMaxRoutePathBytes) return false;
-  if (path.front() != '/' || path.back() == '/') return false;
-  if (path.find("//") != std::string_view::npos) return false;
-  return std::all_of(path.begin(), path.end(),
-                     [](char c) { return c > ' ' && c <= '~' && c != '?' && c != '#'; });
+  return IsAbsolutePath(path) && path.back() != '/' && path.find("//") == std::string_view::npos;
 }
 
 std::optional<std::chrono::milliseconds> ReadDeadline(FieldReader& reader, Presence presence) {
-  const auto deadline = reader.Integer("deadline_ms", kMinDeadlineMs, kMaxDeadlineMs, presence);
-  if (!deadline) return std::nullopt;
-  return std::chrono::milliseconds(*deadline);
+  return reader.Milliseconds("deadline_ms", kMinDeadlineMs, kMaxDeadlineMs, presence);
 }
 
 ServiceRoute ParseRoute(const Json& value, const std::string& place, Findings& findings) {
@@ -97,6 +96,21 @@
   return routes;
 }
 
+ServicePolicy ParseServicePolicy(FieldReader& reader) {
+  ServicePolicy policy;
+  policy.by_path = reader.Boolean("by_path", Presence::kOptional).value_or(true);
+  policy.health_path = reader.Text("health_path", Presence::kOptional);
+  if (policy.health_path && !IsAbsolutePath(*policy.health_path)) {
+    reader.Report("health_path", "is " + Printable(*policy.health_path) +
+                                     "; allowed are up to 512 bytes that begin with \"/\", "
+                                     "without query or space");
+  }
+  const auto connections =
+      reader.Integer("max_connections", 1, kMaxConnections, Presence::kOptional);
+  if (connections) policy.max_connections = static_cast<int>(*connections);
+  return policy;
+}
+
 ServiceRecord ParseService(FieldReader& reader, const RecordKey& key, Findings& findings) {
   ServiceRecord service;
   service.name = key.name;
@@ -114,6 +128,7 @@
   const auto max_body =
       reader.Integer("max_body_bytes", 0, kMaxBodyBytesLimit, Presence::kOptional);
   if (max_body) service.max_body_bytes = static_cast<std::size_t>(*max_body);
+  if (key.schema >= 3) service.policy = ParseServicePolicy(reader);
   return service;
 }
 
@@ -139,13 +154,44 @@
   return allowance;
 }
 
+LimitsRecord ParseLimits(FieldReader& reader, const RecordKey& key) {
+  LimitsRecord record;
+  record.name = key.name;
+  // A name that is no name at all has been reported.
+  if (!key.name.empty() && key.name != kLimitsName) {
+    reader.Report("name", "is " + Printable(key.name) + "; allowed is \"default\"");
+  }
+  CallerLimits& limits = record.limits;
+  const auto header_bytes =
+      reader.Integer("max_header_bytes", kMinHeaderBytes, kMaxHeaderBytes, Presence::kRequired);
+  limits.max_header_bytes = static_cast<std::size_t>(header_bytes.value_or(0));
+  const auto body_bytes =
+      reader.Integer("max_body_bytes", 0, kMaxBodyBytesLimit, Presence::kRequired);
+  limits.max_body_bytes = static_cast<std::size_t>(body_bytes.value_or(0));
+  const auto read_timeout = [&](std::string_view field) {
+    return reader.Milliseconds(field, kMinCallerTimeoutMs, kMaxCallerTimeoutMs, Presence::kRequired)
+        .value_or(std::chrono::milliseconds::zero());
+  };
+  limits.header_timeout = read_timeout("header_timeout_ms");
+  limits.idle_timeout = read_timeout("idle_timeout_ms");
+  return record;
+}
+
+std::string KindNames() {
+  std::string names;
+  for (const auto& [kind, name] : kRecordKindNames.Entries()) {
+    if (!names.empty()) names += ", ";
+    names += name;
+  }
+  return names;
+}
+
 std::optional<RecordKind> ReadKind(FieldReader& reader) {
   const auto text = reader.Text("kind", Presence::kRequired);
   if (!text) return std::nullopt;
   const auto kind = kRecordKindNames.ValueOf(*text);
   if (!kind) {
-    reader.Report("kind",
-                  "is " + Printable(*text) + "; allowed are service, priority and retry_allowance");
+    reader.Report("kind", "is " + Printable(*text) + "; allowed are " + KindNames());
   }
   return kind;
 }
@@ -156,6 +202,10 @@
       return ParsePriority(reader, key);
     case RecordKind::kRetryAllowance:
       return ParseRetryAllowance(reader, key);
+    case RecordKind::kRoute:
+      return ParseRouteRecord(reader, key, findings);
+    case RecordKind::kLimits:
+      return ParseLimits(reader, key);
     case RecordKind::kService:
       break;
   }
--- a/src/records/record_reference.cc
+++ b/src/records/record_reference.cc
@@ -21,17 +21,19 @@
 
 std::vector<RecordReference> FindReferences(RecordKind kind, std::string_view body) {
   std::vector<RecordReference> references;
-  if (kind != RecordKind::kService) return references;
+  if (kind != RecordKind::kService && kind != RecordKind::kRoute) return references;
   const Json parsed = Json::parse(body, nullptr, false);
   AddReference(parsed, RecordKind::kPriority, "", references);
   AddReference(parsed, RecordKind::kRetryAllowance, "", references);
-  if (!parsed.is_object()) return references;
-  const auto routes = parsed.find("routes");
-  if (routes == parsed.end() || !routes->is_array()) return references;
-  for (std::size_t i = 0; i < routes->size(); ++i) {
-    const std::string prefix = "routes/" + std::to_string(i) + "/";
-    AddReference((*routes)[i], RecordKind::kPriority, prefix, references);
-    AddReference((*routes)[i], RecordKind::kRetryAllowance, prefix, references);
+  const bool is_service = kind == RecordKind::kService;
+  const std::string list = is_service ? "routes" : "services";
+  if (!parsed.is_object() || !parsed.contains(list) || !parsed[list].is_array()) return references;
+  for (std::size_t i = 0; i < parsed[list].size(); ++i) {
+    const std::string prefix = list + "/" + std::to_string(i) + "/";
+    const Json& element = parsed[list][i];
+    AddReference(element, RecordKind::kPriority, prefix, references);
+    AddReference(element, RecordKind::kRetryAllowance, prefix, references);
+    if (!is_service) AddReference(element, RecordKind::kService, prefix, references);
   }
   return references;
 }
--- a/src/records/record_reference.h
+++ b/src/records/record_reference.h
@@ -15,8 +15,8 @@
   std::string pointer;  ///< JSON pointer of the mention in the record's body, without leading "/".
 };
 
-/// The references in a service's body, by the fields that all schemas share, so that those of a
-/// schema that this build does not know are found too.
+/// The references in the body of a service or route, by the fields that all schemas share, so that
+/// those of a schema that this build does not know are found too.
 std::vector<RecordReference> FindReferences(RecordKind kind, std::string_view body);
 
 }  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/route_entry.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "records/weighted_policy.h"
+
+namespace fireflyrun::records {
+
+/// A route record in force. At least one part has a weight above 0.
+struct RouteEntry {
+  std::string name;
+  std::vector<WeightedPolicy> parts;
+  std::vector<int>
+      weights;  ///< Those of `parts`, in their order, as policy::WeightedPick takes them.
+};
+
+}  // namespace fireflyrun::records
--- a/src/records/route_policy.h
+++ b/src/records/route_policy.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
 
 #include "records/retry_policy.h"
@@ -12,12 +13,16 @@
 
 /// What the records in force say about one call.
 struct RoutePolicy {
+  std::string name;  ///< Of the route record; empty for a call by service name.
   std::string service;
   std::string class_name;  ///< Name of the priority record.
   int rank = 0;            ///< 0 is shed last.
   bool may_leave_region = false;
   bool idempotent = false;
   std::chrono::milliseconds deadline{0};
+  int max_attempts = 0;  ///< Targets that one call may be sent to; 0: no route bounds them.
+  std::optional<std::chrono::milliseconds> timeout;         ///< The route's.
+  std::optional<std::chrono::milliseconds> target_latency;  ///< The route's.
   std::size_t max_body_bytes = kDefaultMaxBodyBytes;
   RetryPolicy retry;
 };
--- /dev/null
+++ b/src/records/route_record.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "records/route_part.h"
+
+namespace fireflyrun::records {
+
+/// Calls selected by host and path prefix, and the services that take them.
+struct RouteRecord {
+  std::string name;
+  std::string host;    ///< Without port; empty is any host.
+  std::string prefix;  ///< Begins and ends with "/"; compared byte for byte.
+  std::vector<RoutePart> parts;
+  std::string priority;         ///< Name of a priority record.
+  std::string retry_allowance;  ///< Name of a retry allowance record.
+  bool idempotent = false;
+  int max_attempts = 1;  ///< Targets that one call may be sent to; 1 to 10.
+  std::optional<std::chrono::milliseconds> timeout;
+  std::optional<std::chrono::milliseconds> target_latency;
+};
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/route_record_parser.cc
@@ -0,0 +1,122 @@
+#include "records/route_record_parser.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include "records/field_reader.h"
+#include "records/json_reader.h"
+#include "records/record_limits.h"
+#include "records/route_table.h"
+
+namespace fireflyrun::records {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::int64_t kMaxWeight = 1000;
+constexpr std::int64_t kMaxAttempts = 10;
+constexpr std::int64_t kMinTargetLatencyMs = 1;
+constexpr std::size_t kMaxParts = 16;
+
+bool IsLetterOrDigit(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
+}
+
+/// A name or IPv4 address, or an IPv6 address in brackets; without port.
+bool IsHost(std::string_view host) {
+  if (host.empty() || host.size() > kMaxHostBytes) return false;
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    return std::all_of(host.begin() + 1, host.end() - 1,
+                       [](char c) { return IsLetterOrDigit(c) || c == ':' || c == '.'; });
+  }
+  return std::all_of(host.begin(), host.end(),
+                     [](char c) { return IsLetterOrDigit(c) || c == '-' || c == '.' || c == '_'; });
+}
+
+bool IsPrefix(std::string_view prefix) { return IsAbsolutePath(prefix) && prefix.back() == '/'; }
+
+void ReadHost(FieldReader& reader, RouteRecord& route) {
+  auto host = reader.Text("host", Presence::kOptional);
+  if (!host) return;
+  if (!IsHost(*host)) {
+    reader.Report("host", "is " + Printable(*host) +
+                              "; allowed is a host name or an IP address, without port");
+  }
+  route.host = std::move(*host);
+}
+
+void ReadPrefix(FieldReader& reader, RouteRecord& route) {
+  auto prefix = reader.Text("prefix", Presence::kRequired);
+  if (!prefix) return;
+  if (!IsPrefix(*prefix)) {
+    reader.Report("prefix", "is " + Printable(*prefix) +
+                                "; allowed are up to 512 bytes that begin and end with \"/\", "
+                                "without query or space");
+  }
+  route.prefix = std::move(*prefix);
+}
+
+RoutePart ParsePart(const Json& value, const std::string& place, Findings& findings) {
+  FieldReader reader(value, place, findings);
+  RoutePart part;
+  part.service = reader.Name("service", Presence::kRequired).value_or("");
+  part.weight =
+      static_cast<int>(reader.Integer("weight", 0, kMaxWeight, Presence::kRequired).value_or(1));
+  reader.RejectUnknownFields();
+  return part;
+}
+
+std::vector<RoutePart> ParseParts(FieldReader& reader, Findings& findings) {
+  std::vector<RoutePart> parts;
+  const Json* values = reader.Array("services", Presence::kRequired);
+  if (values == nullptr) return parts;
+  if (values->empty() || values->size() > kMaxParts) {
+    reader.Report("services", "has " + std::to_string(values->size()) +
+                                  " elements; allowed are 1 to " + std::to_string(kMaxParts));
+    return parts;
+  }
+  std::set<std::string> seen;
+  bool has_weight = false;
+  for (std::size_t i = 0; i < values->size(); ++i) {
+    const std::string place = ChildPlace(reader.PlaceOf("services"), std::to_string(i));
+    const Json& value = (*values)[i];
+    if (!value.is_object()) {
+      findings.push_back({place, "is no service with a weight; allowed is a JSON object"});
+      has_weight = true;  // Unknown, so nothing is said of the sum.
+      continue;
+    }
+    parts.push_back(ParsePart(value, place, findings));
+    has_weight = has_weight || parts.back().weight > 0;
+    if (!seen.insert(parts.back().service).second) {
+      findings.push_back({place, "repeats an earlier service; allowed is each service once"});
+    }
+  }
+  if (!has_weight) reader.Report("services", "has no weight above 0; allowed is at least one");
+  return parts;
+}
+
+}  // namespace
+
+RouteRecord ParseRouteRecord(FieldReader& reader, const RecordKey& key, Findings& findings) {
+  RouteRecord route;
+  route.name = key.name;
+  ReadHost(reader, route);
+  ReadPrefix(reader, route);
+  route.parts = ParseParts(reader, findings);
+  route.priority = reader.Name("priority", Presence::kRequired).value_or("");
+  route.retry_allowance = reader.Name("retry_allowance", Presence::kRequired).value_or("");
+  route.idempotent = reader.Boolean("idempotent", Presence::kRequired).value_or(false);
+  route.max_attempts = static_cast<int>(
+      reader.Integer("max_attempts", 1, kMaxAttempts, Presence::kOptional).value_or(1));
+  route.timeout =
+      reader.Milliseconds("timeout_ms", kMinDeadlineMs, kMaxDeadlineMs, Presence::kOptional);
+  route.target_latency = reader.Milliseconds("target_latency_ms", kMinTargetLatencyMs,
+                                             kMaxDeadlineMs, Presence::kOptional);
+  return route;
+}
+
+}  // namespace fireflyrun::records
--- /dev/null
+++ b/src/records/route_record_parser.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "common/finding.h"
+#include "records/record_key.h"
+#include "records/route_record.h"
+
+namespace fireflyrun::records {
+
+class FieldReader;
+
+/// Reads the fields of a route record and reports those that are wrong.
+RouteRecord ParseRouteRecord(FieldReader& reader, const RecordKey& key, Findings& findings);
+
+}  // namespace fireflyrun::records
--- a/src/records/service_record.h
+++ b/src/records/service_record.h
@@ -6,11 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "records/service_policy.h"
 #include "records/service_route.h"
 
 namespace fireflyrun::records {
 
-/// One service. Schema 1 has one priority for all its calls; schema 2 adds routes and a body limit.
+/// One service. Schema 1 has one priority for all its calls; schema 2 adds routes and a body limit;
+/// schema 3 adds what concerns its targets, and that only route records may lead to it.
 struct ServiceRecord {
   std::string name;
   int schema = 1;
@@ -20,6 +22,7 @@
   bool idempotent = false;
   std::vector<ServiceRoute> routes;
   std::optional<std::size_t> max_body_bytes;
+  ServicePolicy policy;
 };
 
 }  // namespace fireflyrun::records
--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -231,13 +231,13 @@
   HttpCall put;
   put.method = "POST";
   put.url = fleet->StoreUrl() + "/v3/kv/txn";
-  const json request = {{"key", store::EncodeBase64("/fireflyrun/test/records/service/entry/v3")},
+  const json request = {{"key", store::EncodeBase64("/fireflyrun/test/records/service/entry/v4")},
                         {"value", store::EncodeBase64(envelope.dump())}};
   put.body = json{{"success", json::array({json{{"request_put", request}}})}}.dump();
   ASSERT_EQ(MakeCall(put).status, 200);
   EXPECT_TRUE(WaitUntil(kInForceLimit, [] {
     return std::all_of(kNodes.begin(), kNodes.end(), [](const std::string& node) {
-      return !RecordOn(node, "service/entry/v3").is_null();
+      return !RecordOn(node, "service/entry/v4").is_null();
     });
   }));
   EXPECT_TRUE(all_refuse());
--- a/tests/records/configuration_test.cc
+++ b/tests/records/configuration_test.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t kRevision = 9;
+constexpr int kUnknownSchema = HighestSchema(RecordKind::kService) + 1;
 
 RecordEntry Entry(RecordKind kind, const std::string& name, int schema, const std::string& fields) {
   const std::string body = R"({"kind":")" + std::string(kRecordKindNames.NameOf(kind)) +
@@ -25,6 +26,13 @@
                    std::to_string(deadline_ms) + more);
 }
 
+RecordEntry Route(const std::string& name, const std::string& fields, const std::string& services,
+                  const std::string& priority = "top") {
+  return Entry(RecordKind::kRoute, name, 1,
+               fields + R"("priority":")" + priority +
+                   R"(","retry_allowance":"std","idempotent":true,"services":[)" + services + "]");
+}
+
 class ConfigurationTest : public testing::Test {
  protected:
   std::shared_ptr<const Configuration> Build(std::vector<RecordEntry> entries) {
@@ -68,8 +76,11 @@
 
 TEST_F(ConfigurationTest, UsesTheHighestSchemaThatItUnderstands) {
   const auto configuration =
-      this->Build({Service("s", 1, 100), Service("s", 2, 200), Service("s", 3, 300)});
-  EXPECT_EQ(configuration->Find("s", "GET", "/")->deadline.count(), 200);
+      this->Build({Service("s", 1, 100), Service("s", 2, 200), Service("s", 3, 300),
+                   Service("s", kUnknownSchema, 400), Service("t", 1, 100), Service("t", 2, 200),
+                   Service("t", kUnknownSchema, 400)});
+  EXPECT_EQ(configuration->Find("s", "GET", "/")->deadline.count(), 300);
+  EXPECT_EQ(configuration->Find("t", "GET", "/")->deadline.count(), 200);
   EXPECT_TRUE(configuration->Problems().empty());
   EXPECT_EQ(configuration->Revision(), kRevision);
 }
@@ -90,11 +101,11 @@
   broken.body = "{";
   RecordEntry misplaced = Service("one", 1, 100);
   misplaced.key.name = "other";
-  const auto configuration =
-      this->Build({broken, misplaced, Service("fallback", 1, 100), Service("fallback", 2, 1),
-                   Service("too-new", 3, 100), Service("dangling", 2, 100, R"(,"routes":[
+  const auto configuration = this->Build(
+      {broken, misplaced, Service("fallback", 1, 100), Service("fallback", 2, 1),
+       Service("too-new", kUnknownSchema, 100), Service("dangling", 2, 100, R"(,"routes":[
         {"method":"*","path":"/","priority":"none"}])"),
-                   Service("good", 1, 100)});
+       Service("good", 1, 100)});
   EXPECT_EQ(configuration->ServiceNames(), (std::vector<std::string>{"fallback", "good"}));
   EXPECT_EQ(configuration->Problems().size(), 5U) << FormatFindings(configuration->Problems());
   EXPECT_EQ(configuration->Find("fallback", "GET", "/")->deadline.count(), 100);
@@ -112,5 +123,91 @@
   EXPECT_EQ(configuration->Problems().size(), 301U);
 }
 
+TEST_F(ConfigurationTest, ResolvesTheServicesOfARoute) {
+  const auto configuration = this->Build(
+      {Service("calendar", 3, 100, R"(,"by_path":false,"health_path":"/up","max_connections":64)"),
+       Service("proclaim", 1, 200),
+       Route("split", R"("host":"A.example","prefix":"/p/","max_attempts":2,"timeout_ms":1200,
+         "target_latency_ms":1500,)",
+             R"({"service":"calendar","weight":90},{"service":"proclaim","weight":10})"),
+       Route("plain", R"("prefix":"/",)", R"({"service":"proclaim","weight":1})")});
+  EXPECT_TRUE(configuration->Problems().empty()) << FormatFindings(configuration->Problems());
+  const RouteEntry* split = configuration->FindRoute("a.EXAMPLE:8080", "/p/x?q=/");
+  ASSERT_NE(split, nullptr);
+  EXPECT_EQ(split->weights, (std::vector<int>{90, 10}));
+  ASSERT_EQ(split->parts.size(), 2U);
+  EXPECT_EQ(split->parts[1].weight, 10);
+  const RoutePolicy& policy = split->parts[0].policy;
+  EXPECT_EQ(policy.name, "split");
+  EXPECT_EQ(policy.service, "calendar");
+  EXPECT_EQ(policy.class_name, "top");
+  EXPECT_TRUE(policy.idempotent);
+  EXPECT_EQ(policy.max_attempts, 2);
+  EXPECT_EQ(policy.deadline.count(), 1200);
+  EXPECT_EQ(policy.timeout, std::chrono::milliseconds(1200));
+  EXPECT_EQ(policy.target_latency, std::chrono::milliseconds(1500));
+  EXPECT_EQ(policy.retry.burst, 20);
+  const RouteEntry* plain = configuration->FindRoute("a.example", "/p");
+  ASSERT_NE(plain, nullptr);
+  EXPECT_EQ(plain->parts[0].policy.max_attempts, 1);
+  EXPECT_EQ(plain->parts[0].policy.deadline.count(), 200);
+  EXPECT_EQ(plain->parts[0].policy.timeout, std::nullopt);
+  EXPECT_EQ(configuration->Find("proclaim", "GET", "/")->max_attempts, 0);
+}
+
+TEST_F(ConfigurationTest, KnowsServicesThatOnlyRoutesLeadTo) {
+  const auto configuration = this->Build(
+      {Service("hidden", 3, 100, R"(,"by_path":false,"health_path":"/up","max_connections":64)"),
+       Service("old", 1, 100)});
+  EXPECT_EQ(configuration->Find("hidden", "GET", "/"), nullptr);
+  const ServicePolicy* hidden = configuration->FindService("hidden");
+  ASSERT_NE(hidden, nullptr);
+  EXPECT_EQ(hidden->health_path, "/up");
+  EXPECT_EQ(hidden->max_connections, 64);
+  ASSERT_NE(configuration->FindService("old"), nullptr);
+  EXPECT_TRUE(configuration->FindService("old")->by_path);
+  EXPECT_EQ(configuration->FindService("old")->max_connections, std::nullopt);
+  EXPECT_EQ(configuration->FindService("none"), nullptr);
+}
+
+TEST_F(ConfigurationTest, LeavesOutWhatARouteCannotReach) {
+  const std::string good = R"({"service":"good","weight":2})";
+  const std::string gone = R"({"service":"gone","weight":3})";
+  const auto configuration = this->Build(
+      {Service("good", 1, 100), Route("a", R"("prefix":"/a/",)", gone),
+       Route("b", R"("prefix":"/b/",)", gone + "," + good),
+       Route("c", R"("prefix":"/c/",)", gone + R"(,{"service":"good","weight":0})"),
+       Route("d", R"("prefix":"/b/",)", good), Route("e", R"("prefix":"/e/",)", good, "none")});
+  EXPECT_EQ(configuration->FindRoute("h", "/a/"), nullptr);
+  const RouteEntry* kept = configuration->FindRoute("h", "/b/");
+  ASSERT_NE(kept, nullptr);
+  EXPECT_EQ(kept->name, "b");
+  EXPECT_EQ(kept->weights, std::vector<int>{2});
+  EXPECT_EQ(configuration->FindRoute("h", "/c/"), nullptr);
+  EXPECT_EQ(configuration->FindRoute("h", "/e/"), nullptr);
+  const std::string report = FormatFindings(configuration->Problems());
+  for (const char* problem :
+       {"route/a/v1: names the service \"gone\"", "route/a/v1: is left out",
+        "route/b/v1: names the service \"gone\"", "route/c/v1: is left out",
+        "route/d/v1: is left out", "route/e/v1: names the priority \"none\""}) {
+    EXPECT_NE(report.find(problem), std::string::npos) << problem << " in\n" << report;
+  }
+  EXPECT_EQ(report.find("route/b/v1: is left out"), std::string::npos) << report;
+}
+
+TEST_F(ConfigurationTest, LimitsCallers) {
+  const auto unlimited = this->Build({Service("s", 1, 100)});
+  EXPECT_EQ(unlimited->Limits(), CallerLimits{});
+  EXPECT_EQ(unlimited->Find("s", "GET", "/")->max_body_bytes, kDefaultMaxBodyBytes);
+  const auto limited =
+      this->Build({Service("s", 1, 100), Service("t", 2, 100, R"(,"max_body_bytes":7)"),
+                   Entry(RecordKind::kLimits, "default", 1, R"("max_header_bytes":16384,
+         "max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000)")});
+  EXPECT_EQ(limited->Limits(),
+            (CallerLimits{16384, 67108864, std::chrono::seconds(3), std::chrono::seconds(15)}));
+  EXPECT_EQ(limited->Find("s", "GET", "/")->max_body_bytes, 67108864U);
+  EXPECT_EQ(limited->Find("t", "GET", "/")->max_body_bytes, 7U);
+}
+
 }  // namespace
 }  // namespace fireflyrun::records
