--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -232,7 +232,7 @@
   if (result.outcome == Outcome::OUTCOME_ANSWERED) {
     this->ran = true;
     const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
-    if (!server_error) this->services.budgets->Of(this->call.route->retry).OnSuccess();
+    if (!server_error) this->services.budgets->Of(*this->call.route).OnSuccess();
     const bool repeatable = this->call.ticket_source == TicketSource::kNone;
     if (server_error && repeatable && this->MayRetry(result)) {
       this->After(RetryDelay(this->retries), [this] { this->Step(); });
@@ -327,7 +327,7 @@
     --this->fixed_retries_left;
   } else {
     if (result.answer.head.final() || this->call.allotment->Exhausted()) return false;
-    if (!this->services.budgets->Of(this->call.route->retry).TrySpend()) return false;
+    if (!this->services.budgets->Of(*this->call.route).TrySpend()) return false;
     if (!this->call.allotment->TrySpend()) return false;
   }
   ++this->retries;
--- a/src/node/retry_budgets.h
+++ b/src/node/retry_budgets.h
@@ -4,14 +4,14 @@
 #include <unordered_map>
 
 #include "policy/retry_budget.h"
-#include "records/retry_policy.h"
+#include "records/route_policy.h"
 
 namespace fireflyrun::node {
 
-/// One retry budget for each retry allowance record, kept over changes of the record.
+/// One retry budget for each service and retry allowance record, kept over changes of the record.
 class RetryBudgets {
  public:
-  policy::RetryBudget& Of(const records::RetryPolicy& policy);
+  policy::RetryBudget& Of(const records::RoutePolicy& route);
 
  private:
   struct Entry {
