--- a/src/records/record_checker.cc
+++ b/src/records/record_checker.cc
@@ -10,6 +10,7 @@
 #include "records/json_reader.h"
 #include "records/record_parser.h"
 #include "records/record_reference.h"
+#include "records/route_table.h"
 
 namespace fireflyrun::records {
 namespace {
@@ -65,6 +66,47 @@
   }
 }
 
+using HostAndPrefix = std::pair<std::string, std::string>;
+
+HostAndPrefix SelectorOf(const RouteRecord& route) {
+  return {NormalHost(route.host), route.prefix};
+}
+
+/// The routes of the store that the file leaves as they are, by what selects them.
+std::map<HostAndPrefix, std::string> RoutesThatStay(const std::set<NamedKind>& named_in_file,
+                                                    const std::vector<RecordEntry>& known) {
+  std::map<HostAndPrefix, std::string> names;
+  for (const RecordEntry& entry : known) {
+    const bool is_replaced = named_in_file.contains({entry.key.kind, entry.key.name});
+    if (entry.retired || is_replaced || entry.key.kind != RecordKind::kRoute) continue;
+    Findings ignored;  // What is wrong in the store is not this file's fault.
+    const Json body = Json::parse(entry.body, nullptr, false);
+    const auto record = ParseRecord(body, "", ignored);
+    if (!record) continue;
+    if (const auto* route = std::get_if<RouteRecord>(&record->content)) {
+      names.emplace(SelectorOf(*route), route->name);
+    }
+  }
+  return names;
+}
+
+/// Of two routes with the same host and prefix, only one could be in force.
+void CheckSelectors(const std::vector<PlacedRecord>& placed,
+                    const std::set<NamedKind>& named_in_file, const std::vector<RecordEntry>& known,
+                    Findings& findings) {
+  auto names = RoutesThatStay(named_in_file, known);
+  for (const PlacedRecord& item : placed) {
+    const auto* route = std::get_if<RouteRecord>(&item.record.content);
+    if (route == nullptr) continue;
+    const auto [first, is_new] = names.emplace(SelectorOf(*route), route->name);
+    if (is_new || first->second == route->name) continue;
+    findings.push_back({PlaceOf(item.place, "prefix"),
+                        fmt::format("has the same host and prefix as the route \"{}\"; allowed is "
+                                    "one route for both",
+                                    first->second)});
+  }
+}
+
 /// The kinds and names that a file means to define, also where the rest of a record is wrong, so
 /// that one mistake is reported once.
 void NoteName(const Json& value, std::set<NamedKind>& names) {
@@ -97,6 +139,7 @@
   }
   CheckDuplicates(placed, findings);
   CheckReferences(placed, named_in_file, known, findings);
+  CheckSelectors(placed, named_in_file, known, findings);
   return placed;
 }
 
--- a/src/records/route_table.cc
+++ b/src/records/route_table.cc
@@ -18,10 +18,14 @@
 
 }  // namespace
 
+std::string NormalHost(std::string_view host) {
+  std::string normal(WithoutPort(host));
+  std::transform(normal.begin(), normal.end(), normal.begin(), ToLower);
+  return normal;
+}
+
 bool RouteTable::Add(std::string_view host, std::string_view prefix, RouteEntry entry) {
-  std::string lower_host(WithoutPort(host));
-  std::transform(lower_host.begin(), lower_host.end(), lower_host.begin(), ToLower);
-  Prefixes& prefixes = this->hosts[std::move(lower_host)];
+  Prefixes& prefixes = this->hosts[NormalHost(host)];
   auto group = std::find_if(prefixes.begin(), prefixes.end(), [&](const PrefixGroup& other) {
     return other.length <= prefix.size();
   });
--- a/src/records/route_table.h
+++ b/src/records/route_table.h
@@ -15,6 +15,9 @@
 /// Longest host name that a lookup considers; DNS allows no longer one.
 inline constexpr std::size_t kMaxHostBytes = 253;
 
+/// `host` in lower case and without port, as routes are told apart by it.
+std::string NormalHost(std::string_view host);
+
 /// Routes by host and path prefix. A lookup costs one hash of the host and at most one of the path
 /// for each length that a prefix of this host has, so it does not grow with the number of routes.
 class RouteTable {
--- a/tests/records/record_checker_test.cc
+++ b/tests/records/record_checker_test.cc
@@ -117,6 +117,88 @@
   EXPECT_LE(CheckRecords("F", fields + "}", {}).findings.size(), kMaxFindings + 1);
 }
 
+/// A route with `fields`, and `services` as the elements of its list.
+std::string RouteText(const std::string& fields, const std::string& services) {
+  return R"({"kind":"route","schema":1,"priority":"reads","retry_allowance":"standard",)"
+         R"("idempotent":true,)" +
+         fields + R"(,"services":[)" + services + "]}";
+}
+
+TEST(RecordCheckerTest, TakesRoutesLimitsAndTheThirdSchemaOfServices) {
+  const std::string half = R"({"service":"proclaim","weight":1000})";
+  EXPECT_EQ(Check("[" + RouteText(R"("name":"a","prefix":"/")", half) + "," +
+                      RouteText(R"("name":"b","host":"[2001:db8::1]","prefix":"/b/",
+                                "max_attempts":10,"timeout_ms":10,"target_latency_ms":1)",
+                                half + R"(,{"service":"desk","weight":0})") +
+                      R"(,{"kind":"limits","schema":1,"name":"default","max_header_bytes":1024,
+                      "max_body_bytes":0,"header_timeout_ms":100,"idle_timeout_ms":3600000},
+                      {"kind":"service","schema":3,"name":"desk","priority":"reads",
+                      "retry_allowance":"standard","deadline_ms":50,"idempotent":true,
+                      "by_path":false,"health_path":"/","max_connections":100000}])",
+                  KnownRecords()),
+            "");
+}
+
+TEST(RecordCheckerTest, ReportsRouteAndLimitsRecords) {
+  const std::string report = Check(
+      "[" +
+          RouteText(R"("name":"a","host":"x:80","prefix":"/p","max_attempts":11,"timeout_ms":9,
+                    "target_latency_ms":0)",
+                    R"({"service":"none","weight":1001},{"service":"none","weight":0},7)") +
+          "," + RouteText(R"("name":"b","prefix":"p/")", R"({"service":"proclaim","weight":0})") +
+          "," + RouteText(R"("name":"c","prefix":"/?/","x":1)", "") +
+          R"(,{"kind":"limits","schema":1,"name":"other","max_header_bytes":1023,
+          "max_body_bytes":-1,"header_timeout_ms":99},
+          {"kind":"service","schema":3,"name":"desk","priority":"reads",
+          "retry_allowance":"standard","deadline_ms":50,"idempotent":true,"by_path":1,
+          "health_path":"up","max_connections":0}])",
+      KnownRecords());
+  for (const char* place : {"F:/0/host: is x:80",
+                            "F:/0/prefix: is /p;",
+                            "F:/0/max_attempts: is 11",
+                            "F:/0/timeout_ms: is 9",
+                            "F:/0/target_latency_ms: is 0",
+                            "F:/0/services/0/weight: is 1001",
+                            "F:/0/services/1: repeats",
+                            "F:/0/services/2: is no service",
+                            "F:/1/prefix: is p/",
+                            "F:/1/services: has no weight",
+                            "F:/2/prefix: is /?/",
+                            "F:/2/services: has 0",
+                            "F:/2/x: is no field",
+                            "F:/3/name: is other",
+                            "F:/3/max_header_bytes: is 1023",
+                            "F:/3/max_body_bytes: is -1",
+                            "F:/3/header_timeout_ms: is 99",
+                            "F:/3/idle_timeout_ms: is missing",
+                            "F:/4/by_path: is 1",
+                            "F:/4/health_path: is up",
+                            "F:/4/max_connections: is 0"}) {
+    EXPECT_NE(report.find(place), std::string::npos) << place << " in\n" << report;
+  }
+}
+
+TEST(RecordCheckerTest, ChecksWhatRoutesName) {
+  std::vector<RecordEntry> known = KnownRecords();
+  const std::string part = R"({"service":"proclaim","weight":1})";
+  EXPECT_NE(
+      Check(RouteText(R"("name":"a","prefix":"/")", part)).find("F:/services/0/service: names"),
+      std::string::npos);
+  const auto route =
+      CheckRecords("F", RouteText(R"("name":"a","host":"X","prefix":"/")", part), known);
+  ASSERT_EQ(route.records.size(), 1U) << FormatFindings(route.findings);
+  known.push_back({route.records[0].key, route.records[0].body, 6, false, "w"});
+  EXPECT_NE(FormatFindings(CheckRetirement({{RecordKind::kService, "proclaim", 2}}, known))
+                .find("route/a/v1:/services/0/service"),
+            std::string::npos);
+  const std::string same = R"("host":"x","prefix":"/")";
+  EXPECT_EQ(Check(RouteText(R"("name":"a",)" + same, part), known), "");
+  const std::string report = Check("[" + RouteText(R"("name":"b",)" + same, part) + "]", known);
+  EXPECT_NE(report.find("F:/0/prefix: has the same host and prefix as the route \"a\""),
+            std::string::npos)
+      << report;
+}
+
 RC_GTEST_PROP(RecordCheckerTest, NeverTakesHalfOfADamagedFile, ()) {
   std::string text = kGoodFile;
   const int damages = *rc::gen::inRange(1, 4);
