Add an HTTP client for targets that never sends a request twice

libcurl repeats a request by itself when its reused connection breaks, can't skip a stray answer and can't tell whether a byte of the request was written.

--- /dev/null
+++ b/src/http/answer_reader.cc
@@ -0,0 +1,254 @@
+#include "http/answer_reader.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <utility>
+
+#include "http/status.h"
+#include "http/target_request.h"
+
+namespace fireflyrun::http {
+namespace {
+
+constexpr std::size_t kMaxStrayAnswers = 3;
+constexpr std::size_t kMaxReservedBytes = std::size_t{1} << 20;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
+constexpr int kFirstErrorStatus = 400;
+constexpr int kLastStatus = 599;
+constexpr int kContinue = 0;
+constexpr int kSkipBody = 1;
+constexpr int kStop = -1;
+
+AnswerReader& ReaderOf(http_parser* parser) { return *static_cast<AnswerReader*>(parser->data); }
+
+std::string_view TrimBlanks(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+/// Takes the next element off a comma-separated list.
+std::string_view TakeElement(std::string_view& list) {
+  const std::size_t comma = std::min(list.find(','), list.size());
+  const std::string_view element = TrimBlanks(list.substr(0, comma));
+  list.remove_prefix(std::min(comma + 1, list.size()));
+  return element;
+}
+
+std::optional<Duration> TimeoutOf(std::string_view keep_alive) {
+  constexpr std::string_view kParameter = "timeout=";
+  constexpr std::size_t kMaxDigits = 6;
+  while (!keep_alive.empty()) {
+    const std::string_view element = TakeElement(keep_alive);
+    if (!SameHeaderName(element.substr(0, kParameter.size()), kParameter)) continue;
+    const std::string_view number = element.substr(kParameter.size()).substr(0, kMaxDigits);
+    int seconds = 0;
+    const auto parsed = std::from_chars(number.data(), number.data() + number.size(), seconds);
+    if (parsed.ec == std::errc() && seconds >= 0) return std::chrono::seconds(seconds);
+  }
+  return std::nullopt;
+}
+
+/// Removes the headers of one connection and of the framing, and those that `Connection` names.
+void RemoveHopHeaders(Headers& headers) {
+  std::string named;
+  for (const Header& header : headers) {
+    if (SameHeaderName(header.name, "Connection")) named.append(header.value).append(",");
+  }
+  std::erase_if(headers, [&](const Header& header) {
+    constexpr std::string_view kProxyPrefix = "Proxy-";
+    const std::string_view name = header.name;
+    if (IsConnectionHeader(name)) return true;
+    if (SameHeaderName(name.substr(0, kProxyPrefix.size()), kProxyPrefix)) return true;
+    std::string_view list = named;
+    while (!list.empty()) {
+      if (SameHeaderName(TakeElement(list), name)) return true;
+    }
+    return false;
+  });
+}
+
+}  // namespace
+
+AnswerReader::AnswerReader(const TargetRequest& answered_request) : request(answered_request) {
+  this->BeginMessage();
+}
+
+tl::expected<bool, ClientError> AnswerReader::Consume(std::string_view bytes) {
+  while (!bytes.empty() && !this->complete) {
+    const std::size_t parsed =
+        http_parser_execute(&this->parser, &Settings(), bytes.data(), bytes.size());
+    const http_errno outcome = HTTP_PARSER_ERRNO(&this->parser);
+    if (this->error || (outcome != HPE_OK && outcome != HPE_PAUSED)) return this->ParserFailure();
+    bytes.remove_prefix(parsed);
+    if (outcome == HPE_PAUSED && !this->complete) this->BeginMessage();
+  }
+  if (!bytes.empty()) this->connection_stays = false;
+  return this->complete;
+}
+
+tl::expected<bool, ClientError> AnswerReader::ConsumeEnd() {
+  http_parser_execute(&this->parser, &Settings(), nullptr, 0);
+  if (this->complete) return true;
+  return tl::make_unexpected(ClientError{ClientErrorKind::kConnectionLost,
+                                         "the connection ended before the answer was complete"});
+}
+
+Response AnswerReader::TakeResponse() {
+  RemoveHopHeaders(this->response.headers);
+  return std::move(this->response);
+}
+
+const http_parser_settings& AnswerReader::Settings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made;
+    http_parser_settings_init(&made);
+    made.on_message_begin = &AnswerReader::OnMessageBegin;
+    made.on_header_field = &AnswerReader::OnHeaderName;
+    made.on_header_value = &AnswerReader::OnHeaderValue;
+    made.on_headers_complete = &AnswerReader::OnHead;
+    made.on_body = &AnswerReader::OnBody;
+    made.on_message_complete = &AnswerReader::OnMessageEnd;
+    return made;
+  }();
+  return settings;
+}
+
+void AnswerReader::BeginMessage() {
+  http_parser_init(&this->parser, HTTP_RESPONSE);
+  this->parser.data = this;
+  this->response = Response();
+  this->message_begun = false;
+  this->head_complete = false;
+  this->value_begun = false;
+  this->skips_message = false;
+}
+
+tl::expected<bool, ClientError> AnswerReader::ParserFailure() const {
+  if (this->error) return tl::make_unexpected(*this->error);
+  const char* text = http_errno_description(HTTP_PARSER_ERRNO(&this->parser));
+  return tl::make_unexpected(ClientError{ClientErrorKind::kBadAnswer, text});
+}
+
+int AnswerReader::OnMessageBegin(http_parser* parser) {
+  ReaderOf(parser).message_begun = true;
+  return kContinue;
+}
+
+int AnswerReader::OnHeaderName(http_parser* parser, const char* data, std::size_t size) {
+  AnswerReader& reader = ReaderOf(parser);
+  if (reader.head_complete) return kContinue;  // A trailer.
+  Headers& headers = reader.response.headers;
+  if (headers.empty() || std::exchange(reader.value_begun, false)) headers.emplace_back();
+  headers.back().name.append(data, size);
+  return kContinue;
+}
+
+int AnswerReader::OnHeaderValue(http_parser* parser, const char* data, std::size_t size) {
+  AnswerReader& reader = ReaderOf(parser);
+  if (reader.head_complete) return kContinue;
+  reader.value_begun = true;
+  reader.response.headers.back().value.append(data, size);
+  return kContinue;
+}
+
+int AnswerReader::OnHead(http_parser* parser) {
+  AnswerReader& reader = ReaderOf(parser);
+  reader.head_complete = true;
+  reader.response.status = static_cast<int>(parser->status_code);
+  if (!reader.AcceptHead()) return kStop;
+  return reader.HasNoBody() ? kSkipBody : kContinue;
+}
+
+int AnswerReader::OnBody(http_parser* parser, const char* data, std::size_t size) {
+  return ReaderOf(parser).AppendBody({data, size}) ? kContinue : kStop;
+}
+
+int AnswerReader::OnMessageEnd(http_parser* parser) {
+  AnswerReader& reader = ReaderOf(parser);
+  reader.complete = !reader.skips_message;
+  reader.connection_stays =
+      http_should_keep_alive(parser) != 0 && parser->http_minor > 0 && !reader.echo_missing;
+  http_parser_pause(parser, 1);
+  return kContinue;
+}
+
+bool AnswerReader::AcceptHead() {
+  const int status = this->response.status;
+  const bool interim = status < kFirstFinalStatus && status != kSwitchingProtocols;
+  if (this->parser.http_major != 1 || status < 100 || status > kLastStatus) {
+    return this->Reject(ClientErrorKind::kBadAnswer, "the status line is not of HTTP/1.x");
+  }
+  if (status == kSwitchingProtocols) {
+    return this->Reject(ClientErrorKind::kBadAnswer, "the target switches protocols unasked");
+  }
+  for (Header& header : this->response.headers) {
+    header.value.resize(TrimBlanks(header.value).size());  // The parser drops leading blanks.
+  }
+  this->skips_message = interim;
+  if (interim) return true;
+  if (!this->AcceptEcho()) return false;
+  return this->skips_message || this->AcceptFraming();
+}
+
+bool AnswerReader::AcceptEcho() {
+  const Header& expected = this->request.echo_header;
+  if (expected.name.empty()) return true;
+  const auto echo = FindHeader(this->response.headers, expected.name);
+  if (echo == expected.value) return true;
+  if (!echo) {
+    this->echo_missing = true;
+    if (this->response.status >= kFirstErrorStatus) return true;
+    return this->Reject(ClientErrorKind::kBadAnswer, "the answer lacks its echo header");
+  }
+  this->skips_message = true;
+  if (++this->stray_answers <= kMaxStrayAnswers) return true;
+  return this->Reject(ClientErrorKind::kBadAnswer, "too many answers to other requests");
+}
+
+bool AnswerReader::AcceptFraming() {
+  const Headers& headers = this->response.headers;
+  if (FindHeader(headers, "Content-Encoding")) {
+    return this->Reject(ClientErrorKind::kBadAnswer, "the answer has a content encoding");
+  }
+  const auto coding = FindHeader(headers, "Transfer-Encoding");
+  if (coding && !SameHeaderName(*coding, "chunked")) {
+    return this->Reject(ClientErrorKind::kBadAnswer, "the answer's transfer encoding is unknown");
+  }
+  if (const auto value = FindHeader(headers, "Keep-Alive")) this->keep_alive = TimeoutOf(*value);
+  if (coding || this->HasNoBody() || !FindHeader(headers, "Content-Length")) return true;
+  const std::uint64_t announced = this->parser.content_length;
+  if (announced > this->request.max_response_bytes) {
+    return this->Reject(ClientErrorKind::kTooLarge, "the answer is too large");
+  }
+  this->response.body.reserve(std::min<std::size_t>(announced, kMaxReservedBytes));
+  return true;
+}
+
+bool AnswerReader::AppendBody(std::string_view piece) {
+  if (this->skips_message) return true;
+  std::string& body = this->response.body;
+  if (piece.size() > this->request.max_response_bytes - body.size()) {
+    return this->Reject(ClientErrorKind::kTooLarge, "the answer is too large");
+  }
+  body.append(piece);
+  return true;
+}
+
+bool AnswerReader::Reject(ClientErrorKind kind, std::string_view message) {
+  this->error = ClientError{kind, std::string(message)};
+  return false;
+}
+
+bool AnswerReader::HasNoBody() const {
+  const int status = this->response.status;
+  return status < kFirstFinalStatus || status == kNoContentStatus || status == kNotModifiedStatus ||
+         this->request.method == "HEAD";
+}
+
+}  // namespace fireflyrun::http
--- /dev/null
+++ b/src/http/answer_reader.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <http_parser.h>
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+#include <tl/expected.hpp>
+
+#include "common/clock.h"
+#include "http/client_error.h"
+#include "http/response.h"
+
+namespace fireflyrun::http {
+
+struct TargetRequest;
+
+/// Reads the answer to one request from the bytes of its connection. Skips interim answers (1xx)
+/// and stray ones, which a target sends late or twice and which carry another request's echo.
+class AnswerReader {
+ public:
+  /// The request must outlive the reader.
+  explicit AnswerReader(const TargetRequest& answered_request);
+  AnswerReader(const AnswerReader&) = delete;
+  AnswerReader& operator=(const AnswerReader&) = delete;
+
+  /// True once the answer is complete.
+  tl::expected<bool, ClientError> Consume(std::string_view bytes);
+
+  /// The connection ended cleanly, which completes an answer without a length.
+  tl::expected<bool, ClientError> ConsumeEnd();
+
+  /// False from the first byte of a message that may be the answer; the request's body must not be
+  /// written on then. True again when that message turns out to be another.
+  bool AwaitsAnswer() const { return !this->message_begun || this->skips_message; }
+
+  /// After a complete answer: true when another request may follow on the connection.
+  bool ConnectionStaysUsable() const { return this->connection_stays; }
+
+  /// The idle timeout that the target stated, if any.
+  std::optional<Duration> KeepAliveTimeout() const { return this->keep_alive; }
+
+  std::size_t StrayAnswers() const { return this->stray_answers; }
+
+  /// The complete answer, without headers of its connection or its framing.
+  Response TakeResponse();
+
+ private:
+  static const http_parser_settings& Settings();
+  static int OnMessageBegin(http_parser* parser);
+  static int OnHeaderName(http_parser* parser, const char* data, std::size_t size);
+  static int OnHeaderValue(http_parser* parser, const char* data, std::size_t size);
+  static int OnHead(http_parser* parser);
+  static int OnBody(http_parser* parser, const char* data, std::size_t size);
+  static int OnMessageEnd(http_parser* parser);
+
+  void BeginMessage();
+  tl::expected<bool, ClientError> ParserFailure() const;
+  bool AcceptHead();
+  bool AcceptEcho();
+  bool AcceptFraming();
+  bool AppendBody(std::string_view piece);
+  bool Reject(ClientErrorKind kind, std::string_view message);
+  bool HasNoBody() const;
+
+  const TargetRequest& request;
+  http_parser parser;
+  Response response;
+  std::optional<ClientError> error;
+  std::optional<Duration> keep_alive;
+  std::size_t stray_answers = 0;
+  bool message_begun = false;
+  bool head_complete = false;
+  bool value_begun = false;
+  bool skips_message = false;
+  bool echo_missing = false;
+  bool complete = false;
+  bool connection_stays = false;
+};
+
+}  // namespace fireflyrun::http
--- a/src/http/client_error.h
+++ b/src/http/client_error.h
@@ -15,6 +15,7 @@
   kTimedOut,        ///< The time ran out after the connection was made.
   kConnectionLost,  ///< The connection broke after it was made.
   kTooLarge,        ///< The response is larger than the caller of the client accepts.
+  kBadAnswer,       ///< What arrived is no proper answer to the request.
   kCancelled,       ///< Cancel() was called.
 };
 
@@ -23,6 +24,7 @@
     std::pair{ClientErrorKind::kTimedOut, std::string_view("timed-out")},
     std::pair{ClientErrorKind::kConnectionLost, std::string_view("connection-lost")},
     std::pair{ClientErrorKind::kTooLarge, std::string_view("too-large")},
+    std::pair{ClientErrorKind::kBadAnswer, std::string_view("bad-answer")},
     std::pair{ClientErrorKind::kCancelled, std::string_view("cancelled")},
 });
 
--- /dev/null
+++ b/src/http/target_client_options.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <cstddef>
+
+#include "common/clock.h"
+
+namespace fireflyrun::http {
+
+struct TargetClientOptions {
+  Duration connect_timeout = std::chrono::seconds(1);
+  /// How long a connection stays reusable where the target states no `Keep-Alive` timeout.
+  Duration idle_limit = std::chrono::seconds(3);
+  /// A request that isn't repeatable goes out on a connection idle for less than this.
+  Duration unrepeatable_idle_limit = std::chrono::seconds(1);
+  /// TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged.
+  Duration unacknowledged_limit = std::chrono::seconds(10);
+  std::size_t max_connections = 1024;      ///< Per address, idle ones included.
+  std::size_t max_idle_connections = 128;  ///< Per address.
+};
+
+}  // namespace fireflyrun::http
