Add an HTTP server for callers with limits that can change

RESTinio keeps one time limit for idle connections and for a request's head, stops accepting after a failed accept, and does not answer Expect: 100-continue. CallServer does, on Asio and http_parser.

--- /dev/null
+++ b/src/http/call_connection.cc
@@ -0,0 +1,323 @@
+#include "http/call_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <chrono>
+#include <utility>
+
+#include "http/call_exchange.h"
+#include "http/call_server_core.h"
+#include "http/headers.h"
+#include "http/rejection.h"
+#include "http/response_head.h"
+#include "http/status.h"
+
+namespace fireflyrun::http {
+namespace {
+
+constexpr std::size_t kInputBytes = 4096;
+constexpr std::size_t kBodyInputBytes = std::size_t{32} << 10;
+/// What is read of further requests while one is handled.
+constexpr std::size_t kReadAheadBytes = std::size_t{8} << 10;
+constexpr std::size_t kWriteBytes = std::size_t{256} << 10;
+/// Callers reuse a connection until shortly before the time that they were told.
+constexpr std::chrono::milliseconds kIdleMargin(250);
+constexpr std::chrono::milliseconds kUnreadBytesGrace(250);
+/// How long and how much is read and dropped after the last response: closing with unread bytes
+/// would reset the connection and could destroy the response on its way.
+constexpr std::chrono::seconds kClosingTime(5);
+constexpr std::size_t kClosingBytes = std::size_t{64} << 20;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view kLineEnd = "\r\n";
+
+}  // namespace
+
+CallConnection::CallConnection(std::shared_ptr<CallServerCore> server,
+                               asio::ip::tcp::socket connected, std::string address,
+                               std::uint64_t connection_id)
+    : core(std::move(server)),
+      socket(std::move(connected)),
+      remote_address(std::move(address)),
+      id(connection_id),
+      limits(this->core->Limits()) {}
+
+void CallConnection::Start() {
+  this->BecomeIdle();
+  this->Read();
+}
+
+void CallConnection::Refuse(std::string text) {
+  if (this->continue_pending) return this->Close();
+  this->response_head = std::move(text);
+  this->response_body.clear();
+  this->close_after = true;
+  this->Write();
+  this->Read();
+}
+
+void CallConnection::Respond(std::uint64_t request_number, Response response) {
+  if (!this->Awaits(request_number)) return;
+  const auto hook = std::exchange(this->caller_gone_hook, nullptr);
+  const bool close = this->core->Draining() || HasConnectionOption(response.headers, "close");
+  this->close_after = this->close_after || close;
+  const ResponseFraming framing = {this->head_only, this->close_after, this->limits.idle_timeout};
+  WriteResponseHead(response, framing, this->response_head);
+  const bool has_body = !this->head_only && !NeverHasBody(response.status);
+  this->response_body = has_body ? std::move(response.body) : std::string();
+  this->Write();
+}
+
+void CallConnection::SetHook(std::uint64_t request_number, std::function<void()> hook) {
+  const bool gone = this->caller_gone && request_number == this->requests;
+  if (!gone && !this->Awaits(request_number)) return;
+  this->caller_gone_hook = std::move(hook);
+  if (gone) this->PostHook();
+}
+
+void CallConnection::ForgetHook(std::uint64_t request_number) {
+  if (request_number == this->requests) this->caller_gone_hook = nullptr;
+}
+
+bool CallConnection::Awaits(std::uint64_t request_number) const {
+  return this->phase == Phase::kHandling && request_number == this->requests;
+}
+
+void CallConnection::PostHook() {
+  asio::post(this->core->Loop(), [self = this->shared_from_this()] {
+    if (const auto hook = std::exchange(self->caller_gone_hook, nullptr)) hook();
+  });
+}
+
+void CallConnection::Expire(SteadyTime now) {
+  switch (this->phase) {
+    case Phase::kIdle:
+      this->deadline = this->IdleEnd();
+      if (this->deadline > now || this->CloseIfIdle()) return;
+      this->deadline = now + kUnreadBytesGrace;
+      return;
+    case Phase::kReading:
+      if (!this->HasUnreadBytes()) return this->Refuse(RejectionText(kRequestTimeout));
+      this->deadline = now + kUnreadBytesGrace;
+      return;
+    case Phase::kHandling:
+    case Phase::kWriting:
+    case Phase::kClosing:
+    case Phase::kClosed:
+      return this->Close();
+  }
+}
+
+void CallConnection::Postpone(Duration time) {
+  if (this->deadline == SteadyTime::max()) return;
+  this->deadline += time;
+  this->idle_since += time;
+}
+
+bool CallConnection::CloseIfIdle() {
+  if (this->phase != Phase::kIdle || this->HasUnreadBytes()) return false;
+  this->Close();
+  return true;
+}
+
+void CallConnection::Close() { this->Shut(this->phase == Phase::kHandling); }
+
+void CallConnection::Drop() {
+  this->caller_gone_hook = nullptr;
+  this->Shut(false);
+}
+
+void CallConnection::Shut(bool caller_left) {
+  if (this->phase == Phase::kClosed) return;
+  const auto self = this->shared_from_this();
+  this->phase = Phase::kClosed;
+  this->deadline = SteadyTime::max();
+  if (std::exchange(this->open_exchange, false)) this->core->EndExchange();
+  asio::error_code ignored;
+  this->socket.close(ignored);
+  this->core->Remove(*this);
+  this->caller_gone = caller_left;
+  if (caller_left) this->PostHook();
+}
+
+void CallConnection::Read() {
+  if (this->read_pending || this->input_ended || this->phase == Phase::kClosed) return;
+  const bool reads_ahead =
+      this->continue_pending || this->phase == Phase::kHandling || this->phase == Phase::kWriting;
+  if (reads_ahead && this->input.Data().size() >= kReadAheadBytes) return;
+  this->read_pending = true;
+  this->socket.async_read_some(
+      this->input.Prepare(this->InputCapacity()),
+      [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
+        self->OnRead(error, size);
+      });
+}
+
+std::size_t CallConnection::InputCapacity() const {
+  const bool reads_body = this->phase == Phase::kReading && this->reader.HeadComplete();
+  return reads_body ? kBodyInputBytes : kInputBytes;
+}
+
+void CallConnection::OnRead(const asio::error_code& error, std::size_t size) {
+  this->read_pending = false;
+  if (this->phase == Phase::kClosed) return;
+  if (error) return this->OnInputEnded(error != asio::error::eof);
+  if (this->DropsInput()) {
+    this->DropInput(size);
+  } else {
+    this->input.Commit(size);
+    this->Advance();
+  }
+  this->Read();
+}
+
+/// A caller that closed its sending side while its response is written gets the rest of it.
+void CallConnection::OnInputEnded(bool reset) {
+  this->input_ended = true;
+  if (this->phase == Phase::kWriting && !reset) return;
+  this->Close();
+}
+
+bool CallConnection::DropsInput() const {
+  if (this->phase == Phase::kClosing) return true;
+  return this->phase != Phase::kIdle && this->phase != Phase::kReading && this->close_after;
+}
+
+void CallConnection::DropInput(std::size_t size) {
+  this->dropped_bytes += size;
+  if (this->dropped_bytes > kClosingBytes) this->Close();
+}
+
+/// Reads on in the buffered bytes, unless a request or a response is under way.
+void CallConnection::Advance() {
+  if (this->continue_pending) return;
+  if (this->phase == Phase::kIdle) {
+    while (this->input.Data().starts_with(kLineEnd)) this->input.Consume(kLineEnd.size());
+    if (this->input.Data().empty()) return;
+    this->BeginRequest();
+  }
+  if (this->phase != Phase::kReading) return;
+  const auto step = this->reader.Consume(this->input.Data());
+  if (!step) return this->Refuse(RejectionText(step.error()));
+  this->input.Consume(step->consumed);
+  this->ContinueRequest(step->progress);
+}
+
+void CallConnection::BeginRequest() {
+  this->phase = Phase::kReading;
+  this->deadline = SteadyTime::max();
+  this->continue_sent = false;
+  this->limits = this->core->Limits();
+  this->reader.Begin(this->limits);
+  this->core->MarkBusy(*this);
+}
+
+void CallConnection::ContinueRequest(RequestReader::Progress progress) {
+  switch (progress) {
+    case RequestReader::Progress::kNeedsHead:
+      if (this->deadline == SteadyTime::max()) this->SetDeadline(this->limits.header_timeout);
+      return;
+    case RequestReader::Progress::kNeedsBody:
+      this->SetDeadline(this->limits.body_timeout);
+      if (this->reader.Head().expects_continue) this->SendContinue();
+      return;
+    case RequestReader::Progress::kComplete:
+      return this->Dispatch();
+  }
+}
+
+/// Asks for the body, once, if the caller has not begun to send it.
+void CallConnection::SendContinue() {
+  if (std::exchange(this->continue_sent, true)) return;
+  if (this->reader.BodyBegun() || !this->input.Data().empty()) return;
+  this->continue_pending = true;
+  asio::async_write(this->socket, asio::buffer(kContinue),
+                    [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+                      self->continue_pending = false;
+                      if (self->phase == Phase::kClosed) return;
+                      if (error) return self->Close();
+                      self->Advance();
+                      self->Read();
+                    });
+}
+
+void CallConnection::Dispatch() {
+  this->phase = Phase::kHandling;
+  this->deadline = SteadyTime::max();
+  this->open_exchange = true;
+  this->head_only = this->reader.Head().method == "HEAD";
+  this->close_after = !this->reader.Head().keep_alive;
+  Request request = this->reader.Take();
+  request.remote_address = this->remote_address;
+  request.connection_id = this->id;
+  request.sequence = this->requests++;
+  this->core->Handle(std::move(request),
+                     std::make_shared<CallExchange>(this->shared_from_this(), this->requests));
+}
+
+/// Writes head and body at once. Each part that the caller takes moves the deadline.
+void CallConnection::Write() {
+  this->phase = Phase::kWriting;
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(this->response_head),
+                                                     asio::buffer(this->response_body)};
+  const auto on_progress = [this](const asio::error_code& error, std::size_t) -> std::size_t {
+    if (error || this->phase == Phase::kClosed) return 0;
+    this->SetDeadline(this->limits.write_timeout);
+    return kWriteBytes;
+  };
+  asio::async_write(this->socket, buffers, on_progress,
+                    [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
+                      self->OnWritten(error);
+                    });
+}
+
+void CallConnection::OnWritten(const asio::error_code& error) {
+  if (this->phase == Phase::kClosed) return;
+  if (std::exchange(this->open_exchange, false)) this->core->EndExchange();
+  this->response_body = std::string();
+  if (error) return this->Close();
+  if (this->close_after || this->input_ended) return this->BeginClosing();
+  this->BecomeIdle();
+  this->Advance();
+  this->Read();
+}
+
+void CallConnection::BecomeIdle() {
+  this->phase = Phase::kIdle;
+  this->idle_since = SteadyClock::now();
+  this->core->MarkIdle(*this);
+  this->deadline = this->IdleEnd();
+  this->core->SweepBy(this->deadline);
+}
+
+/// By the longer of the times that the caller may know: the one told with the last response, and
+/// the one in force.
+SteadyTime CallConnection::IdleEnd() const {
+  const Duration time =
+      std::max(this->limits.idle_timeout, this->core->Limits().idle_timeout) + kIdleMargin;
+  return this->idle_since + time;
+}
+
+void CallConnection::BeginClosing() {
+  if (this->input_ended) return this->Close();
+  asio::error_code ignored;
+  this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  this->phase = Phase::kClosing;
+  this->SetDeadline(kClosingTime);
+  this->core->MarkClosing(*this);
+  this->Read();
+}
+
+void CallConnection::SetDeadline(Duration time_limit) {
+  this->deadline = SteadyClock::now() + time_limit;
+  this->core->SweepBy(this->deadline);
+}
+
+bool CallConnection::HasUnreadBytes() const {
+  asio::error_code error;
+  return this->socket.available(error) > 0 && !error;
+}
+
+}  // namespace fireflyrun::http
--- a/src/http/headers.cc
+++ b/src/http/headers.cc
@@ -6,9 +6,13 @@
 namespace fireflyrun::http {
 namespace {
 
+constexpr std::string_view kConnection = "Connection";
+constexpr std::string_view kHost = "Host";
+constexpr std::string_view kSpace = " \t";
 constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
-constexpr std::array<std::string_view, 9> kConnectionHeaders = {
-    "Connection", "Content-Length", "Keep-Alive",        "Proxy-Connection", "TE",
+constexpr std::string_view kProxyPrefix = "Proxy-";
+constexpr std::array<std::string_view, 8> kConnectionHeaders = {
+    "Connection", "Content-Length", "Keep-Alive",        "TE",
     "Trailer",    "Expect",         "Transfer-Encoding", "Upgrade",
 };
 
@@ -46,13 +50,57 @@
 }
 
 bool IsConnectionHeader(std::string_view name) {
+  if (SameHeaderName(name.substr(0, kProxyPrefix.size()), kProxyPrefix)) return true;
   return std::any_of(kConnectionHeaders.begin(), kConnectionHeaders.end(),
                      [name](std::string_view known) { return SameHeaderName(known, name); });
 }
 
+void ForEachElement(std::string_view value, const std::function<void(std::string_view)>& use) {
+  while (!value.empty()) {
+    const std::size_t comma = value.find(',');
+    const std::string_view element = TrimSpace(value.substr(0, comma));
+    if (!element.empty()) use(element);
+    if (comma == std::string_view::npos) return;
+    value.remove_prefix(comma + 1);
+  }
+}
+
+bool HasConnectionOption(const Headers& headers, std::string_view option) {
+  bool found = false;
+  for (const Header& header : headers) {
+    if (!SameHeaderName(header.name, kConnection)) continue;
+    ForEachElement(header.value,
+                   [&](std::string_view named) { found |= SameHeaderName(named, option); });
+  }
+  return found;
+}
+
+void StripConnectionHeaders(Headers& headers) {
+  std::vector<std::string> named;
+  for (const Header& header : headers) {
+    if (!SameHeaderName(header.name, kConnection)) continue;
+    ForEachElement(header.value, [&](std::string_view name) { named.emplace_back(name); });
+  }
+  std::erase_if(headers, [&named](const Header& header) {
+    if (IsConnectionHeader(header.name)) return true;
+    if (SameHeaderName(header.name, kHost)) return false;
+    return std::any_of(named.begin(), named.end(),
+                       [&](const std::string& name) { return SameHeaderName(header.name, name); });
+  });
+}
+
 bool IsValidHeader(const Header& header) {
-  return IsToken(header.name) &&
-         std::all_of(header.value.begin(), header.value.end(), IsValueCharacter);
+  return IsToken(header.name) && IsHeaderValue(header.value);
+}
+
+bool IsHeaderValue(std::string_view text) {
+  return std::all_of(text.begin(), text.end(), IsValueCharacter);
+}
+
+std::string_view TrimSpace(std::string_view text) {
+  const std::size_t first = text.find_first_not_of(kSpace);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
 }
 
 bool IsToken(std::string_view text) {
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -22,14 +23,30 @@
 bool SameHeaderName(std::string_view left, std::string_view right);
 
 /// True for headers that describe one connection or the framing of one message (RFC 9110, section
-/// 7.6.1, and Content-Length). Client and Server set these themselves and drop those they are
-/// given.
+/// 7.6.1, `Proxy-*` and Content-Length). Client and the servers set these themselves and drop those
+/// they are given.
 bool IsConnectionHeader(std::string_view name);
 
+/// Calls `use` with each element of a comma-separated value, without the space around it.
+void ForEachElement(std::string_view value, const std::function<void(std::string_view)>& use);
+
+/// True when a `Connection` header lists the option, such as `close`.
+bool HasConnectionOption(const Headers& headers, std::string_view option);
+
+/// Removes the headers that concern one connection only: connection headers, and those that a
+/// `Connection` header names. `Host` stays, whatever is named.
+void StripConnectionHeaders(Headers& headers);
+
 /// True when the name is a token and the value has no control character but tab (RFC 9110,
 /// section 5), so that the field cannot end its line early.
 bool IsValidHeader(const Header& header);
 
+/// True when the text has no control character but tab.
+bool IsHeaderValue(std::string_view text);
+
+/// The text without spaces and tabs at its ends.
+std::string_view TrimSpace(std::string_view text);
+
 /// True for a non-empty token (RFC 9110, section 5.6.2), such as a method or a header's name.
 bool IsToken(std::string_view text);
 
--- a/src/http/rejection.cc
+++ b/src/http/rejection.cc
@@ -8,6 +8,9 @@
 #include <memory>
 #include <utility>
 
+#include "http/problem.h"
+#include "http/reason_phrase.h"
+
 namespace fireflyrun::http {
 namespace {
 
@@ -64,6 +67,16 @@
 
 }  // namespace
 
+std::string RejectionText(int status, const Headers& extra_headers) {
+  const std::string phrase(ReasonPhrase(status));
+  const Response problem =
+      MakeProblem(status, "malformed-request", phrase, "the request was not read", extra_headers);
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " " + phrase + "\r\n";
+  for (const Header& header : problem.headers) text += header.name + ": " + header.value + "\r\n";
+  text += "Firefly-Outcome: not-run\r\nConnection: close\r\nContent-Length: ";
+  return text + std::to_string(problem.body.size()) + "\r\n\r\n" + problem.body;
+}
+
 void RejectConnection(asio::ip::tcp::socket socket, std::string response) {
   std::make_shared<Rejection>(std::move(socket), std::move(response))->Start();
 }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -10,7 +10,10 @@
 #include <vector>
 
 #include "http/problem.h"
+#include "http/reason_phrase.h"
+#include "http/rejection.h"
 #include "http/server_socket.h"
+#include "http/status.h"
 
 namespace fireflyrun::http {
 namespace {
@@ -27,16 +30,6 @@
 constexpr std::size_t kMaxHeaderValueBytes = std::size_t{32} << 10;
 constexpr std::size_t kMaxHeaders = 128;
 
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
-constexpr int kBadRequest = 400;
-constexpr int kContentTooLarge = 413;
-constexpr int kUriTooLong = 414;
-constexpr int kHeadersTooLarge = 431;
-constexpr int kInternalError = 500;
-
-std::string ReasonPhrase(int status) { return http_status_str(static_cast<http_status>(status)); }
-
 /// The status for an error that RESTinio logs before it closes a connection; 0 when the error is
 /// not about the request.
 int RejectionStatus(std::string_view message) {
@@ -50,15 +43,6 @@
   return kBadRequest;
 }
 
-std::string RejectionText(int status) {
-  const Response problem =
-      MakeProblem(status, "malformed-request", ReasonPhrase(status), "the request was not read");
-  std::string text = "HTTP/1.1 " + std::to_string(status) + " " + ReasonPhrase(status) + "\r\n";
-  for (const Header& header : problem.headers) text += header.name + ": " + header.value + "\r\n";
-  text += "Firefly-Outcome: not-run\r\nConnection: close\r\nContent-Length: ";
-  return text + std::to_string(problem.body.size()) + "\r\n\r\n" + problem.body;
-}
-
 /// Listens to RESTinio's log for requests that it could not read.
 struct ParserErrorLogger {
   template <typename Builder>
@@ -280,7 +264,7 @@
   const auto request = std::exchange(exchange->request, nullptr);
   exchange->caller_gone_hook = nullptr;
   const auto code = restinio::http_status_code_t(static_cast<std::uint16_t>(response.status));
-  const restinio::http_status_line_t status_line(code, ReasonPhrase(response.status));
+  const restinio::http_status_line_t status_line(code, std::string(ReasonPhrase(response.status)));
   const auto written = [weak = this->weak_from_this(), exchange](const asio::error_code&) {
     if (const auto core = weak.lock()) core->Written(exchange);
   };
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/status.h"
+
 namespace fireflyrun::http {
 namespace {
 
 constexpr long kConnectTimeoutMilliseconds = 3000;
 constexpr long kMaxIdleSeconds = 60;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 std::string_view TrimBlanks(std::string_view text) {
   constexpr std::string_view kBlanks = " \t\r\n";
