--- /dev/null
+++ b/tests/http/call_server_limits_test.cc
@@ -0,0 +1,257 @@
+#include <sys/resource.h>
+
+#include <asio/read.hpp>
+
+#include "http/call_server.h"
+#include "tests/http/call_server_fixture.h"
+
+namespace fireflyrun::http {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kPost = "POST / HTTP/1.1\r\nHost: x\r\n";
+constexpr const char* kNotRun = "Firefly-Outcome: not-run\r\n";
+
+class CallServerLimitsTest : public CallServerTest {
+ protected:
+  CallServerLimits& Limits() { return this->options.limits; }
+
+  /// The whole answer to what is sent, once the server has closed its side.
+  std::string AnswerTo(const std::string& text) {
+    const auto caller = this->ConnectAndSend(text);
+    EXPECT_TRUE(this->WaitUntilClosed(caller)) << text.substr(0, 100);
+    return caller->received;
+  }
+};
+
+bool IsRejection(const std::string& answer, const std::string& status) {
+  return answer.starts_with("HTTP/1.1 " + status) && answer.find(kNotRun) != std::string::npos &&
+         answer.find("Connection: close\r\n") != std::string::npos;
+}
+
+TEST_F(CallServerLimitsTest, RefusesHeadsAndBodiesOverTheLimit) {
+  this->Limits().max_body_bytes = 1000;
+  this->Restart();
+  const std::string head(kGet);
+  const std::string filler = "X: " + std::string(2000 - head.size() - 5, 'x') + "\r\n";
+  const std::string largest = head.substr(0, head.size() - 2) + filler + "\r\n";
+  ASSERT_EQ(largest.size(), 2000U);
+  const auto caller = this->ConnectAndSend(largest);
+  EXPECT_TRUE(this->WaitForRequests(1));
+  const std::string longer = head.substr(0, head.size() - 2) + "x" + filler + "\r\n";
+  EXPECT_TRUE(IsRejection(this->AnswerTo(longer), "431"));
+  EXPECT_TRUE(IsRejection(this->AnswerTo("GET /" + std::string(2000, 'x')), "431"));
+  EXPECT_TRUE(IsRejection(
+      this->AnswerTo(std::string(kPost) + "Expect: 100-continue\r\nContent-Length: 1001\r\n\r\n"),
+      "413"));
+  const std::string chunked = std::string(kPost) + "Transfer-Encoding: chunked\r\n\r\n";
+  EXPECT_TRUE(IsRejection(this->AnswerTo(chunked + "3e9\r\n"), "413"));
+  const std::string chunk = "1f4\r\n" + std::string(500, 'x') + "\r\n";
+  EXPECT_TRUE(IsRejection(this->AnswerTo(chunked + chunk + chunk + "1\r\n"), "413"));
+  EXPECT_EQ(this->requests.size(), 1U);
+}
+
+TEST_F(CallServerLimitsTest, ARejectionReachesACallerThatSendsOn) {
+  const std::string head = std::string(kPost) + "Content-Length: 90000000\r\n\r\n";
+  const std::string answer = this->AnswerTo(head + std::string(std::size_t{8} << 20, 'x'));
+  EXPECT_TRUE(IsRejection(answer, "413")) << answer;
+}
+
+TEST_F(CallServerLimitsTest, RejectsNothingInPlaceOfAnEarlierResponse) {
+  const auto caller = this->ConnectAndSend(std::string(kGet) + "GET\x01 / HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(this->WaitForRequests(1));
+  this->RunFor(milliseconds(5));
+  EXPECT_EQ(caller->received, "");
+  this->exchanges[0]->Respond({200, {}, "whole"});
+  ASSERT_TRUE(this->WaitUntilClosed(caller));
+  EXPECT_TRUE(caller->received.starts_with("HTTP/1.1 200 OK\r\n"));
+  EXPECT_TRUE(IsRejection(caller->received.substr(caller->received.find("whole") + 5), "400"));
+}
+
+TEST_F(CallServerLimitsTest, RefusesRequestsThatTakeTooLong) {
+  this->Limits().header_timeout = milliseconds(20);
+  this->Limits().body_timeout = milliseconds(20);
+  this->Restart();
+  const auto idle = this->ConnectAndSend("");
+  EXPECT_TRUE(IsRejection(this->AnswerTo("GET / HTTP/1.1\r\nHost: x\r\n"), "408"));
+  EXPECT_TRUE(
+      IsRejection(this->AnswerTo(std::string(kPost) + "Content-Length: 5\r\n\r\nhell"), "408"));
+  EXPECT_FALSE(idle->closed);
+  EXPECT_TRUE(this->requests.empty());
+}
+
+TEST_F(CallServerLimitsTest, TheHeaderTimeoutCountsFromTheFirstByte) {
+  this->Limits().header_timeout = milliseconds(400);
+  this->Restart();
+  const auto caller = this->ConnectAndSend("G");
+  const SteadyTime begun = SteadyClock::now();
+  while (!caller->closed && SteadyClock::now() < begun + seconds(5)) {
+    this->RunFor(milliseconds(50));
+    if (caller->received.empty()) caller->Write("E");
+  }
+  EXPECT_TRUE(IsRejection(caller->received, "408"));
+  EXPECT_LT(SteadyClock::now() - begun, seconds(2));
+}
+
+TEST_F(CallServerLimitsTest, ClosesIdleConnectionsSilentlyAndNotBeforeTheirTime) {
+  this->Limits().idle_timeout = milliseconds(1300);
+  this->answers_at_once = true;
+  this->Restart();
+  const auto fresh = this->ConnectAndSend("");
+  const auto used = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(used, "Keep-Alive: timeout=1\r\n"));
+  const std::string answer = used->received;
+  const SteadyTime answered = SteadyClock::now();
+  ASSERT_TRUE(this->WaitUntilClosed(used));
+  EXPECT_GE(SteadyClock::now() - answered, milliseconds(1300));
+  EXPECT_LE(SteadyClock::now() - answered, milliseconds(2300));
+  ASSERT_TRUE(this->WaitUntilClosed(fresh));
+  EXPECT_EQ(fresh->received, "");
+  EXPECT_EQ(used->received, answer);
+}
+
+TEST_F(CallServerLimitsTest, ServesARequestThatArrivedBeforeTheIdleClose) {
+  this->Limits().idle_timeout = milliseconds(10);
+  this->answers_at_once = true;
+  this->Restart();
+  const auto caller = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(caller, "whole"));
+  // The deadline passes while the loop does not run; the bytes and the timer are found at once.
+  const SteadyTime until = SteadyClock::now() + milliseconds(700);
+  asio::write(caller->socket, asio::buffer(std::string(kGet)));
+  while (SteadyClock::now() < until) {
+  }
+  EXPECT_TRUE(this->WaitForRequests(2));
+}
+
+TEST_F(CallServerLimitsTest, NewLimitsApplyFromTheNextMessageOn) {
+  const auto open = this->ConnectAndSend(std::string(kPost) + "Content-Length: 5\r\n\r\n");
+  this->RunFor(milliseconds(5));
+  CallServerLimits limits = this->options.limits;
+  limits.max_body_bytes = 4;
+  limits.idle_timeout = seconds(7);
+  this->server->SetLimits(limits);
+  open->Write("hello");
+  ASSERT_TRUE(this->WaitForRequests(1));
+  this->exchanges[0]->Respond({200, {}, "whole"});
+  ASSERT_TRUE(this->WaitFor(open, "timeout=60\r\n"));
+  open->Write(kGet);
+  ASSERT_TRUE(this->WaitForRequests(2));
+  this->exchanges[1]->Respond({200, {}, "whole"});
+  ASSERT_TRUE(this->WaitFor(open, "timeout=7\r\n"));
+  open->Write(std::string(kPost) + "Content-Length: 5\r\n\r\n");
+  EXPECT_TRUE(this->WaitFor(open, "HTTP/1.1 413 "));
+}
+
+/// A caller that does not read unless told to.
+class SlowCaller {
+ public:
+  SlowCaller(asio::io_context& loop, std::uint16_t port) : socket(loop) {
+    this->socket.open(asio::ip::tcp::v4());
+    this->socket.set_option(asio::socket_base::receive_buffer_size(4096));
+    this->socket.connect({asio::ip::make_address("127.0.0.1"), port});
+    asio::write(this->socket, asio::buffer(std::string(kGet)));
+  }
+
+  asio::ip::tcp::socket socket;
+};
+
+constexpr std::size_t kLargeBody = std::size_t{64} << 20;
+
+TEST_F(CallServerLimitsTest, ClosesOnACallerThatDoesNotRead) {
+  this->Limits().write_timeout = milliseconds(20);
+  this->Restart();
+  const SlowCaller caller(this->loop, this->server->Port());
+  ASSERT_TRUE(this->WaitForRequests(1));
+  this->exchanges[0]->Respond({200, {}, std::string(kLargeBody, 'x')});
+  EXPECT_EQ(this->server->OpenExchanges(), 1U);
+  EXPECT_TRUE(RunUntil(this->loop, [&] { return this->server->OpenExchanges() == 0; }));
+}
+
+TEST_F(CallServerLimitsTest, WaitsForACallerThatReadsSlowly) {
+  this->Limits().write_timeout = milliseconds(400);
+  this->Restart();
+  SlowCaller caller(this->loop, this->server->Port());
+  ASSERT_TRUE(this->WaitForRequests(1));
+  this->exchanges[0]->Respond({200, {}, std::string(kLargeBody, 'x')});
+  std::vector<char> part(std::size_t{4} << 20);
+  std::size_t total = 0;
+  caller.socket.non_blocking(true);
+  asio::error_code error;
+  for (int round = 0; round < 15; ++round) {
+    this->RunFor(milliseconds(100));
+    total += asio::read(caller.socket, asio::buffer(part), error);
+  }
+  while (total < kLargeBody && (!error || error == asio::error::would_block)) {
+    this->RunFor(milliseconds(1));
+    total += asio::read(caller.socket, asio::buffer(part), error);
+  }
+  EXPECT_GT(total, kLargeBody);
+}
+
+TEST_F(CallServerLimitsTest, ANewConnectionReplacesTheLongestIdleOne) {
+  this->options.max_connections = 2;
+  this->answers_at_once = true;
+  this->Restart();
+  const auto oldest = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(oldest, "whole"));
+  const auto newer = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(newer, "whole"));
+  oldest->received.clear();
+  oldest->Write(kGet);
+  ASSERT_TRUE(this->WaitFor(oldest, "whole"));
+  const auto third = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(third, "whole"));
+  EXPECT_TRUE(this->WaitUntilClosed(newer));
+  EXPECT_FALSE(oldest->closed);
+}
+
+TEST_F(CallServerLimitsTest, RefusesAConnectionWhenNoneIsIdle) {
+  this->options.max_connections = 1;
+  this->Restart();
+  const auto first = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitForRequests(1));
+  const std::string answer = this->AnswerTo(kGet);
+  EXPECT_TRUE(IsRejection(answer, "503")) << answer;
+  EXPECT_NE(answer.find("Retry-After: 1\r\n"), std::string::npos);
+  first->Close();
+  this->RunFor(milliseconds(5));
+  const auto next = this->ConnectAndSend(kGet);
+  EXPECT_TRUE(this->WaitForRequests(2));
+}
+
+/// Takes every free descriptor of the process while it lives.
+class NoDescriptors {
+ public:
+  NoDescriptors() {
+    getrlimit(RLIMIT_NOFILE, &this->before);
+    const int first_free = dup(0);
+    close(first_free);
+    rlimit none = this->before;
+    none.rlim_cur = static_cast<rlim_t>(first_free);
+    setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &this->before); }
+  NoDescriptors(const NoDescriptors&) = delete;
+  NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+ private:
+  rlimit before{};
+};
+
+TEST_F(CallServerLimitsTest, GoesOnAcceptingAfterAnError) {
+  this->answers_at_once = true;
+  std::shared_ptr<RawConnection> caller;
+  {
+    caller = this->ConnectAndSend(kGet);
+    const NoDescriptors none;
+    this->RunFor(milliseconds(50));
+    EXPECT_TRUE(this->requests.empty());
+  }
+  EXPECT_TRUE(this->WaitFor(caller, "whole"));
+}
+
+}  // namespace
+}  // namespace fireflyrun::http
