--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -5,7 +5,7 @@
 
 #include "common/random.h"
 #include "common/timer_service.h"
-#include "http/client.h"
+#include "http/target_client.h"
 #include "membership/member_state.h"
 #include "membership/membership.h"
 #include "membership/view.h"
@@ -51,7 +51,7 @@
 
 }  // namespace
 
-CallPlane::CallPlane(TimerService& timer_service, http::Client& http_client,
+CallPlane::CallPlane(TimerService& timer_service, http::TargetClient& http_client,
                      const NodeSettings& node_settings, std::uint64_t own_incarnation,
                      ControlPlane& control_plane, NodeMetrics& node_metrics)
     : timers(timer_service),
@@ -86,7 +86,7 @@
       });
 }
 
-void CallPlane::CreateTarget(http::Client& client, std::uint64_t incarnation) {
+void CallPlane::CreateTarget(http::TargetClient& client, std::uint64_t incarnation) {
   TargetService::Options options;
   options.node = this->settings.node;
   options.incarnation = incarnation;
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -22,7 +22,7 @@
 class TimerService;
 }
 namespace fireflyrun::http {
-class Client;
+class TargetClient;
 }
 namespace fireflyrun::peer {
 class LinkPool;
@@ -43,7 +43,7 @@
 /// nodes, and the local target's side.
 class CallPlane {
  public:
-  CallPlane(TimerService& timer_service, http::Client& http_client,
+  CallPlane(TimerService& timer_service, http::TargetClient& http_client,
             const NodeSettings& node_settings, std::uint64_t own_incarnation,
             ControlPlane& control_plane, NodeMetrics& node_metrics);
   ~CallPlane();
@@ -68,7 +68,7 @@
   bool HasUnclaimedAnswers() const;
 
  private:
-  void CreateTarget(http::Client& client, std::uint64_t incarnation);
+  void CreateTarget(http::TargetClient& client, std::uint64_t incarnation);
   void CreateLinks(std::uint64_t incarnation);
   AttemptSender::Hooks SenderHooks();
   DispatchServices MakeDispatchServices();
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "common/random.h"
 #include "http/request_target.h"
 #include "http/status.h"
 #include "node/call_context.h"
@@ -85,6 +86,7 @@
     : dispatcher(call_dispatcher),
       contexts(context_table),
       wire(std::move(wire_names)),
+      weighted_pick([](std::uint64_t bound) { return RandomBelow(bound); }),
       hooks(std::move(service_hooks)) {}
 
 void CallerService::OnRequest(http::Request request,
@@ -104,11 +106,12 @@
 
 CallerService::PolicyPointer CallerService::FindRoute(
     const std::shared_ptr<const records::Configuration>& configuration,
-    const http::Request& request) const {
+    const http::Request& request) {
   const auto host = http::FindHeader(request.headers, kHostHeader).value_or("");
   const auto* route = configuration->FindRoute(host, request.target);
   if (route == nullptr) return nullptr;
-  return {configuration, &route->parts.front().policy};
+  const std::size_t part = this->weighted_pick.Pick(route->name, route->weights);
+  return {configuration, &route->parts[part].policy};
 }
 
 void CallerService::OnRoutedRequest(http::Request request, PolicyPointer route,
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -14,6 +14,7 @@
 #include "node/outbound_call.h"
 #include "node/wire_names.h"
 #include "policy/refusal_reason.h"
+#include "policy/weighted_pick.h"
 
 namespace fireflyrun::http {
 struct RequestTarget;
@@ -62,7 +63,7 @@
 
   /// By a route record, which sees host and path; null when none matches.
   PolicyPointer FindRoute(const std::shared_ptr<const records::Configuration>& configuration,
-                          const http::Request& request) const;
+                          const http::Request& request);
   void OnRoutedRequest(http::Request request, PolicyPointer route,
                        const std::shared_ptr<http::Exchange>& exchange);
   /// By the service that the first path segment names.
@@ -88,6 +89,7 @@
   CallDispatcher& dispatcher;
   ContextTable& contexts;
   WireNames wire;
+  policy::WeightedPick weighted_pick;
   Hooks hooks;
 };
 
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -115,6 +115,10 @@
       std::make_unique<membership::Membership>(this->timers, options, send, this->records->Hooks());
 }
 
+void ControlPlane::OnConfiguration(std::function<void(const records::Configuration&)> hook) {
+  this->records->OnConfiguration(std::move(hook));
+}
+
 void ControlPlane::AddMetrics(NodeMetrics* metrics) const {
   const auto counters = [this]() -> const auto& { return this->membership->Counters(); };
   metrics->AddGauge("fireflyrun_records_revision", "Revision of the records in force.",
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -22,6 +22,9 @@
 class Membership;
 class ZeroMqTransport;
 }  // namespace fireflyrun::membership
+namespace fireflyrun::records {
+class Configuration;
+}
 namespace fireflyrun::store {
 class KeyBinder;
 class RecordSource;
@@ -52,6 +55,8 @@
 
   membership::Membership& Fleet() { return *this->membership; }
   const RecordKeeper& Records() const { return *this->records; }
+  /// `hook` runs whenever other records come into force.
+  void OnConfiguration(std::function<void(const records::Configuration&)> hook);
 
   /// Binds a key to a ticket in the store; kStoreUnavailable without a store.
   void BindKey(const std::string& service, const std::string& key, std::string proposed,
--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -7,7 +7,7 @@
 
 #include "common/clock.h"
 #include "common/id128.h"
-#include "http/client.h"
+#include "http/target_client.h"
 #include "peer/call.h"
 #include "peer/link_server.h"
 #include "policy/ticket.h"
@@ -34,7 +34,7 @@
   std::optional<policy::Ticket> ticket;
   std::shared_ptr<CallContext> context;  ///< Set once the target runs it.
   std::string target_address;            ///< Set with the context.
-  http::Client::RequestId request = 0;
+  http::TargetClient::RequestId request = 0;
   std::vector<Joined> joined;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,12 +1,16 @@
 #include "node/node.h"
 
+#include <algorithm>
 #include <chrono>
+#include <memory>
 #include <utility>
 
 #include "common/random.h"
 #include "common/timer_service.h"
+#include "http/call_server.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "http/target_client.h"
 #include "membership/fleet_report.h"
 #include "membership/membership.h"
 #include "node/admin_service.h"
@@ -16,13 +20,17 @@
 #include "node/node_metrics.h"
 #include "node/record_keeper.h"
 #include "node/supervisor.h"
+#include "records/caller_limits.h"
+#include "records/configuration.h"
 
 namespace fireflyrun::node {
 namespace {
 
-constexpr std::size_t kIdleTargetConnections = 128;
+constexpr std::size_t kIdleStoreConnections = 8;
 constexpr std::size_t kAdminConnections = 64;
 constexpr std::size_t kMaxAdminBodyBytes = std::size_t{64} * 1024;
+/// A body may pause for longer than a header may take as a whole.
+constexpr Duration kSlackOfBodies = std::chrono::seconds(7);
 constexpr unsigned kIncarnationRandomBits = 20;
 
 /// Later starts of a host get higher incarnations while its clock is roughly right, and two starts
@@ -38,9 +46,13 @@
   return {settings.address, settings.admin_port, kMaxAdminBodyBytes, kAdminConnections};
 }
 
-http::ServerOptions CallerServerOptions(const NodeSettings& settings) {
-  return {settings.address, settings.caller_port, settings.max_body_bytes,
-          settings.max_connections};
+http::CallServerOptions CallerServerOptions(const NodeSettings& settings) {
+  http::CallServerOptions options;
+  options.address = settings.address;
+  options.port = settings.caller_port;
+  options.max_connections = settings.max_connections;
+  options.limits.max_body_bytes = settings.max_body_bytes;
+  return options;
 }
 
 }  // namespace
@@ -57,7 +69,9 @@
   AdminService::Hooks AdminHooks();
   NodeDrain::Hooks DrainHooks();
   std::unique_ptr<http::Server> MakeHealthServer(asio::io_context& loop);
-  Part ServerPart(std::string name, http::Server& server);
+  template <typename Server>
+  static Part ServerPart(std::string name, Server& server);
+  void FollowLimits(const records::CallerLimits& limits);
   Part DrainPart();
 
   // Destroyed in reverse order: what uses a member stands below it.
@@ -66,12 +80,13 @@
   TimerService timers;
   NodeMetrics metrics;
   http::Client client;
+  http::TargetClient target_client;
   ControlPlane control;
   CallPlane calls;
   AdminService admin_service;
   http::Server admin_server;
   std::unique_ptr<http::Server> health_server;
-  http::Server caller_server;
+  http::CallServer caller_server;
   NodeDrain drain;
   Supervisor call_supervisor;
   Supervisor root;
@@ -82,9 +97,10 @@
     : settings(std::move(node_settings)),
       incarnation(NewIncarnation()),
       timers(loop),
-      client(loop, kIdleTargetConnections),
+      client(loop, kIdleStoreConnections),
+      target_client(timers, {}),
       control(timers, client, settings, incarnation, platform),
-      calls(timers, client, settings, incarnation, control, metrics),
+      calls(timers, target_client, settings, incarnation, control, metrics),
       admin_service(AdminHooks()),
       admin_server(loop, AdminServerOptions(settings),
                    [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
@@ -107,6 +123,9 @@
   this->root.Add(this->control.AsPart([this] { return this->calls.TicketWindow(); }));
   this->root.Add(this->call_supervisor.AsPart());
   this->root.Add(this->DrainPart());
+  this->control.OnConfiguration([this](const records::Configuration& configuration) {
+    this->FollowLimits(configuration.Limits());
+  });
   this->control.AddMetrics(&this->metrics);
   this->calls.AddMetrics(&this->metrics);
 }
@@ -137,6 +156,16 @@
   return hooks;
 }
 
+void Node::Implementation::FollowLimits(const records::CallerLimits& limits) {
+  http::CallServerLimits now;
+  now.max_header_bytes = limits.max_header_bytes;
+  now.max_body_bytes = std::min(limits.max_body_bytes, this->settings.max_body_bytes);
+  now.header_timeout = limits.header_timeout;
+  now.body_timeout = limits.header_timeout + kSlackOfBodies;
+  now.idle_timeout = limits.idle_timeout;
+  this->caller_server.SetLimits(now);
+}
+
 std::unique_ptr<http::Server> Node::Implementation::MakeHealthServer(asio::io_context& loop) {
   http::ServerOptions options = AdminServerOptions(this->settings);
   options.port = this->settings.health_port;
@@ -146,7 +175,8 @@
       });
 }
 
-Part Node::Implementation::ServerPart(std::string name, http::Server& server) {
+template <typename Server>
+Part Node::Implementation::ServerPart(std::string name, Server& server) {
   Part part;
   part.name = std::move(name);
   part.start = [&server] { return server.Start(); };
--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -102,6 +102,7 @@
 
 void RecordKeeper::OnBookChanged() {
   this->configuration = records::Configuration::Build(this->book);
+  if (this->on_configuration) this->on_configuration(*this->configuration);
   Log(LogLevel::kInfo, "records",
       "event=in-force revision=" + std::to_string(this->book.Revision()));
   for (const Finding& problem : this->configuration->Problems()) {
--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "common/timer_subscription.h"
 #include "membership/record_hooks.h"
@@ -37,6 +39,10 @@
 
   /// Null before the first records.
   std::shared_ptr<const records::Configuration> InForce() const { return this->configuration; }
+  /// Sets the hook that runs whenever other records come into force.
+  void OnConfiguration(std::function<void(const records::Configuration&)> hook) {
+    this->on_configuration = std::move(hook);
+  }
   const records::RecordBook& Book() const { return this->book; }
 
   /// `{"revision", "records": [{"key", "schema", "revision", "retired", "body"}], "problems"}`.
@@ -55,6 +61,7 @@
   membership::Membership* membership = nullptr;
   records::RecordBook book;
   std::shared_ptr<const records::Configuration> configuration;
+  std::function<void(const records::Configuration&)> on_configuration;
   TimerSubscription check_timer;
   bool watching = false;
   bool reading = false;
--- a/src/node/target_request.cc
+++ b/src/node/target_request.cc
@@ -36,14 +36,17 @@
          EqualsIgnoringCase(name, wire.caller_service);
 }
 
-http::ClientRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
+http::TargetRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
                                        const Id128& handle, SteadyTime deadline,
                                        const WireNames& wire) {
-  http::ClientRequest request;
+  http::TargetRequest request;
+  request.address = target.address;
   request.method = call.head.method();
-  request.url = "http://" + target.address + call.head.target();
+  request.target = call.head.target();
   for (const auto& header : call.head.headers()) {
     request.headers.push_back({header.name(), header.value()});
+    const bool is_id = EqualsIgnoringCase(header.name(), wire.request_id);
+    if (is_id) request.echo_header = request.headers.back();
   }
   const Duration left = std::max<Duration>(deadline - SteadyClock::now(), Duration::zero());
   const std::string left_ms = std::to_string(ToMilliseconds(left).count());
@@ -53,7 +56,8 @@
     request.headers.push_back({wire.expected_target, target.id});
   }
   request.body = call.body;
-  request.timeout = std::max<Duration>(left, std::chrono::milliseconds(1));
+  request.deadline = deadline;
+  request.repeatable = !call.head.at_most_once();
   return request;
 }
 
--- a/src/node/target_request.h
+++ b/src/node/target_request.h
@@ -4,8 +4,8 @@
 
 #include "common/clock.h"
 #include "common/id128.h"
-#include "http/client_request.h"
 #include "http/headers.h"
+#include "http/target_request.h"
 #include "peer/call.h"
 
 namespace fireflyrun::node {
@@ -14,9 +14,8 @@
 struct WireNames;
 
 /// The HTTP request by which a call is handed to the target: the caller's own headers, the handle,
-/// the deadline and, where the site has it, the id of the target that is meant. Its timeout is the
-/// time left.
-http::ClientRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
+/// the deadline and, where the site has it, the id of the target that is meant.
+http::TargetRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
                                        const Id128& handle, SteadyTime deadline,
                                        const WireNames& wire);
 
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -65,7 +65,7 @@
 
 }  // namespace
 
-TargetService::TargetService(TimerService& timer_service, http::Client& http_client,
+TargetService::TargetService(TimerService& timer_service, http::TargetClient& http_client,
                              ContextTable& context_table, Options service_options,
                              Hooks service_hooks)
     : timers(timer_service),
@@ -240,7 +240,6 @@
   this->contexts.Add(inbound->context);
   auto request = BuildTargetRequest(inbound->call, *this->target, inbound->context->handle,
                                     inbound->deadline, this->options.wire);
-  request.fresh_connection = inbound->ticket.has_value();
   request.max_response_bytes = this->options.max_body_bytes;
   inbound->request = this->client.Send(
       std::move(request), [this, inbound](tl::expected<http::Response, http::ClientError> ended) {
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -10,7 +10,7 @@
 #include "common/clock.h"
 #include "common/id128.h"
 #include "common/timer_subscription.h"
-#include "http/client.h"
+#include "http/target_client.h"
 #include "node/inbound_call.h"
 #include "node/target_address.h"
 #include "node/wire_names.h"
@@ -49,7 +49,7 @@
     std::function<void(const InboundCall&, Duration service_time)> on_answered;
   };
 
-  TargetService(TimerService& timer_service, http::Client& http_client, ContextTable& context_table,
+  TargetService(TimerService& timer_service, http::TargetClient& http_client, ContextTable& context_table,
                 Options service_options, Hooks service_hooks);
   ~TargetService();
   TargetService(const TargetService&) = delete;
@@ -103,7 +103,7 @@
   CallPointer Find(const Id128& id) const;
 
   TimerService& timers;
-  http::Client& client;
+  http::TargetClient& client;
   ContextTable& contexts;
   Options options;
   Hooks hooks;
