--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -7,7 +7,7 @@
 #include "common/timer_service.h"
 #include "membership/membership.h"
 #include "node/record_codec.h"
-#include "store/record_store.h"
+#include "store/record_source.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordStore* record_store)
-    : timers(timer_service), store(record_store) {
+RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordSource* record_source)
+    : timers(timer_service), store(record_source) {
   this->book.OnChange([this](const records::RecordBook&) { this->OnBookChanged(); });
 }
 
