--- a/src/membership/record_spread.cc
+++ b/src/membership/record_spread.cc
@@ -54,7 +54,8 @@
                                bool from_own_zone) {
   const std::uint64_t local = this->LocalRevision();
   if (change_set.revision() <= local) return;
-  const bool follows = change_set.previous_revision() == local;
+  const bool is_whole = change_set.previous_revision() == 0;
+  const bool follows = is_whole || change_set.previous_revision() == local;
   const bool applied = follows && this->hooks.apply_change_set &&
                        this->hooks.apply_change_set(change_set.SerializeAsString());
   if (applied) {
--- a/src/membership/record_spread.h
+++ b/src/membership/record_spread.h
@@ -12,9 +12,10 @@
 
 namespace fireflyrun::membership {
 
-/// Spreads changes of the records. A change set is pushed once when first applied, like an entry; a
-/// node that lacks what went before it, or hears of a higher revision in a digest, asks the sender
-/// for everything since its own revision. What the entries say is the hooks' business.
+/// Spreads changes of the records. A change set is pushed once when first applied, like an entry.
+/// One with nothing before it is a whole book and follows any older one. A node that lacks what
+/// went before a change set, or hears of a higher revision in a digest, asks the sender for
+/// everything since its own revision. What the entries say is the hooks' business.
 class RecordSpread {
  public:
   RecordSpread(ControlContext& shared, RecordHooks record_hooks);
--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -7,7 +7,7 @@
 #include "common/timer_service.h"
 #include "membership/membership.h"
 #include "node/record_codec.h"
-#include "store/record_store.h"
+#include "store/record_source.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordStore* record_store)
-    : timers(timer_service), store(record_store) {
+RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordSource* record_source)
+    : timers(timer_service), source(record_source) {
   this->book.OnChange([this](const records::RecordBook&) { this->OnBookChanged(); });
 }
 
@@ -46,16 +46,16 @@
 
 void RecordKeeper::Stop() {
   this->check_timer.Reset();
-  if (this->watching) this->store->StopWatch();
+  if (this->watching) this->source->StopWatch();
   this->watching = false;
 }
 
 void RecordKeeper::Check() {
-  if (this->store == nullptr) return;
+  if (this->source == nullptr) return;
   const bool wanted = this->membership->WantsWatch();
   if (wanted && !this->watching) this->WatchStore();
   if (!wanted && this->watching) {
-    this->store->StopWatch();
+    this->source->StopWatch();
     this->watching = false;
   }
   const bool without_records = this->book.Revision() == 0 && !this->watching;
@@ -65,7 +65,7 @@
 void RecordKeeper::WatchStore() {
   this->watching = true;
   Log(LogLevel::kInfo, "records", "event=watching");
-  this->store->WatchFrom(
+  this->source->WatchFrom(
       this->book.Revision(), [this](records::ChangeSet set) { this->OnChangeSet(set); },
       [this](records::Transfer transfer) { this->OnTransfer(transfer); });
 }
@@ -89,10 +89,10 @@
 }
 
 void RecordKeeper::ReadStore() {
-  if (this->store == nullptr || this->reading) return;
+  if (this->source == nullptr || this->reading) return;
   this->reading = true;
   this->read_wanted = true;
-  this->store->Read([this](tl::expected<store::RecordListing, store::StoreError> listing) {
+  this->source->Read([this](tl::expected<store::RecordListing, store::StoreError> listing) {
     this->reading = false;
     if (!listing) return;
     this->read_wanted = false;
--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -17,7 +17,7 @@
 class Membership;
 }
 namespace fireflyrun::store {
-class RecordStore;
+class RecordSource;
 }
 
 namespace fireflyrun::node {
@@ -26,8 +26,8 @@
 /// zone or has no records at all, and from other nodes always.
 class RecordKeeper {
  public:
-  /// `record_store` may be null: records then come from other nodes only.
-  RecordKeeper(TimerService& timer_service, store::RecordStore* record_store);
+  /// `record_source` may be null: records then come from other nodes only.
+  RecordKeeper(TimerService& timer_service, store::RecordSource* record_source);
 
   /// How the membership reaches the book.
   membership::RecordHooks Hooks();
@@ -51,7 +51,7 @@
   void OnBookChanged();
 
   TimerService& timers;
-  store::RecordStore* store;
+  store::RecordSource* source;
   membership::Membership* membership = nullptr;
   records::RecordBook book;
   std::shared_ptr<const records::Configuration> configuration;
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -7,6 +7,7 @@
 ChangeResult RecordBook::ApplyChangeSet(const ChangeSet& change_set) {
   if (change_set.revision <= this->revision) return ChangeResult::kStale;
   if (change_set.previous_revision > this->revision) return ChangeResult::kGap;
+  if (change_set.previous_revision == 0) this->StartAnew(change_set.revision);
   for (const RecordEntry& entry : change_set.entries) {
     RecordEntry& standing = this->entries[entry.key];
     standing = entry;
@@ -23,6 +24,7 @@
     return entry.revision <= transfer.from_revision || entry.revision > transfer.to_revision;
   };
   if (std::any_of(transfer.entries.begin(), transfer.entries.end(), is_outside)) return false;
+  if (transfer.from_revision == 0) this->StartAnew(transfer.to_revision);
   for (const RecordEntry& entry : transfer.entries) {
     this->entries[entry.key] = entry;
   }
@@ -31,6 +33,7 @@
 }
 
 Transfer RecordBook::ChangesSince(std::int64_t since) const {
+  if (since < this->whole_revision) since = 0;
   Transfer transfer{since, this->revision, {}};
   for (const auto& [key, entry] : this->entries) {
     if (entry.revision > since) transfer.entries.push_back(entry);
@@ -52,6 +55,11 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
+void RecordBook::StartAnew(std::int64_t at_revision) {
+  this->entries.clear();
+  this->whole_revision = at_revision;
+}
+
 void RecordBook::Advance(std::int64_t to_revision) {
   this->revision = to_revision;
   if (this->on_change) this->on_change(*this);
--- a/src/records/record_book.h
+++ b/src/records/record_book.h
@@ -22,15 +22,18 @@
   /// 0 for the empty book.
   std::int64_t Revision() const { return this->revision; }
 
-  /// Applies the whole set if no change is missing between the book and it.
+  /// Applies the whole set if no change is missing between the book and it. A set from 0 on is a
+  /// whole book: entries that it doesn't list are gone.
   ChangeResult ApplyChangeSet(const ChangeSet& change_set);
 
-  /// Takes over a transfer that starts at or before the book's revision and ends after it. Returns
+  /// Takes over a transfer that starts at or before the book's revision and ends after it; one from
+  /// 0 is a whole book, so that entries that it doesn't list are gone. Returns
   /// whether the book changed; it stays as it was otherwise, also when an entry's revision lies
   /// outside the transfer's span.
   bool MergeTransfer(const Transfer& transfer);
 
-  /// What a book at `since` needs to become this one; no entries when it is already as new.
+  /// What a book at `since` needs to become this one; no entries when it is already as new. It
+  /// starts at 0 when entries may have gone since then.
   Transfer ChangesSince(std::int64_t since) const;
 
   /// In order of keys.
@@ -43,10 +46,14 @@
   void OnChange(ChangeHook hook) { this->on_change = std::move(hook); }
 
  private:
+  void StartAnew(std::int64_t at_revision);
   void Advance(std::int64_t to_revision);
 
   std::map<RecordKey, RecordEntry> entries;
   std::int64_t revision = 0;
+  /// Of the last whole book taken over. What it dropped is unknown, so that an older book has to
+  /// be replaced too.
+  std::int64_t whole_revision = 0;
   ChangeHook on_change;
 };
 
--- a/src/records/transfer.h
+++ b/src/records/transfer.h
@@ -8,7 +8,7 @@
 namespace fireflyrun::records {
 
 /// Every entry that changed after `from_revision` as it stands at `to_revision`. From 0 it is a
-/// whole book.
+/// whole book: entries that it doesn't list are gone.
 struct Transfer {
   std::int64_t from_revision = 0;
   std::int64_t to_revision = 0;
--- a/src/store/record_store.h
+++ b/src/store/record_store.h
@@ -3,15 +3,12 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <tl/expected.hpp>
 #include <vector>
 
-#include "records/change_set.h"
 #include "records/record.h"
-#include "records/transfer.h"
 #include "store/apply_outcome.h"
 #include "store/record_listing.h"
-#include "store/store_error.h"
+#include "store/record_source.h"
 
 namespace fireflyrun {
 class TimerService;
@@ -21,21 +18,17 @@
 
 class Store;
 
-/// The records of one cluster in the store. Handlers and hooks run on the event loop, never inside
-/// the call that takes them, and not after this object is destroyed.
-class RecordStore {
+/// The records of one cluster in the store.
+class RecordStore : public RecordSource {
  public:
-  using ReadHandler = std::function<void(tl::expected<RecordListing, StoreError>)>;
   using ApplyHandler = std::function<void(ApplyOutcome)>;
-  using ChangeSetHook = std::function<void(records::ChangeSet)>;
-  using TransferHook = std::function<void(records::Transfer)>;
 
   RecordStore(Store& store, TimerService& timers, std::string cluster);
-  ~RecordStore();
+  ~RecordStore() override;
   RecordStore(const RecordStore&) = delete;
   RecordStore& operator=(const RecordStore&) = delete;
 
-  void Read(ReadHandler handler);
+  void Read(ReadHandler handler) override;
 
   /// Writes the records that differ from `read`, all in one transaction, if they still stand as
   /// read. A write of other records in between is a conflict too, because it may have changed what
@@ -47,13 +40,8 @@
   void Retire(std::vector<records::RecordKey> keys, const RecordListing& read,
               ApplyHandler handler);
 
-  /// Reports every change after `revision`, a book's, in order and without end: change sets while
-  /// the watch holds, and a transfer of all records whenever it had to be made anew or the store
-  /// no longer holds the history. A revision of 0 starts with a transfer. Replaces an earlier
-  /// watch.
-  void WatchFrom(Revision revision, ChangeSetHook on_change_set, TransferHook on_transfer);
-
-  void StopWatch();
+  void WatchFrom(Revision revision, ChangeSetHook on_change_set, TransferHook on_transfer) override;
+  void StopWatch() override;
 
  private:
   class Implementation;
