--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -57,7 +57,7 @@
   void OnBookChanged();
 
   TimerService& timers;
-  store::RecordSource* store;
+  store::RecordSource* source;
   membership::Membership* membership = nullptr;
   records::RecordBook book;
   std::shared_ptr<const records::Configuration> configuration;
--- a/src/store/record_source.h
+++ b/src/store/record_source.h
@@ -11,8 +11,8 @@
 
 namespace fireflyrun::store {
 
-/// Where a node's records come from. Handlers and hooks run on the event loop, never inside the call
-/// that takes them, and not after this object is destroyed.
+/// Where the records of a cluster come from. Handlers and hooks run on the event loop, never inside
+/// the call that takes them, and not after the source is destroyed.
 class RecordSource {
  public:
   using ReadHandler = std::function<void(tl::expected<RecordListing, StoreError>)>;
@@ -26,7 +26,9 @@
 
   virtual void Read(ReadHandler handler) = 0;
 
-  /// Reports every change after `revision`, a book's, in order and without end. Replaces an earlier
+  /// Reports every change after `revision`, a book's, in order and without end: change sets while
+  /// the watch holds, and a transfer of all records whenever it had to be made anew or the store
+  /// no longer holds the history. A revision of 0 starts with a transfer. Replaces an earlier
   /// watch.
   virtual void WatchFrom(Revision revision, ChangeSetHook on_change_set,
                          TransferHook on_transfer) = 0;
--- a/src/store/record_store.h
+++ b/src/store/record_store.h
@@ -3,16 +3,12 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <tl/expected.hpp>
 #include <vector>
 
-#include "records/change_set.h"
 #include "records/record.h"
-#include "records/transfer.h"
 #include "store/apply_outcome.h"
 #include "store/record_listing.h"
 #include "store/record_source.h"
-#include "store/store_error.h"
 
 namespace fireflyrun {
 class TimerService;
@@ -22,14 +18,15 @@
 
 class Store;
 
-/// The records of one cluster in the store. Handlers and hooks run on the event loop, never inside
-/// the call that takes them, and not after this object is destroyed.
+/// The records of one cluster in the store.
 class RecordStore : public RecordSource {
  public:
   using ApplyHandler = std::function<void(ApplyOutcome)>;
 
   RecordStore(Store& store, TimerService& timers, std::string cluster);
   ~RecordStore() override;
+  RecordStore(const RecordStore&) = delete;
+  RecordStore& operator=(const RecordStore&) = delete;
 
   void Read(ReadHandler handler) override;
 
@@ -43,12 +40,7 @@
   void Retire(std::vector<records::RecordKey> keys, const RecordListing& read,
               ApplyHandler handler);
 
-  /// Reports every change after `revision`, a book's, in order and without end: change sets while
-  /// the watch holds, and a transfer of all records whenever it had to be made anew or the store
-  /// no longer holds the history. A revision of 0 starts with a transfer. Replaces an earlier
-  /// watch.
   void WatchFrom(Revision revision, ChangeSetHook on_change_set, TransferHook on_transfer) override;
-
   void StopWatch() override;
 
  private:
