--- a/src/records/route_table.h
+++ b/src/records/route_table.h
@@ -22,8 +22,8 @@
 /// for each length that a prefix of this host has, so it does not grow with the number of routes.
 class RouteTable {
  public:
-  /// An empty host is any host. Returns whether the entry was added: false when there is one with
-  /// the same host and prefix.
+  /// `prefix` ends with "/"; an empty host is any host. Returns whether the entry was added: false
+  /// when there is one with the same host and prefix.
   bool Add(std::string_view host, std::string_view prefix, RouteEntry entry);
 
   /// The route with the longest prefix of `path` among those of `host`, else among those of any
--- a/tests/cli/operator_commands_test.cc
+++ b/tests/cli/operator_commands_test.cc
@@ -142,6 +142,23 @@
   EXPECT_EQ(this->Run(&RunGet, {"service/none"}).code, 1);
 }
 
+TEST_F(OperatorCommandsTest, WritesRoutesAndLimitsAndKeepsTheServicesThatRoutesName) {
+  this->Apply(kFile);
+  const Outcome applied = this->Apply(R"([
+    {"kind":"route","schema":1,"name":"parcels","prefix":"/parcels/","priority":"low",
+     "retry_allowance":"std","idempotent":true,"services":[{"service":"tracker","weight":1}]},
+    {"kind":"limits","schema":1,"name":"default","max_header_bytes":16384,"max_body_bytes":9,
+     "header_timeout_ms":3000,"idle_timeout_ms":15000}])");
+  EXPECT_EQ(applied.code, 0) << applied.err;
+  const Outcome got = this->Run(&RunGet, {"route/parcels"});
+  EXPECT_NE(got.out.find("route/parcels/v1"), std::string::npos) << got.out;
+  EXPECT_EQ(this->Run(&RunGet, {"limits/default/v1"}).code, 0);
+  const Outcome named = this->Run(&RunRetire, {"service/tracker"});
+  EXPECT_EQ(named.code, 1);
+  EXPECT_NE(named.err.find("route/parcels/v1:/services/0/service"), std::string::npos) << named.err;
+  EXPECT_EQ(this->Run(&RunRetire, {"service/tracker", "route/parcels"}).code, 0);
+}
+
 TEST_F(OperatorCommandsTest, ReportsFindingsAndWritesNothing) {
   const Outcome outcome = this->Apply(R"([{"kind":"priority","schema":1,"name":"p","rank":99},)" +
                                       std::string(kPriority) + "]");
