--- a/src/records/route_entry.h
+++ b/src/records/route_entry.h
@@ -11,8 +11,7 @@
 struct RouteEntry {
   std::string name;
   std::vector<WeightedPolicy> parts;
-  std::vector<int>
-      weights;  ///< Those of `parts`, in their order, as policy::WeightedPick takes them.
+  std::vector<int> weights;  ///< Those of `parts`, in their order, for policy::WeightedPick.
 };
 
 }  // namespace fireflyrun::records
