Test the platform's adapter and source against a stand-in of its store

The stand-in serves the platform's calls with its faults: away, busy, throttled, resetting, silent, slow, answers lost with the write done at once or later, history dropped, stale readings, leases that lapse. The tests drive the adapter, the translator and the source through them.

--- /dev/null
+++ b/tests/platform/configuration_source_test.cc
@@ -0,0 +1,166 @@
+#include "platform/configuration_source.h"
+
+#include "records/record_book.h"
+#include "tests/platform/platform_fixture.h"
+
+namespace fireflyrun::platform {
+namespace {
+
+constexpr const char* kKey = "op/config";
+
+/// A version whose services and ranks make its records.
+std::string Version(int version, const std::vector<std::string>& services) {
+  std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":{},"services":{)";
+  for (const std::string& service : services) {
+    if (text.back() != '{') text += ',';
+    text += '"' + service + R"(":{})";
+  }
+  return text + "}}";
+}
+
+class ConfigurationSourceTest : public PlatformFixture {
+ protected:
+  void Follow(records::RecordBook& book) {
+    this->source->WatchFrom(
+        book.Revision(), [](const records::ChangeSet&) { FAIL() << "there are no change sets"; },
+        [this, &book](const records::Transfer& transfer) {
+          EXPECT_TRUE(book.MergeTransfer(transfer));
+          this->revisions.push_back(transfer.to_revision);
+        });
+  }
+
+  store::Revision Put(int version, const std::vector<std::string>& services) {
+    return this->standin.Put(kKey, Version(version, services));
+  }
+
+  void RunUntilAt(const records::RecordBook& book, store::Revision revision) {
+    this->RunUntil([&] { return book.Revision() == revision; });
+  }
+
+  tl::expected<store::RecordListing, store::StoreError> Read() {
+    return this->Await<store::RecordListing>(
+        [&](auto handler) { this->source->Read(std::move(handler)); });
+  }
+
+  static std::vector<std::string> Services(const records::RecordBook& book) {
+    std::vector<std::string> names;
+    for (const records::RecordEntry& entry : book.Entries()) {
+      if (entry.key.kind == records::RecordKind::kService) names.push_back(entry.key.name);
+    }
+    return names;
+  }
+
+  std::unique_ptr<ConfigurationSource> source =
+      std::make_unique<ConfigurationSource>(*this->store, this->timers, TranslationDefaults());
+  std::vector<store::Revision> revisions;
+};
+
+TEST_F(ConfigurationSourceTest, FollowsVersionsAndDropsWhatTheyLack) {
+  records::RecordBook book;
+  EXPECT_EQ(this->Read()->transfer.to_revision, 0);
+  this->Follow(book);
+  const store::Revision first = this->Put(3, {"a", "b"});
+  this->RunUntilAt(book, first);
+  EXPECT_EQ(Services(book), (std::vector<std::string>{"a", "b"}));
+  this->standin.Put("op/config-of-another", "x");
+  this->standin.Put("/elsewhere", "x");
+  const store::Revision second = this->Put(9, {"b", "c"});
+  const store::Revision third = this->Put(11, {"c"});
+  this->RunUntilAt(book, third);
+  EXPECT_EQ(Services(book), (std::vector<std::string>{"c"}));
+  EXPECT_EQ(this->revisions, (std::vector<store::Revision>{first, second, third}));
+}
+
+TEST_F(ConfigurationSourceTest, NodesThatSawOtherVersionsHoldTheSame) {
+  records::RecordBook old_book;
+  this->Put(1, {"a"});
+  ASSERT_TRUE(old_book.MergeTransfer(this->Read()->transfer));
+  const records::RecordBook missed = old_book;
+  this->Put(2, {"b"});
+  ASSERT_TRUE(old_book.MergeTransfer(this->Read()->transfer));
+  this->Put(5, {"b", "c"});
+  records::RecordBook new_book;
+  ASSERT_TRUE(new_book.MergeTransfer(this->Read()->transfer));
+  for (records::RecordBook book : {old_book, missed, records::RecordBook()}) {
+    // As a peer hands it on: by a transfer, and by a change set that it publishes.
+    records::RecordBook other = book;
+    const records::Transfer news = new_book.ChangesSince(book.Revision());
+    EXPECT_TRUE(book.MergeTransfer(news));
+    EXPECT_EQ(book.Entries(), new_book.Entries());
+    EXPECT_EQ(other.ApplyChangeSet({news.from_revision, news.to_revision, news.entries}),
+              records::ChangeResult::kApplied);
+    EXPECT_EQ(other.Entries(), new_book.Entries());
+  }
+}
+
+TEST_F(ConfigurationSourceTest, SkipsWhatItCanNotUse) {
+  records::RecordBook book;
+  this->Follow(book);
+  const store::Revision good = this->Put(3, {"a"});
+  this->RunUntilAt(book, good);
+  this->standin.Put(kKey, "{");
+  this->standin.Put(kKey, R"({"version":5})");
+  this->standin.Model().Delete(kKey);
+  const auto read = this->Read();
+  EXPECT_TRUE(read && read->transfer.entries.empty());
+  const store::Revision next = this->Put(8, {"b"});
+  this->RunUntilAt(book, next);
+  EXPECT_EQ(this->revisions, (std::vector<store::Revision>{good, next}));
+}
+
+TEST_F(ConfigurationSourceTest, ReadsAnewWhenHistoryIsGone) {
+  const store::Revision first = this->Put(1, {"a"});
+  records::RecordBook book;
+  ASSERT_TRUE(book.MergeTransfer(this->Read()->transfer));
+  this->Put(2, {"b"});
+  const store::Revision last = this->Put(4, {"c"});
+  this->standin.Model().DropHistory();
+  EXPECT_EQ(book.Revision(), first);
+  this->Follow(book);
+  this->RunUntilAt(book, last);
+  EXPECT_EQ(this->revisions, std::vector{last});
+}
+
+TEST_F(ConfigurationSourceTest, NeverGoesBackAndComesThroughFaults) {
+  records::RecordBook book;
+  this->Follow(book);
+  this->RunUntilAt(book, this->Put(1, {"a"}));
+  this->standin.Model().FreezeReads(true);
+  int version = 2;
+  for (const Mode mode : {Mode::kDown, Mode::kBusy, Mode::kReset, Mode::kLoseAnswers}) {
+    this->standin.SetFault({mode});
+    this->standin.CutWatches();
+    const int calls = this->standin.Calls("/kv-");
+    if (mode == Mode::kDown) {
+      EXPECT_FALSE(this->Read().has_value());
+    } else {
+      this->RunUntil([&] { return this->standin.Calls("/kv-") > calls + 1; });
+    }
+    const store::Revision revision = this->Put(version++, {"a"});
+    // A watch from before is cut off, so that the source reads, and gets an old state.
+    if (mode == Mode::kBusy) this->standin.Model().DropHistory();
+    this->standin.SetFault({});
+    if (mode == Mode::kBusy) {
+      this->RunUntil([&] { return this->standin.OpenWatches() == 0; });
+      this->standin.Model().FreezeReads(false);
+    }
+    this->RunUntilAt(book, revision);
+  }
+  EXPECT_TRUE(std::is_sorted(this->revisions.begin(), this->revisions.end()));
+  EXPECT_EQ(this->revisions.size(), 5U);
+}
+
+TEST_F(ConfigurationSourceTest, IsSilentOnceStopped) {
+  records::RecordBook book;
+  this->Follow(book);
+  this->RunUntil([&] { return this->standin.OpenWatches() == 1; });
+  this->source->StopWatch();
+  this->source->Read([](const auto&) { FAIL() << "the source is gone"; });
+  this->source.reset();
+  this->Put(1, {"a"});
+  this->RunUntil([&] { return this->standin.OpenWatches() == 0; });
+  EXPECT_EQ(book.Revision(), 0);
+}
+
+}  // namespace
+}  // namespace fireflyrun::platform
