--- a/tests/membership/record_spread_test.cc
+++ b/tests/membership/record_spread_test.cc
@@ -8,7 +8,9 @@
 namespace {
 
 /// Applies a change set at a node as its store watch would, and publishes it.
-void Change(TestNode& node, std::uint64_t revision, const std::string& body) {
+void Change(TestNode& node, std::uint64_t revision, const std::string& body,
+            bool is_whole = false) {
+  if (is_whole) node.book.clear();
   pb::ChangeSet change_set;
   change_set.set_previous_revision(node.Revision());
   change_set.set_revision(revision);
@@ -58,6 +60,18 @@
   EXPECT_GE(requests, 6U);
 }
 
+TEST(RecordSpread, AWholeBookFollowsAnyOlderOneUnasked) {
+  TestFleet fleet;
+  fleet.options.exchange_period = std::chrono::hours(1);
+  TestNode& behind = fleet.Start("a-0", "a");
+  TestNode& ahead = fleet.Start("a-1", "a");
+  ASSERT_TRUE(fleet.RunUntilWhole());
+  behind.book[1] = "what the newer book lacks";
+  Change(ahead, 9, "nine", true);
+  EXPECT_TRUE(fleet.RunUntil([&] { return behind.book == ahead.book; }));
+  EXPECT_EQ(ahead.membership->Counters().parts_received.count("record_request"), 0U);
+}
+
 TEST(RecordSpread, ANewcomerGetsATransferOfManyPieces) {
   TestFleet fleet;
   fleet.StartZones({"a"}, 4);
--- a/tests/membership/test_fleet.cc
+++ b/tests/membership/test_fleet.cc
@@ -22,7 +22,9 @@
   hooks.apply_change_set = [this, apply](std::string_view bytes) {
     pb::ChangeSet change_set;
     change_set.ParseFromString(std::string(bytes));
-    return change_set.previous_revision() == this->Revision() && apply(change_set);
+    const bool is_whole = change_set.previous_revision() == 0;
+    if (is_whole) this->book.clear();
+    return (is_whole || change_set.previous_revision() == this->Revision()) && apply(change_set);
   };
   hooks.apply_transfer = [this, apply](std::string_view bytes) {
     pb::Transfer transfer;
--- a/tests/platform/configuration_translator_test.cc
+++ b/tests/platform/configuration_translator_test.cc
@@ -7,6 +7,7 @@
 
 #include "platform/record_names.h"
 #include "records/record_key.h"
+#include "records/record_parser.h"
 
 namespace fireflyrun::platform {
 namespace {
@@ -38,9 +39,23 @@
   return nullptr;
 }
 
+/// Checks the records of kinds and schemas that this build understands.
+void ExpectUsable(const TranslatedConfiguration& translated) {
+  for (const TranslatedRecord& record : translated.records) {
+    const auto key = records::ParseRecordKey(record.key);
+    if (!key || key->schema > records::HighestSchema(key->kind)) continue;
+    Findings findings;
+    const auto parsed = records::ParseRecord(Json::parse(record.body), "F:/", findings);
+    ASSERT_TRUE(parsed.has_value()) << record.key << ' ' << FormatFindings(findings);
+    EXPECT_EQ(parsed->key, *key);
+    EXPECT_EQ(parsed->body, record.body) << "the text is canonical";
+  }
+}
+
 TEST(ConfigurationTranslatorTest, MakesOneRecordOfEachThing) {
   const auto translated = Translate(GoodConfiguration());
   ASSERT_TRUE(translated.has_value());
+  ExpectUsable(*translated);
   EXPECT_EQ(translated->version, 7);
   EXPECT_TRUE(translated->notices.empty()) << FormatFindings(translated->notices);
   std::vector<std::string> keys;
@@ -91,6 +106,7 @@
   other["laterField"] = {{"a", 1}};
   const auto translated = Translate(configuration);
   ASSERT_TRUE(translated.has_value());
+  ExpectUsable(*translated);
   EXPECT_TRUE(Body(*translated, "limits/default/v1").is_null());
   const Json body = Body(*translated, "route/r-89anu6w/v1");
   EXPECT_FALSE(body.contains("timeout_ms") || body.contains("target_latency_ms"));
@@ -110,6 +126,7 @@
   routes["9"] = routes["r-89anu6w"];
   const auto translated = Translate(configuration);
   ASSERT_TRUE(translated.has_value());
+  ExpectUsable(*translated);
   EXPECT_EQ(Body(*translated, "route/x---4fdd-5f1/v1")["services"][0]["service"],
             RecordNameOf("Not Described"));
   EXPECT_FALSE(Body(*translated, "service/" + RecordNameOf("Not Described") + "/v3").is_null());
--- a/tests/records/record_book_test.cc
+++ b/tests/records/record_book_test.cc
@@ -88,6 +88,23 @@
   EXPECT_TRUE(book.Entries().empty());
 }
 
+TEST(RecordBookTest, AWholeBookReplacesOlderOnesAlsoThroughOthers) {
+  RecordBook old_book;
+  old_book.ApplyChangeSet({0, 4, {MakeEntry(1, 4), MakeEntry(2, 4)}});
+  const RecordBook other = old_book;
+  ASSERT_TRUE(old_book.MergeTransfer({0, 7, {MakeEntry(2, 7)}}));
+  EXPECT_EQ(old_book.Entries(), std::vector{MakeEntry(2, 7)});
+  const Transfer news = old_book.ChangesSince(other.Revision());
+  RecordBook by_transfer = other;
+  EXPECT_TRUE(by_transfer.MergeTransfer(news));
+  EXPECT_EQ(by_transfer.Entries(), old_book.Entries());
+  RecordBook by_change_set = other;
+  EXPECT_EQ(by_change_set.ApplyChangeSet({news.from_revision, news.to_revision, news.entries}),
+            ChangeResult::kApplied);
+  EXPECT_EQ(by_change_set.Entries(), old_book.Entries());
+  EXPECT_EQ(old_book.ChangesSince(7).from_revision, 7);
+}
+
 TEST(RecordBookTest, RunsItsHookOnlyOnChange) {
   RecordBook book;
   int changes = 0;
