Test TargetClient, and check what the lenient parser passes

Debian's http_parser is built lenient: it took any two bytes for the line break after a chunk, and a blank in a header's name.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -84,14 +84,31 @@
     const std::size_t parsed =
         http_parser_execute(&this->parser, &Settings(), bytes.data(), bytes.size());
     const http_errno outcome = HTTP_PARSER_ERRNO(&this->parser);
-    if (this->error || (outcome != HPE_OK && outcome != HPE_PAUSED)) return this->ParserFailure();
+    const bool parses = outcome == HPE_OK || outcome == HPE_PAUSED;
+    if (this->error || !parses || parsed == 0) return this->ParserFailure();
+    if (!this->ResumeAfter(bytes.substr(0, parsed))) return this->ParserFailure();
     bytes.remove_prefix(parsed);
-    if (outcome == HPE_PAUSED && !this->complete) this->BeginMessage();
   }
   if (!bytes.empty()) this->connection_stays = false;
   return this->complete;
 }
 
+/// Goes on after a pause, if there was one; false when the bytes before it are malformed.
+bool AnswerReader::ResumeAfter(std::string_view parsed) {
+  const Pause cause = std::exchange(this->pause, Pause::kNone);
+  if (cause == Pause::kMessageEnd && !this->complete) this->BeginMessage();
+  if (cause == Pause::kChunkEnd) {
+    http_parser_pause(&this->parser, 0);
+    // The parser, built lenient, takes any two bytes for the line break after a chunk.
+    const char before = parsed.size() > 1 ? parsed[parsed.size() - 2] : this->last_byte;
+    if (before != '\r' || parsed.back() != '\n') {
+      return this->Reject(ClientErrorKind::kBadAnswer, "a chunk has not the stated size");
+    }
+  }
+  this->last_byte = parsed.back();
+  return true;
+}
+
 tl::expected<bool, ClientError> AnswerReader::ConsumeEnd() {
   http_parser_execute(&this->parser, &Settings(), nullptr, 0);
   if (this->complete) return true;
@@ -113,6 +130,8 @@
     made.on_header_value = &AnswerReader::OnHeaderValue;
     made.on_headers_complete = &AnswerReader::OnHead;
     made.on_body = &AnswerReader::OnBody;
+    made.on_chunk_header = &AnswerReader::OnChunkHead;
+    made.on_chunk_complete = &AnswerReader::OnChunkEnd;
     made.on_message_complete = &AnswerReader::OnMessageEnd;
     return made;
   }();
@@ -169,11 +188,25 @@
   return ReaderOf(parser).AppendBody({data, size}) ? kContinue : kStop;
 }
 
+int AnswerReader::OnChunkHead(http_parser* parser) {
+  ReaderOf(parser).in_last_chunk = parser->content_length == 0;
+  return kContinue;
+}
+
+int AnswerReader::OnChunkEnd(http_parser* parser) {
+  AnswerReader& reader = ReaderOf(parser);
+  if (reader.in_last_chunk) return kContinue;
+  reader.pause = Pause::kChunkEnd;
+  http_parser_pause(parser, 1);
+  return kContinue;
+}
+
 int AnswerReader::OnMessageEnd(http_parser* parser) {
   AnswerReader& reader = ReaderOf(parser);
   reader.complete = !reader.skips_message;
-  reader.connection_stays =
-      http_should_keep_alive(parser) != 0 && parser->http_minor > 0 && !reader.echo_missing;
+  const bool kept_alive = http_should_keep_alive(parser) != 0 && parser->http_minor > 0;
+  reader.connection_stays = reader.complete && kept_alive && !reader.echo_missing;
+  reader.pause = Pause::kMessageEnd;
   http_parser_pause(parser, 1);
   return kContinue;
 }
@@ -188,6 +221,9 @@
     return this->Reject(ClientErrorKind::kBadAnswer, "the target switches protocols unasked");
   }
   for (Header& header : this->response.headers) {
+    if (!IsValidHeader(header)) {
+      return this->Reject(ClientErrorKind::kBadAnswer, "a header of the answer is malformed");
+    }
     header.value.resize(TrimBlanks(header.value).size());  // The parser drops leading blanks.
   }
   this->skips_message = interim;
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -52,10 +52,13 @@
   static int OnHeaderValue(http_parser* parser, const char* data, std::size_t size);
   static int OnHead(http_parser* parser);
   static int OnBody(http_parser* parser, const char* data, std::size_t size);
+  static int OnChunkHead(http_parser* parser);
+  static int OnChunkEnd(http_parser* parser);
   static int OnMessageEnd(http_parser* parser);
 
   void BeginMessage();
   tl::expected<bool, ClientError> ParserFailure() const;
+  bool ResumeAfter(std::string_view parsed);
   bool AcceptHead();
   bool AcceptEcho();
   bool AcceptFraming();
@@ -63,8 +66,14 @@
   bool Reject(ClientErrorKind kind, std::string_view message);
   bool HasNoBody() const;
 
+  /// Why the parser was paused.
+  enum class Pause { kNone, kChunkEnd, kMessageEnd };
+
   const TargetRequest& request;
   http_parser parser;
+  Pause pause = Pause::kNone;
+  char last_byte = '\0';  ///< Of the bytes parsed before.
+  bool in_last_chunk = false;
   Response response;
   std::optional<ClientError> error;
   std::optional<Duration> keep_alive;
--- /dev/null
+++ b/tests/http/answer_reader_test.cc
@@ -0,0 +1,132 @@
+#include "http/answer_reader.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <string>
+
+#include "http/target_request.h"
+
+namespace fireflyrun::http {
+namespace {
+
+TargetRequest EchoedRequest() {
+  TargetRequest request;
+  request.echo_header = {"Request-Tag", "mine"};
+  return request;
+}
+
+const std::string kStray =
+    "HTTP/1.1 200 OK\r\nRequest-Tag: other\r\nContent-Length: 5\r\n\r\nother";
+const std::string kInterim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+const std::string kChunked =
+    "HTTP/1.1 200 OK\r\nRequest-Tag: mine\r\nTransfer-Encoding: chunked\r\n"
+    "Trailer: X-Sum\r\n\r\n2\r\nmi\r\n2;x=y\r\nne\r\n0\r\nX-Sum: 1\r\n\r\n";
+const std::string kSized = "HTTP/1.1 200 OK\r\nrequest-tag: mine \r\nContent-Length: 4\r\n\r\nmine";
+
+ClientErrorKind ErrorOf(const std::string& bytes, const TargetRequest& request = {}) {
+  AnswerReader reader(request);
+  const auto consumed = reader.Consume(bytes);
+  return (consumed ? reader.ConsumeEnd() : consumed).error().kind;
+}
+
+TEST(AnswerReaderTest, PropertyAnswerIsTheSameHoweverItsBytesArrive) {
+  rc::check([] {
+    const TargetRequest request = EchoedRequest();
+    const std::string bytes = *rc::gen::element(kInterim, kStray, std::string()) +
+                              *rc::gen::element(kStray, std::string()) +
+                              *rc::gen::element(kChunked, kSized);
+    AnswerReader reader(request);
+    for (std::size_t begin = 0; begin < bytes.size();) {
+      const std::size_t size = *rc::gen::inRange<std::size_t>(1, bytes.size() - begin + 1);
+      RC_ASSERT(!reader.ConnectionStaysUsable());
+      const auto complete = reader.Consume({bytes.data() + begin, size});
+      begin += size;
+      RC_ASSERT(complete.value() == (begin == bytes.size()));
+    }
+    RC_ASSERT(reader.ConnectionStaysUsable());
+    const Response response = reader.TakeResponse();
+    RC_ASSERT(response.body == "mine");
+    RC_ASSERT(response.headers.size() == 1U);
+    RC_ASSERT(response.headers[0].value == "mine");
+  });
+}
+
+TEST(AnswerReaderTest, PropertyTruncatedAnswerIsNeverComplete) {
+  rc::check([] {
+    const TargetRequest request = EchoedRequest();
+    const std::string bytes = *rc::gen::element(kChunked, kSized, kInterim + kSized);
+    const std::size_t size = *rc::gen::inRange<std::size_t>(0, bytes.size());
+    RC_ASSERT(ErrorOf(bytes.substr(0, size), request) == ClientErrorKind::kConnectionLost);
+  });
+}
+
+TEST(AnswerReaderTest, BytesThatAreNoAnswerAreBad) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const std::string& bytes : {
+           std::string("SSH-2.0-x\r\n"),
+           std::string("HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n"),
+           std::string("HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n"),
+           std::string("HTTP/1.1 101 Go\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"),
+           head + "Content-Encoding: gzip\r\nContent-Length: 0\r\n\r\n",
+           head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+           head + "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n0\r\n\r\n",
+           head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nokk",
+           head + "Content-Length: -2\r\n\r\n",
+           head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+           head + "Transfer-Encoding: chunked\r\n\r\n2\r\nokXX0\r\n\r\n",
+           head + "Na me: x\r\n\r\n",
+           head + "X: " + std::string(100'000, 'x') + "\r\n\r\n",
+       }) {
+    EXPECT_EQ(ErrorOf(bytes), ClientErrorKind::kBadAnswer) << bytes.substr(0, 100);
+  }
+}
+
+TEST(AnswerReaderTest, BodyOverTheLimitIsTooLarge) {
+  TargetRequest request;
+  request.max_response_bytes = 4;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  EXPECT_EQ(ErrorOf(head + "Content-Length: 5\r\n\r\n", request), ClientErrorKind::kTooLarge);
+  EXPECT_EQ(ErrorOf(head + "Transfer-Encoding: chunked\r\n\r\n5\r\n12345", request),
+            ClientErrorKind::kTooLarge);
+  EXPECT_EQ(ErrorOf(head + "\r\n12345", request), ClientErrorKind::kTooLarge);
+  request.max_response_bytes = 5;
+  EXPECT_EQ(ErrorOf(head + "Content-Length: 5\r\n\r\n1234", request),
+            ClientErrorKind::kConnectionLost);
+}
+
+TEST(AnswerReaderTest, AnswersToOtherRequestsAreSkippedAFewTimes) {
+  const TargetRequest request = EchoedRequest();
+  AnswerReader reader(request);
+  EXPECT_TRUE(reader.Consume(kStray + kStray + kStray + kSized).value());
+  EXPECT_EQ(reader.StrayAnswers(), 3U);
+  EXPECT_EQ(ErrorOf(kStray + kStray + kStray + kStray + kSized, request),
+            ClientErrorKind::kBadAnswer);
+}
+
+TEST(AnswerReaderTest, AnswerWithoutItsEchoIsOnlyTakenAsAFailure) {
+  const TargetRequest request = EchoedRequest();
+  EXPECT_EQ(ErrorOf("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", request),
+            ClientErrorKind::kBadAnswer);
+  AnswerReader reader(request);
+  EXPECT_TRUE(reader.Consume("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n").value());
+  EXPECT_FALSE(reader.ConnectionStaysUsable());
+  EXPECT_EQ(reader.TakeResponse().status, 503);
+}
+
+TEST(AnswerReaderTest, HeadersOfTheConnectionAreDropped) {
+  const TargetRequest request;
+  AnswerReader reader(request);
+  EXPECT_TRUE(reader
+                  .Consume("HTTP/1.1 200 OK\r\nX-Kept: 1\r\nConnection: x-hop, Keep-Alive\r\n"
+                           "X-Hop: 1\r\nKeep-Alive: max=9, timeout=7\r\nUpgrade: h2c\r\nTE: x\r\n"
+                           "Proxy-Authenticate: x\r\nContent-Length: 0\r\nTrailer: x\r\n\r\n")
+                  .value());
+  EXPECT_EQ(reader.KeepAliveTimeout(), std::chrono::seconds(7));
+  const Response response = reader.TakeResponse();
+  ASSERT_EQ(response.headers.size(), 1U);
+  EXPECT_EQ(response.headers[0].name, "X-Kept");
+}
+
+}  // namespace
+}  // namespace fireflyrun::http
--- /dev/null
+++ b/tests/http/target_client_test.cc
@@ -0,0 +1,153 @@
+#include "http/target_client.h"
+
+#include <gtest/gtest.h>
+
+#include "tests/http/target_test_support.h"
+
+namespace fireflyrun::http {
+namespace {
+
+constexpr std::size_t kLargeBody = std::size_t{32} << 20;
+
+/// Reads the request's head and no more; answers with `text`.
+RawServer::Script WithoutReadingTheBody(std::string text) {
+  return [text = std::move(text)](RawConnection& connection, int) {
+    connection.paused = true;
+    connection.Write(text);
+  };
+}
+
+TEST(TargetClientTest, SendsTheRequestByteForByte) {
+  TargetFixture fixture(nullptr);
+  TargetRequest request = fixture.Request("PUT");
+  request.target = "/a/../b%2f?x=1&y=%20";
+  request.headers = {{"X-Empty", ""}, {"Content-Length", "99"}, {"Transfer-Encoding", "chunked"}};
+  request.body = "body";
+  asio::ip::tcp::acceptor acceptor(fixture.loop, {asio::ip::make_address("127.0.0.1"), 0});
+  request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::shared_ptr<RawConnection> far_end;
+  acceptor.async_accept([&](auto, asio::ip::tcp::socket socket) {
+    far_end = std::make_shared<RawConnection>(std::move(socket));
+    far_end->on_data = [&] { far_end->Write(kWholeResponse); };
+    far_end->Read();
+  });
+  ASSERT_TRUE(fixture.Fetch(request));
+  EXPECT_EQ(far_end->received, "PUT /a/../b%2f?x=1&y=%20 HTTP/1.1\r\nHost: " + request.address +
+                                   "\r\nX-Empty: \r\nContent-Length: 4\r\n\r\nbody");
+}
+
+TEST(TargetClientTest, ReadsEveryFraming) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  EXPECT_EQ(TargetFixture(Always(kWholeResponse)).Fetch()->body, "ok");
+  EXPECT_EQ(TargetFixture(Always(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+                .Fetch()
+                ->body,
+            "ok");
+  EXPECT_EQ(TargetFixture(OnceThenClose(head + "\r\nok")).Fetch()->body, "ok");
+  EXPECT_EQ(TargetFixture(Always("HTTP/1.1 100 Continue\r\n\r\n" + std::string(kWholeResponse)))
+                .Fetch()
+                ->status,
+            200);
+}
+
+TEST(TargetClientTest, AnswersWithoutABodyLeaveTheConnectionUsable) {
+  TargetFixture fixture([](RawConnection& connection, int number) {
+    const std::string status = number == 1 ? "200 OK" : number == 2 ? "204 None" : "304 Same";
+    connection.Write("HTTP/1.1 " + status + "\r\nContent-Length: 9\r\n\r\n");
+  });
+  EXPECT_EQ(fixture.Fetch("HEAD")->status, 200);
+  EXPECT_EQ(fixture.Fetch()->status, 204);
+  EXPECT_EQ(fixture.Fetch()->status, 304);
+  EXPECT_EQ(fixture.server.connections, 1);
+}
+
+TEST(TargetClientTest, AnswerBeforeTheWholeBodyEndsTheConnection) {
+  TargetFixture fixture(WithoutReadingTheBody("HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno"));
+  TargetRequest request = fixture.Request("POST");
+  request.body.assign(kLargeBody, 'x');
+  EXPECT_EQ(fixture.Fetch(request)->status, 413);
+  RawConnection& connection = *fixture.accepted[0];
+  connection.on_data = nullptr;
+  connection.paused = false;
+  connection.Read();
+  ASSERT_TRUE(fixture.RunUntilClosed(0));
+  EXPECT_LT(connection.received.size(), kLargeBody);
+  EXPECT_EQ(connection.received.find_first_not_of('x'), std::string::npos);
+  EXPECT_TRUE(fixture.Fetch());
+  EXPECT_EQ(fixture.server.connections, 2);
+}
+
+TEST(TargetClientTest, BodyGoesOnAfterAnInterimAnswer) {
+  std::size_t received = 0;
+  TargetFixture fixture([&](RawConnection& connection, int) {
+    connection.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    // Posted, as the present hook is running.
+    asio::post(connection.socket.get_executor(), [&] {
+      connection.on_data = [&] {
+        received += std::exchange(connection.received, std::string()).size();
+        if (received == kLargeBody) connection.Write(kWholeResponse);
+      };
+    });
+  });
+  TargetRequest request = fixture.Request("POST");
+  request.body.assign(kLargeBody, 'x');
+  EXPECT_TRUE(fixture.Fetch(request));
+}
+
+TEST(TargetClientTest, TargetThatDoesNotReadHoldsUpNothingElse) {
+  TargetFixture slow([](RawConnection& connection, int) { connection.paused = true; });
+  RawServer quick(slow.loop, Always(kWholeResponse));
+  TargetRequest large = slow.Request("POST");
+  large.body.assign(kLargeBody, 'x');
+  slow.client->Send(large, [](const Result&) { ADD_FAILURE(); });
+  ASSERT_TRUE(RunUntil(slow.loop, [&] { return slow.server.requests == 1; }));
+  TargetRequest other = slow.Request();
+  other.address = "127.0.0.1:" + std::to_string(quick.Port());
+  EXPECT_TRUE(slow.Fetch(other));
+}
+
+TEST(TargetClientTest, RequestsBeyondTheLimitWaitInOrder) {
+  TargetFixture fixture(Always(kWholeResponse));
+  fixture.client->SetMaxConnections(1);
+  std::string order;
+  for (const char name : {'a', 'b', 'c'}) {
+    fixture.client->Send(fixture.Request("DELETE"), [&, name](const Result& result) {
+      if (result) order += name;
+    });
+  }
+  EXPECT_TRUE(RunUntil(fixture.loop, [&] { return order == "abc"; }));
+  EXPECT_EQ(fixture.server.connections, 1);
+}
+
+TEST(TargetClientTest, CancelClosesTheConnectionAndLetsTheNextRequestGo) {
+  TargetFixture fixture([](RawConnection& connection, int number) {
+    if (number > 1) connection.Write(kWholeResponse);
+  });
+  fixture.client->SetMaxConnections(1);
+  const auto fail = [](const Result&) { ADD_FAILURE() << "a cancelled request's handler ran"; };
+  const auto running = fixture.client->Send(fixture.Request(), fail);
+  const auto waiting = fixture.client->Send(fixture.Request(), fail);
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return fixture.server.requests == 1; }));
+  fixture.client->Cancel(waiting);
+  fixture.client->Cancel(running);
+  EXPECT_TRUE(fixture.RunUntilClosed(0));
+  EXPECT_TRUE(fixture.Fetch());
+  EXPECT_EQ(fixture.server.requests, 2);
+}
+
+TEST(TargetClientTest, HandlerMayDestroyTheClientWhileOthersWait) {
+  TargetFixture fixture(Always(kWholeResponse));
+  int ended = 0;
+  for (int i = 0; i < 3; ++i) {
+    fixture.client->Send(fixture.Request(), [&](const Result&) {
+      ++ended;
+      fixture.client.reset();
+    });
+  }
+  EXPECT_TRUE(RunUntil(fixture.loop, [&] { return fixture.client == nullptr; }));
+  fixture.loop.poll();
+  EXPECT_EQ(ended, 1);
+}
+
+}  // namespace
+}  // namespace fireflyrun::http
--- a/tests/http/test_support.h
+++ b/tests/http/test_support.h
@@ -60,7 +60,7 @@
                                    self->received.append(self->buffer.data(), size);
                                    self->closed = static_cast<bool>(error);
                                    if (self->on_data) self->on_data();
-                                   if (!error) self->Read();
+                                   if (!error && !self->paused) self->Read();
                                  });
   }
 
@@ -70,6 +70,13 @@
                       [kept, self = this->shared_from_this()](auto, auto) {});
   }
 
+  /// Ends the connection so that its far end sees a reset.
+  void Reset() {
+    asio::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
+  }
+
   void Close() {
     asio::error_code ignored;
     this->socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
@@ -80,6 +87,7 @@
   std::array<char, 65536> buffer;
   std::string received;
   bool closed = false;
+  bool paused = false;  ///< Set to read no more after the current read.
   std::function<void()> on_data;
 };
 
