Take an answer without a length as lost when a write met the reset

The failed write takes the socket's error, so that the next read sees a clean end: an answer that was cut off looked complete.

--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -69,7 +69,7 @@
 
   TimerService& timers;
   TargetClientOptions options;
-  TargetConnection::Hooks hooks;
+  std::shared_ptr<const TargetConnection::Hooks> hooks;
   std::unordered_map<std::string, TargetAddress> addresses;
   std::unordered_map<RequestId, std::unique_ptr<TargetExchange>> exchanges;
   RequestId last_id = 0;
@@ -83,11 +83,13 @@
 TargetClient::Implementation::Implementation(TimerService& timer_service,
                                              TargetClientOptions client_options)
     : timers(timer_service), options(client_options), read_buffer(kReadBufferBytes) {
-  this->hooks.on_connected = [this](TargetConnection& connection, const asio::error_code& error) {
+  TargetConnection::Hooks made;
+  made.on_connected = [this](TargetConnection& connection, const asio::error_code& error) {
     this->OnConnected(connection, error);
   };
-  this->hooks.on_readable = [this](TargetConnection& connection) { this->OnReadable(connection); };
-  this->hooks.on_writable = [this](TargetConnection& connection) { this->OnWritable(connection); };
+  made.on_readable = [this](TargetConnection& connection) { this->OnReadable(connection); };
+  made.on_writable = [this](TargetConnection& connection) { this->OnWritable(connection); };
+  this->hooks = std::make_shared<const TargetConnection::Hooks>(std::move(made));
 }
 
 TargetClient::Implementation::~Implementation() {
@@ -250,7 +252,9 @@
   asio::error_code error;
   const std::size_t size = connection.Read(asio::buffer(this->read_buffer), error);
   if (error == asio::error::would_block) return false;
-  if (error && error != asio::error::eof) {
+  // A failed write takes the socket's error with it: a reset reads as a clean end from then on.
+  const bool reset = error && (error != asio::error::eof || exchange.WritingStopped());
+  if (reset) {
     this->Fail(exchange, ClientError{ClientErrorKind::kConnectionLost, error.message()});
     return false;
   }
--- a/src/http/target_connection.cc
+++ b/src/http/target_connection.cc
@@ -6,6 +6,7 @@
 
 #include <asio/detail/socket_option.hpp>
 #include <cerrno>
+#include <utility>
 
 #include "http/target_address.h"
 
@@ -17,8 +18,8 @@
 }  // namespace
 
 TargetConnection::TargetConnection(asio::io_context& loop, TargetAddress& target_address,
-                                   const Hooks& event_hooks)
-    : socket(loop), address(target_address), hooks(event_hooks) {}
+                                   std::shared_ptr<const Hooks> event_hooks)
+    : socket(loop), address(target_address), hooks(std::move(event_hooks)) {}
 
 asio::error_code TargetConnection::Connect(Duration unacknowledged_limit) {
   asio::error_code error;
@@ -31,7 +32,7 @@
   this->socket.set_option(UserTimeout(limit), ignored);
   this->socket.async_connect(this->address.Endpoint(),
                              [self = this->shared_from_this()](const asio::error_code& failure) {
-                               if (!self->closed) self->hooks.on_connected(*self, failure);
+                               if (!self->closed) self->hooks->on_connected(*self, failure);
                              });
   return {};
 }
@@ -55,7 +56,7 @@
   this->socket.async_wait(asio::ip::tcp::socket::wait_read,
                           [self = this->shared_from_this()](const asio::error_code&) {
                             if (self->closed) return;
-                            self->hooks.on_readable(*self);
+                            self->hooks->on_readable(*self);
                             if (!self->closed) self->WatchReads();
                           });
 }
@@ -66,7 +67,7 @@
   this->socket.async_wait(asio::ip::tcp::socket::wait_write,
                           [self = this->shared_from_this()](const asio::error_code&) {
                             self->watches_writes = false;
-                            if (!self->closed) self->hooks.on_writable(*self);
+                            if (!self->closed) self->hooks->on_writable(*self);
                           });
 }
 
--- a/src/http/target_connection.h
+++ b/src/http/target_connection.h
@@ -26,8 +26,8 @@
     std::function<void(TargetConnection&)> on_writable;
   };
 
-  /// The hooks must outlive the connection's Close().
-  TargetConnection(asio::io_context& loop, TargetAddress& target_address, const Hooks& event_hooks);
+  TargetConnection(asio::io_context& loop, TargetAddress& target_address,
+                   std::shared_ptr<const Hooks> event_hooks);
   TargetConnection(const TargetConnection&) = delete;
   TargetConnection& operator=(const TargetConnection&) = delete;
 
@@ -58,7 +58,7 @@
  private:
   asio::ip::tcp::socket socket;
   TargetAddress& address;
-  const Hooks& hooks;
+  std::shared_ptr<const Hooks> hooks;
   bool watches_writes = false;
   bool closed = false;
 };
--- a/tests/http/target_client_error_test.cc
+++ b/tests/http/target_client_error_test.cc
@@ -88,6 +88,16 @@
   EXPECT_EQ(fixture.FetchError(fixture.Request()), ClientErrorKind::kConnectionLost);
 }
 
+TEST(TargetClientErrorTest, AnswerWithoutALengthThatIsResetWhileTheBodyIsWrittenIsLost) {
+  TargetFixture fixture([](RawConnection& connection, int) {
+    asio::write(connection.socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\npart")));
+    connection.Reset();
+  });
+  TargetRequest request = fixture.Request("POST");
+  request.body.assign(std::size_t{32} << 20, 'x');
+  EXPECT_EQ(fixture.FetchError(request), ClientErrorKind::kConnectionLost);
+}
+
 TEST(TargetClientErrorTest, DestroyedClientCallsNoHandler) {
   TargetFixture fixture(Ignore);
   const auto fail = [](const Result&) { ADD_FAILURE() << "a handler ran after its client"; };
--- a/tests/http/target_client_test.cc
+++ b/tests/http/target_client_test.cc
@@ -77,6 +77,29 @@
   EXPECT_EQ(fixture.server.connections, 2);
 }
 
+TEST(TargetClientTest, BodyStopsWhenAnAnswerBegins) {
+  TargetFixture fixture(WithoutReadingTheBody("HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\n"));
+  TargetRequest request = fixture.Request("POST");
+  request.body.assign(kLargeBody, 'x');
+  std::optional<Result> result;
+  fixture.client->Send(request, [&](Result ended) { result = std::move(ended); });
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return fixture.server.requests == 1; }));
+  while (fixture.loop.poll() > 0) {
+  }
+  // The answer has begun at the client. Now the target reads on.
+  RawConnection& connection = *fixture.accepted[0];
+  connection.on_data = nullptr;
+  connection.paused = false;
+  connection.Read();
+  while (fixture.loop.poll() > 0) {
+  }
+  EXPECT_LT(connection.received.size(), kLargeBody);
+  connection.Write("no");
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return result.has_value(); }));
+  EXPECT_EQ(result->value().body, "no");
+  EXPECT_TRUE(fixture.RunUntilClosed(0));
+}
+
 TEST(TargetClientTest, BodyGoesOnAfterAnInterimAnswer) {
   std::size_t received = 0;
   TargetFixture fixture([&](RawConnection& connection, int) {
