--- a/src/http/target_address.cc
+++ b/src/http/target_address.cc
@@ -36,7 +36,7 @@
 TargetAddress::ConnectionPointer TargetAddress::TakeIdle(bool repeatable) {
   const SteadyTime now = SteadyClock::now();
   while (!this->idle.empty()) {
-    const ConnectionPointer connection = this->idle.back();
+    ConnectionPointer connection = this->idle.back();
     const Duration age = now - connection->idle_since;
     if (!repeatable && age >= this->options.unrepeatable_idle_limit) return nullptr;
     const bool in_time = now < connection->usable_until;
--- a/tests/http/target_client_test.cc
+++ b/tests/http/target_client_test.cc
@@ -62,7 +62,10 @@
 }
 
 TEST(TargetClientTest, AnswerBeforeTheWholeBodyEndsTheConnection) {
-  TargetFixture fixture(WithoutReadingTheBody("HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno"));
+  TargetClientOptions options;
+  options.idle_limit = std::chrono::hours(1);
+  TargetFixture fixture(WithoutReadingTheBody("HTTP/1.1 413 Large\r\nContent-Length: 2\r\n\r\nno"),
+                        options);
   TargetRequest request = fixture.Request("POST");
   request.body.assign(kLargeBody, 'x');
   EXPECT_EQ(fixture.Fetch(request)->status, 413);
@@ -158,6 +161,24 @@
   EXPECT_EQ(fixture.server.requests, 2);
 }
 
+TEST(TargetClientTest, CancelledRequestSendsNothingMore) {
+  TargetFixture fixture(WithoutReadingTheBody(""));
+  TargetRequest request = fixture.Request("POST");
+  request.body.assign(kLargeBody, 'x');
+  const auto id = fixture.client->Send(request, [](const Result&) { ADD_FAILURE(); });
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return fixture.server.requests == 1; }));
+  while (fixture.loop.poll() > 0) {
+  }
+  RawConnection& connection = *fixture.accepted[0];
+  const std::size_t delivered = connection.received.size() + connection.socket.available();
+  fixture.client->Cancel(id);
+  connection.on_data = nullptr;
+  connection.paused = false;
+  connection.Read();
+  ASSERT_TRUE(fixture.RunUntilClosed(0));
+  EXPECT_LE(connection.received.size(), delivered);
+}
+
 TEST(TargetClientTest, HandlerMayDestroyTheClientWhileOthersWait) {
   TargetFixture fixture(Always(kWholeResponse));
   int ended = 0;
