Follow the configuration in every node, use other regions' room, believe stated cold times

(2) 32 % of the calls of the region that lost an upstream failed while the other region had room: the chooser went beyond the region only when levels refused. (3) A restarted node gave its target a tenth of its slots for 5 s though the target says that it is warm. (4) A refusal for load, which ran nothing, was a retry; one move is now free. (5) A stopping node took requests to the end.

--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -1,5 +1,9 @@
 #include "http/transfer.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -10,6 +14,19 @@
 
 constexpr long kConnectTimeoutMilliseconds = 3000;
 constexpr long kMaxIdleSeconds = 60;
+/// A connection whose far end no longer knows it, without a word, is noticed by TCP's keep-alive
+/// after about so many seconds: idle time, then probes.
+constexpr long kKeepAliveIdleSeconds = 1;
+constexpr long kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr unsigned kUnacknowledgedMilliseconds = 3000;
+
+int SetSocketOptions(void*, curl_socket_t socket, curlsocktype) {
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMilliseconds,
+             sizeof kUnacknowledgedMilliseconds);
+  return CURL_SOCKOPT_OK;
+}
 
 std::string_view TrimBlanks(std::string_view text) {
   constexpr std::string_view kBlanks = " \t\r\n";
@@ -51,6 +68,10 @@
   curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, kConnectTimeoutMilliseconds);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  curl_easy_setopt(easy, CURLOPT_TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &SetSocketOptions);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Transfer::OnConnectionReady);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Transfer::OnHeader);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Transfer::OnBody);
--- a/src/membership/record_hooks.h
+++ b/src/membership/record_hooks.h
@@ -17,6 +17,8 @@
   std::function<bool(std::string_view)> apply_transfer;
   /// A serialized pb::Transfer of every entry changed after the revision.
   std::function<std::string(std::uint64_t)> changes_since;
+  /// False while the node gets newer records from where all come from; empty: never.
+  std::function<bool(std::uint64_t revision)> takes_from_peers;
 };
 
 }  // namespace fireflyrun::membership
--- a/src/membership/record_spread.cc
+++ b/src/membership/record_spread.cc
@@ -67,7 +67,10 @@
 
 void RecordSpread::OnRevision(std::uint64_t revision, const std::string& from) {
   const std::uint64_t local = this->LocalRevision();
-  if (revision > local) this->Ask(from);
+  const bool is_news = revision > local;
+  if (is_news && (!this->hooks.takes_from_peers || this->hooks.takes_from_peers(revision))) {
+    this->Ask(from);
+  }
   if (revision >= local) return;
   // Whoever missed a push learns of it from its own next digest, without waiting to be picked.
   pb::Part part;
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -116,6 +116,10 @@
 
 void CallerService::OnRoutedRequest(http::Request request, PolicyPointer route,
                                     const std::shared_ptr<http::Exchange>& exchange) {
+  if (this->hooks.turns_away()) {
+    this->Refuse({RefusalReason::kLeaving, "this node is stopping"}, request.headers, *exchange);
+    return;
+  }
   auto target = request.target;
   const auto host = http::FindHeader(request.headers, kHostHeader);
   const http::Header host_header{std::string(kHostHeader), std::string(host.value_or(""))};
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -101,7 +101,8 @@
     this->roster = std::make_unique<store::Roster>(
         *this->store, this->timers, this->settings.cluster, SelfRosterEntry(this->settings));
   }
-  this->records = std::make_unique<RecordKeeper>(this->timers, this->record_source.get());
+  this->records = std::make_unique<RecordKeeper>(this->timers, this->record_source.get(),
+                                                 platform.every_node_follows);
 }
 
 void ControlPlane::CreateMembership(std::uint64_t incarnation) {
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -21,6 +21,7 @@
 using policy::RefusalReason;
 
 constexpr std::uint32_t kMaxMoves = 3;
+constexpr std::uint32_t kMaxLoadMoves = 1;
 constexpr std::uint32_t kBaselineRetriesPerHop = 3;
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(4);
 constexpr std::uint32_t kMaxDelayDoublings = 4;
@@ -37,6 +38,12 @@
          reason == RefusalReason::kUnreachable || reason == RefusalReason::kTicketVoid;
 }
 
+/// Likewise, but the refusal is a sign of load, which many moves would only spread.
+bool IsLoadMove(RefusalReason reason) {
+  return reason == RefusalReason::kOverload || reason == RefusalReason::kQueueFull ||
+         reason == RefusalReason::kAdmissionLevel;
+}
+
 /// Until its ticket is settled, a key may be that of an earlier request that ran.
 bool HasKey(TicketSource source) {
   return source != TicketSource::kNone && source != TicketSource::kFresh;
@@ -314,8 +321,10 @@
 }
 
 bool Dispatch::MayMove(const AttemptResult& result) {
-  const bool nothing_ran = result.outcome == Outcome::OUTCOME_NOT_RUN;
-  if (!nothing_ran || !IsMove(result.reason) || this->moves >= kMaxMoves) return false;
+  if (result.outcome != Outcome::OUTCOME_NOT_RUN) return false;
+  const bool for_load = IsLoadMove(result.reason);
+  if (!for_load && !IsMove(result.reason)) return false;
+  if (this->moves >= (for_load ? kMaxLoadMoves : kMaxMoves)) return false;
   ++this->moves;
   this->services.count_repeat(this->call, true);
   return true;
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -25,6 +25,8 @@
       make_store;
   std::function<std::unique_ptr<store::RecordSource>(store::Store&, TimerService&)>
       make_record_source;
+  /// Every node follows the records itself; other nodes are asked only when the source fails.
+  bool every_node_follows = false;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -13,11 +13,14 @@
 namespace {
 
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(500);
+/// What other nodes have is awaited from the source for this long, before they are asked.
+constexpr Duration kSourcePatience = std::chrono::milliseconds(500);
 
 }  // namespace
 
-RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordSource* record_source)
-    : timers(timer_service), source(record_source) {
+RecordKeeper::RecordKeeper(TimerService& timer_service, store::RecordSource* record_source,
+                           bool every_node_follows)
+    : timers(timer_service), source(record_source), follows_always(every_node_follows) {
   this->book.OnChange([this](const records::RecordBook&) { this->OnBookChanged(); });
 }
 
@@ -35,13 +38,37 @@
   hooks.changes_since = [this](std::uint64_t revision) {
     return EncodeTransfer(this->book.ChangesSince(static_cast<std::int64_t>(revision)));
   };
+  if (this->follows_always) {
+    hooks.takes_from_peers = [this](std::uint64_t revision) {
+      return this->TakesFromPeers(revision);
+    };
+  }
   return hooks;
 }
 
+bool RecordKeeper::TakesFromPeers(std::uint64_t revision) {
+  const SteadyTime now = SteadyClock::now();
+  if (this->awaited_revision <= static_cast<std::uint64_t>(this->book.Revision())) {
+    this->awaited_revision = revision;
+    this->awaited_since = now;
+    this->ReadStore();
+  }
+  return now - this->awaited_since >= kSourcePatience;
+}
+
+void RecordKeeper::Publish(const records::ChangeSet& change_set) {
+  // Where every node follows the source, each has the news by itself.
+  if (!this->follows_always) this->membership->PublishChangeSet(EncodeChangeSet(change_set));
+}
+
 void RecordKeeper::Start(membership::Membership& fleet) {
   this->membership = &fleet;
   this->check_timer = this->timers.Every(kCheckPeriod, [this] { this->Check(); });
-  this->ReadStore();
+  if (this->follows_always) {
+    this->Check();
+  } else {
+    this->ReadStore();
+  }
 }
 
 void RecordKeeper::Stop() {
@@ -52,7 +79,7 @@
 
 void RecordKeeper::Check() {
   if (this->source == nullptr) return;
-  const bool wanted = this->membership->WantsWatch();
+  const bool wanted = this->follows_always || this->membership->WantsWatch();
   if (wanted && !this->watching) this->WatchStore();
   if (!wanted && this->watching) {
     this->source->StopWatch();
@@ -75,7 +102,7 @@
   if (result == records::ChangeResult::kGap) {
     this->ReadStore();
   } else if (result == records::ChangeResult::kApplied) {
-    this->membership->PublishChangeSet(EncodeChangeSet(change_set));
+    this->Publish(change_set);
   }
 }
 
@@ -84,8 +111,7 @@
   if (!this->book.MergeTransfer(transfer)) return;
   // A whole transfer also states which changes lie between the two revisions.
   const auto news = this->book.ChangesSince(before);
-  this->membership->PublishChangeSet(
-      EncodeChangeSet({news.from_revision, news.to_revision, news.entries}));
+  this->Publish({news.from_revision, news.to_revision, news.entries});
 }
 
 void RecordKeeper::ReadStore() {
--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <utility>
 
+#include "common/clock.h"
 #include "common/timer_subscription.h"
 #include "membership/record_hooks.h"
 #include "records/change_set.h"
@@ -24,12 +26,14 @@
 
 namespace fireflyrun::node {
 
-/// Keeps the node's book of records up to date: from the store while the node is a delegate of its
-/// zone or has no records at all, and from other nodes always.
+/// Keeps the node's book of records up to date. Either every node follows the source and asks other
+/// nodes only when it fails; or only the delegates of each zone do, and nodes that have no records
+/// at all, and what changes is spread from node to node.
 class RecordKeeper {
  public:
   /// `record_source` may be null: records then come from other nodes only.
-  RecordKeeper(TimerService& timer_service, store::RecordSource* record_source);
+  RecordKeeper(TimerService& timer_service, store::RecordSource* record_source,
+               bool every_node_follows);
 
   /// How the membership reaches the book.
   membership::RecordHooks Hooks();
@@ -50,6 +54,9 @@
 
  private:
   void Check();
+  /// Whether records of this revision, which other nodes have, are to be taken from them.
+  bool TakesFromPeers(std::uint64_t revision);
+  void Publish(const records::ChangeSet& change_set);
   void WatchStore();
   void OnChangeSet(const records::ChangeSet& change_set);
   void OnTransfer(const records::Transfer& transfer);
@@ -63,6 +70,9 @@
   std::shared_ptr<const records::Configuration> configuration;
   std::function<void(const records::Configuration&)> on_configuration;
   TimerSubscription check_timer;
+  bool follows_always = false;
+  std::uint64_t awaited_revision = 0;  ///< Of other nodes, which the source has not told yet.
+  SteadyTime awaited_since;
   bool watching = false;
   bool reading = false;
   bool read_wanted = false;  ///< Until a reading of the store succeeds.
--- a/src/node/target_announcement.cc
+++ b/src/node/target_announcement.cc
@@ -72,7 +72,7 @@
     findings->push_back({"/cold_left", "is not a number of seconds of 0 or more"});
     return;
   }
-  announcement->cold_left = field->get<double>();
+  announcement->target.cold_seconds = field->get<double>();
 }
 
 }  // namespace
--- a/src/node/target_announcement.h
+++ b/src/node/target_announcement.h
@@ -17,7 +17,6 @@
   membership::TargetState state = membership::TargetState::kServing;
   std::uint64_t born = 0;  ///< Orders the runs of a target; 0: not told.
   std::uint64_t seq = 0;   ///< Orders what one run says; 0: not told.
-  double cold_left = 0;    ///< Seconds for which the target stays slow after its start.
 };
 
 /// Parses `{"service", "address": "IP:PORT", "slots": 1..10000, "state": "serving"|"leaving"}`, of
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -42,6 +42,12 @@
   return answer;
 }
 
+/// A target that doesn't tell whether it has just started is taken for new.
+Duration WarmUpOf(const TargetAddress& target) {
+  if (!target.cold_seconds) return policy::kDefaultWarmUp;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*target.cold_seconds));
+}
+
 std::shared_ptr<CallContext> MakeContext(const InboundCall& inbound) {
   const auto& head = inbound.call.head;
   auto context = std::make_shared<CallContext>();
@@ -91,12 +97,13 @@
 void TargetService::SetTarget(TargetAddress address) {
   const bool slots_changed = !this->target || this->target->slots != address.slots;
   this->target = std::move(address);
-  if (slots_changed) this->admission.SetSlots(this->target->slots, SteadyClock::now());
+  if (!slots_changed) return;
+  this->admission.SetSlots(this->target->slots, WarmUpOf(*this->target), SteadyClock::now());
 }
 
 void TargetService::WithdrawTarget() {
   this->target.reset();
-  this->admission.SetSlots(0, SteadyClock::now());
+  this->admission.SetSlots(0, Duration::zero(), SteadyClock::now());
 }
 
 void TargetService::SetLeaving(bool is_leaving) {
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -38,8 +38,8 @@
     std::string node;
     std::uint64_t incarnation = 0;
     std::size_t max_body_bytes = 0;
-    WireNames wire = {};
     bool admit_all = false;  ///< Baseline for benchmarks: no shedding, first in first out.
+    WireNames wire = {};
   };
 
   struct Hooks {
--- a/src/policy/admission_controller.cc
+++ b/src/policy/admission_controller.cc
@@ -35,8 +35,8 @@
       interval_start(now),
       last_completion(now) {}
 
-void AdmissionController::SetSlots(std::uint32_t slots, SteadyTime now) {
-  this->limit.SetCeiling(slots, now);
+void AdmissionController::SetSlots(std::uint32_t slots, Duration warm_up, SteadyTime now) {
+  this->limit.SetCeiling(slots, warm_up, now);
   if (slots == 0) {
     this->RefuseEntries(this->queue.TakeAll(), RefusalReason::kNoTarget);
   } else {
--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -32,9 +32,12 @@
   AdmissionController(const AdmissionController&) = delete;
   AdmissionController& operator=(const AdmissionController&) = delete;
 
-  /// The target's announced slots; 0 while there is none, when queued calls are refused
+  /// The target's announced slots, and how long it takes to warm up if it is new; 0 while there is none, when queued calls are refused
   /// `kNoTarget`.
-  void SetSlots(std::uint32_t slots, SteadyTime now);
+  void SetSlots(std::uint32_t slots, Duration warm_up, SteadyTime now);
+  void SetSlots(std::uint32_t slots, SteadyTime now) {
+    this->SetSlots(slots, kDefaultWarmUp, now);
+  }
   /// The target is leaving: queued and new calls are refused `kLeaving`; calls in flight finish.
   void SetLeaving(bool is_leaving);
 
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -8,6 +8,9 @@
 
 namespace fireflyrun::policy {
 
+/// Of a target that doesn't tell how long it takes.
+inline constexpr Duration kDefaultWarmUp = std::chrono::seconds(5);
+
 /// The number of calls that a target is given at once, adapted from observed service times.
 ///
 /// The algorithm is of the delay-gradient family (TCP Vegas, Brakmo and Peterson 1995). For each
@@ -29,8 +32,12 @@
  public:
   static constexpr Duration kProbeGap = std::chrono::seconds(30);
 
-  /// The announced slots: the ceiling of the limit; 0 stops all calls. A rise from 0 starts a ramp.
-  void SetCeiling(std::uint32_t slots, SteadyTime now);
+  /// The announced slots: the ceiling of the limit; 0 stops all calls. A rise from 0 starts a ramp
+  /// that lasts for `warm_up`.
+  void SetCeiling(std::uint32_t slots, Duration warm_up, SteadyTime now);
+  void SetCeiling(std::uint32_t slots, SteadyTime now) {
+    this->SetCeiling(slots, kDefaultWarmUp, now);
+  }
 
   /// One call ended. `in_flight` counts it too. `ok` is false for timeouts and broken exchanges.
   void OnSample(Duration service_time, bool ok, std::uint32_t in_flight, SteadyTime now);
@@ -91,6 +98,7 @@
   double smoothed_seconds = 0;
   std::uint32_t settled_windows = 0;  ///< Windows since the limit changed.
   SteadyTime ramp_start;
+  Duration ramp = kDefaultWarmUp;
   SteadyTime settled_at;  ///< Samples before say nothing of the limit in force.
   Window window;
   Reduction reduction;
--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -46,22 +46,25 @@
   if (!region.unsaturated.empty()) {
     return this->PickLessLoaded(region.unsaturated, TargetTier::kRegion, now);
   }
+  const Pool beyond = query.call_class.may_leave_region
+                          ? this->PoolOf(TargetTier::kBeyond, query, candidates, now)
+                          : Pool();
+  const bool room_beyond = !beyond.unsaturated.empty();
+  if (room_beyond && this->hooks.take_link_bytes(query.bytes, now)) {
+    return this->PickLessLoaded(beyond.unsaturated, TargetTier::kBeyond, now);
+  }
   if (!zone.admitting.empty()) return this->PickLessLoaded(zone.admitting, TargetTier::kZone, now);
   if (!region.admitting.empty()) {
     return this->PickLessLoaded(region.admitting, TargetTier::kRegion, now);
   }
-  bool refused = !zone.usable.empty() || !region.usable.empty();
-  if (query.call_class.may_leave_region) {
-    const Pool beyond = this->PoolOf(TargetTier::kBeyond, query, candidates, now);
-    if (!beyond.admitting.empty()) {
-      if (!this->hooks.take_link_bytes(query.bytes, now)) {
-        return tl::unexpected(RefusalReason::kLinkBudget);
-      }
-      const auto& targets = beyond.unsaturated.empty() ? beyond.admitting : beyond.unsaturated;
-      return this->PickLessLoaded(targets, TargetTier::kBeyond, now);
+  if (room_beyond) return tl::unexpected(RefusalReason::kLinkBudget);
+  if (!beyond.admitting.empty()) {
+    if (!this->hooks.take_link_bytes(query.bytes, now)) {
+      return tl::unexpected(RefusalReason::kLinkBudget);
     }
-    refused = refused || !beyond.usable.empty();
+    return this->PickLessLoaded(beyond.admitting, TargetTier::kBeyond, now);
   }
+  const bool refused = !zone.usable.empty() || !region.usable.empty() || !beyond.usable.empty();
   return tl::unexpected(refused ? RefusalReason::kAdmissionLevel : RefusalReason::kUnreachable);
 }
 
--- a/tests/node/node_setting_table_test.cc
+++ b/tests/node/node_setting_table_test.cc
@@ -20,6 +20,11 @@
                              const auto found = environment.find(name);
                              if (found == environment.end()) return std::nullopt;
                              return found->second;
+                           },
+                           [](const std::string& path) -> std::optional<std::string> {
+                             if (path != "settings") return std::nullopt;
+                             return "# of this host\n\nFIREFLYRUN_NODE=from-file\n"
+                                    "FIREFLYRUN_CALLER_PORT=10.0.0.1:8304\nODD\n";
                            });
 }
 
@@ -27,6 +32,20 @@
   return {"--node", "n1", "--region", "east", "--zone", "east-a", "--seeds", "127.0.0.1:7403"};
 }
 
+TEST(NodeSettingTableTest, ReadsAFileOfSettingsBeforeVariablesAndFlags) {
+  const auto parsed = Parse(Required(), {{"FIREFLYRUN_BOOT", "settings"}});
+  EXPECT_EQ(parsed.settings.node, "n1");
+  EXPECT_EQ(parsed.settings.caller_port, 8304);
+  ASSERT_EQ(parsed.findings.size(), 1U);
+  EXPECT_EQ(parsed.findings[0].place, "settings:5");
+}
+
+TEST(NodeSettingTableTest, ReportsAFileOfSettingsThatCantBeRead) {
+  const auto parsed = Parse(Required(), {{"FIREFLYRUN_BOOT", "elsewhere"}});
+  ASSERT_EQ(parsed.findings.size(), 1U);
+  EXPECT_EQ(parsed.findings[0].place, "elsewhere");
+}
+
 TEST(NodeSettingTableTest, TakesFlagsBeforeVariables) {
   auto arguments = Required();
   arguments.insert(arguments.end(), {"--caller-port", "8000"});
