--- /dev/null
+++ b/bench/http.cmake
@@ -0,0 +1,2 @@
+add_executable(http_server_bench http_server_bench.cc)
+target_link_libraries(http_server_bench PRIVATE fireflyrun_http)
