--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -42,7 +42,10 @@
       socket(std::move(connected)),
       remote_address(std::move(address)),
       id(connection_id),
-      limits(this->core->Limits()) {}
+      limits(this->core->Limits()) {
+  asio::error_code ignored;
+  this->socket.non_blocking(true, ignored);
+}
 
 void CallConnection::Start() {
   this->BecomeIdle();
@@ -257,17 +260,31 @@
                      std::make_shared<CallExchange>(this->shared_from_this(), this->requests));
 }
 
-/// Writes head and body at once. Each part that the caller takes moves the deadline.
+/// Writes head and body at once, mostly without a turn of the event loop.
 void CallConnection::Write() {
   this->phase = Phase::kWriting;
-  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(this->response_head),
-                                                     asio::buffer(this->response_body)};
+  std::array<asio::const_buffer, 2> unwritten = {asio::buffer(this->response_head),
+                                                 asio::buffer(this->response_body)};
+  asio::error_code error;
+  std::size_t written = this->socket.write_some(unwritten, error);
+  if (error && error != asio::error::would_block) return this->OnWritten(error);
+  for (asio::const_buffer& buffer : unwritten) {
+    const std::size_t size = std::min(written, buffer.size());
+    buffer += size;
+    written -= size;
+  }
+  if (asio::buffer_size(unwritten) == 0) return this->OnWritten({});
+  this->WriteRest(unwritten);
+}
+
+/// Each part that the caller takes moves the deadline.
+void CallConnection::WriteRest(const std::array<asio::const_buffer, 2>& unwritten) {
   const auto on_progress = [this](const asio::error_code& error, std::size_t) -> std::size_t {
     if (error || this->phase == Phase::kClosed) return 0;
     this->SetDeadline(this->limits.write_timeout);
     return kWriteBytes;
   };
-  asio::async_write(this->socket, buffers, on_progress,
+  asio::async_write(this->socket, unwritten, on_progress,
                     [self = this->shared_from_this()](const asio::error_code& error, std::size_t) {
                       self->OnWritten(error);
                     });
@@ -280,8 +297,13 @@
   if (error) return this->Close();
   if (this->close_after || this->input_ended) return this->BeginClosing();
   this->BecomeIdle();
-  this->Advance();
   this->Read();
+  if (this->input.Data().empty()) return;
+  // Not at once: whoever responded does not expect the handler to run before Respond() returns.
+  asio::post(this->core->Loop(), [self = this->shared_from_this()] {
+    self->Advance();
+    self->Read();
+  });
 }
 
 void CallConnection::BecomeIdle() {
@@ -316,6 +338,7 @@
 }
 
 bool CallConnection::HasUnreadBytes() const {
+  if (this->phase == Phase::kIdle && !this->input.Data().empty()) return true;
   asio::error_code error;
   return this->socket.available(error) > 0 && !error;
 }
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <asio/buffer.hpp>
 #include <asio/ip/tcp.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -92,6 +94,7 @@
   void SendContinue();
   void Dispatch();
   void Write();
+  void WriteRest(const std::array<asio::const_buffer, 2>& unwritten);
   void PostHook();
   void OnWritten(const asio::error_code& error);
   void BecomeIdle();
