--- a/src/http/call_server_core.cc
+++ b/src/http/call_server_core.cc
@@ -186,7 +186,7 @@
   const Duration late = now - std::exchange(this->sweep_at, SteadyTime::max());
   SteadyTime next = SteadyTime::max();
   for (const auto& connection : this->AllConnections()) {
-    if (late > kStallTime) connection->Postpone(late);
+    if (late > kStallTime) connection->Postpone(late + 2 * kSweepPeriod);
     if (connection->Deadline() <= now) connection->Expire(now);
     next = std::min(next, connection->Deadline());
   }
--- a/tests/http/call_server_fixture.h
+++ b/tests/http/call_server_fixture.h
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -27,6 +29,7 @@
         this->loop, this->options, [this](Request request, std::shared_ptr<Exchange> exchange) {
           this->requests.push_back(std::move(request));
           this->exchanges.push_back(std::move(exchange));
+          if (this->on_request) this->on_request();
           if (this->answers_at_once) this->exchanges.back()->Respond({200, {}, "whole"});
         });
     ASSERT_TRUE(this->server->Start());
@@ -56,9 +59,13 @@
     this->loop.run_for(time);
   }
 
+  /// Lets time pass in which the server does not run.
+  void Stall(Duration time) { asio::steady_timer(this->loop, time).wait(); }
+
   asio::io_context loop;
   CallServerOptions options;
   bool answers_at_once = false;
+  std::function<void()> on_request;
   std::unique_ptr<CallServer> server;
   std::vector<Request> requests;
   std::vector<std::shared_ptr<Exchange>> exchanges;
--- a/tests/http/call_server_limits_test.cc
+++ b/tests/http/call_server_limits_test.cc
@@ -112,18 +112,38 @@
   EXPECT_EQ(used->received, answer);
 }
 
-TEST_F(CallServerLimitsTest, ServesARequestThatArrivedBeforeTheIdleClose) {
+TEST_F(CallServerLimitsTest, ServesARequestThatArrivesJustBeforeTheIdleClose) {
   this->Limits().idle_timeout = milliseconds(10);
   this->answers_at_once = true;
   this->Restart();
   const auto caller = this->ConnectAndSend(kGet);
   ASSERT_TRUE(this->WaitFor(caller, "whole"));
-  // The deadline passes while the loop does not run; the bytes and the timer are found at once.
-  const SteadyTime until = SteadyClock::now() + milliseconds(700);
-  asio::write(caller->socket, asio::buffer(std::string(kGet)));
-  while (SteadyClock::now() < until) {
-  }
-  EXPECT_TRUE(this->WaitForRequests(2));
+  const auto other = this->ConnectAndSend("");
+  this->RunFor(milliseconds(5));
+  asio::write(other->socket, asio::buffer(std::string(kGet)));
+  this->Stall(milliseconds(700));
+  // The loop finds the other caller's request and the timer; then the caller's request arrives.
+  this->on_request = [&] {
+    this->on_request = nullptr;
+    asio::write(caller->socket, asio::buffer(std::string(kGet)));
+  };
+  EXPECT_TRUE(this->WaitForRequests(3));
+}
+
+TEST_F(CallServerLimitsTest, TimeInWhichTheServerDidNotRunDoesNotCount) {
+  this->Limits().idle_timeout = milliseconds(10);
+  this->Limits().header_timeout = milliseconds(10);
+  this->answers_at_once = true;
+  this->Restart();
+  const auto idle = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(idle, "whole"));
+  const auto begun = this->ConnectAndSend("GET / HTTP/1.1\r\n");
+  this->RunFor(milliseconds(5));
+  this->Stall(milliseconds(1600));
+  this->RunFor(milliseconds(5));
+  begun->Write("Host: x\r\n\r\n");
+  idle->Write(kGet);
+  EXPECT_TRUE(this->WaitForRequests(3));
 }
 
 TEST_F(CallServerLimitsTest, NewLimitsApplyFromTheNextMessageOn) {
