--- a/src/http/call_server.h
+++ b/src/http/call_server.h
@@ -31,7 +31,8 @@
   CallServer(const CallServer&) = delete;
   CallServer& operator=(const CallServer&) = delete;
 
-  /// Binds and listens; the error names the address and the operating system's reason.
+  /// Binds and listens, also after Close(); the error names the address and the operating system's
+  /// reason.
   tl::expected<void, std::string> Start();
 
   /// The bound port, valid after Start().
--- a/src/http/call_server_core.cc
+++ b/src/http/call_server_core.cc
@@ -52,6 +52,8 @@
       sweep_timer(event_loop) {}
 
 tl::expected<void, std::string> CallServerCore::Start() {
+  this->closed = false;
+  this->draining = false;
   try {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(this->options.address),
                                            this->options.port);
--- a/tests/http/call_server_test.cc
+++ b/tests/http/call_server_test.cc
@@ -257,6 +257,15 @@
   EXPECT_NE(caller->received.find("Connection: close\r\n"), std::string::npos);
 }
 
+TEST_F(CallServerTest, StartsAgainAfterClose) {
+  this->answers_at_once = true;
+  this->server->Close();
+  ASSERT_TRUE(this->server->Start());
+  const auto caller = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitFor(caller, "whole"));
+  EXPECT_TRUE(caller->received.starts_with(kKeptHead));
+}
+
 TEST_F(CallServerTest, StartReportsAPortInUse) {
   CallServerOptions taken;
   taken.port = this->server->Port();
--- a/tests/http/malformed_request_test.cc
+++ b/tests/http/malformed_request_test.cc
@@ -10,8 +10,6 @@
 namespace fireflyrun::http {
 namespace {
 
-using std::string_literals::operator""s;
-
 struct Case {
   std::string name;
   std::string text;
@@ -21,6 +19,12 @@
   int server_status = 0;
 };
 
+/// A literal with NUL bytes in it.
+template <std::size_t kSize>
+std::string Bytes(const char (&literal)[kSize]) {
+  return std::string(literal, kSize - 1);
+}
+
 std::string Get(const std::string& header_lines) {
   return "GET / HTTP/1.1\r\nHost: x\r\n" + header_lines + "\r\n";
 }
@@ -44,7 +48,7 @@
       {"target without a slash", "GET a HTTP/1.1\r\nHost: x\r\n\r\n"},
       {"asterisk of GET", "GET * HTTP/1.1\r\nHost: x\r\n\r\n"},
       {"control character in the target", "GET /\x01 HTTP/1.1\r\nHost: x\r\n\r\n"},
-      {"NUL in the target", "GET /\0 HTTP/1.1\r\nHost: x\r\n\r\n"s},
+      {"NUL in the target", Bytes("GET /\0 HTTP/1.1\r\nHost: x\r\n\r\n")},
       {"non-ASCII byte in the target", "GET /\xC3\xA9 HTTP/1.1\r\nHost: x\r\n\r\n"},
       {"fragment in the target", "GET /#a HTTP/1.1\r\nHost: x\r\n\r\n"},
       {"no version", "GET /\r\nHost: x\r\n\r\n", 400, 200},
@@ -76,7 +80,7 @@
       {"bare carriage return as line end", Get("X-Tag: a\rContent-Length: 5\r\n")},
       {"bare line feeds", "GET / HTTP/1.1\nHost: x\n\n", 400, 200},
       {"one bare line feed", Get("X-Tag: a\nX-Tug: b\r\n"), 400, 200},
-      {"NUL in a value", Get("X-Tag: a\0b\r\n"s)},
+      {"NUL in a value", Get(Bytes("X-Tag: a\0b\r\n"))},
       {"control character in a value", Get("X-Tag: a\x02\r\n")},
       {"DEL in a value", Get("X-Tag: a\x7F\r\n")},
       {"non-ASCII byte in a name", Get("X-T\xC3\xA9: a\r\n")},
