--- a/src/http/call_server_core.cc
+++ b/src/http/call_server_core.cc
@@ -52,6 +52,8 @@
       sweep_timer(event_loop) {}
 
 tl::expected<void, std::string> CallServerCore::Start() {
+  this->closed = false;
+  this->draining = false;
   try {
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(this->options.address),
                                            this->options.port);
@@ -186,7 +188,7 @@
   const Duration late = now - std::exchange(this->sweep_at, SteadyTime::max());
   SteadyTime next = SteadyTime::max();
   for (const auto& connection : this->AllConnections()) {
-    if (late > kStallTime) connection->Postpone(late);
+    if (late > kStallTime) connection->Postpone(late + 2 * kSweepPeriod);
     if (connection->Deadline() <= now) connection->Expire(now);
     next = std::min(next, connection->Deadline());
   }
