Follow changed settings, and stop inside the grace time

Now the file of settings is read anew on SIGHUP and on a change; what can change comes into force, the rest is reported once, a partial or wrong file changes nothing. A second SIGTERM cuts nothing off. /health asks for records and for a fleet that was heard of, or for none to be there.

--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -1,7 +1,10 @@
 #include "cli/node_command.h"
 
+#include <sys/stat.h>
+
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -9,11 +12,14 @@
 #include <iterator>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cli/exit_code.h"
 #include "common/log.h"
+#include "common/timer_service.h"
 #include "node/node.h"
 #include "node/node_setting_table.h"
+#include "node/settings_reloader.h"
 #include "platform/adapter.h"
 
 namespace fireflyrun::cli {
@@ -31,63 +37,113 @@
   return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
-/// Stops the node on the first signal and the loop on the second.
-class SignalHandler {
+std::optional<node::SettingsReloader::Stamp> ReadStamp(const std::string& path) {
+  struct stat status {};
+  if (stat(path.c_str(), &status) != 0) return std::nullopt;
+  const auto modified = std::chrono::seconds(status.st_mtim.tv_sec) +
+                        std::chrono::nanoseconds(status.st_mtim.tv_nsec);
+  return node::SettingsReloader::Stamp{status.st_size, modified.count(), status.st_ino};
+}
+
+/// The node's command line, which goes before the file of settings also when that changes.
+struct CommandLine {
+  int argc = 0;
+  char** argv = nullptr;
+
+  node::ParsedNodeSettings Parse(const node::FileHook& read_file) const {
+    return node::ParseNodeSettings(this->argc, this->argv, ReadEnvironmentVariable, read_file);
+  }
+};
+
+/// One node as a process: its loop, its signals, and its file of settings.
+class NodeProcess {
  public:
-  SignalHandler(asio::io_context& event_loop, node::Node& stopped_node)
-      : loop(event_loop), node(stopped_node), signals(event_loop, SIGTERM, SIGINT) {
-    this->Wait();
+  NodeProcess(CommandLine command_line, node::ParsedNodeSettings parsed_settings)
+      : command(command_line),
+        parsed(std::move(parsed_settings)),
+        // Before everything else, so that no early signal ends the process.
+        signals(loop, SIGTERM, SIGINT, SIGHUP),
+        timers(loop),
+        node(loop, this->parsed.settings, MakeAdapter(this->parsed.settings)) {}
+
+  int Run() {
+    const node::NodeSettings& settings = this->parsed.settings;
+    if (const auto started = this->node.Start(); !started) {
+      Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
+      return kExitFailed;
+    }
+    this->WaitForSignal();
+    if (!this->parsed.file.empty()) this->FollowSettings();
+    Log(LogLevel::kInfo, "node",
+        "event=running zone=" + settings.zone + " region=" + settings.region +
+            " cluster=" + settings.cluster);
+    this->loop.run();
+    Log(LogLevel::kInfo, "node", "event=ended");
+    return kExitDone;
   }
 
  private:
-  void Wait() {
-    this->signals.async_wait([this](const asio::error_code& error, int) {
-      if (!error) this->OnSignal();
+  static node::PlatformAdapter MakeAdapter(const node::NodeSettings& settings) {
+    const bool on_platform = settings.store_protocol == node::StoreProtocol::kPlatform;
+    return on_platform ? platform::MakeAdapter() : node::PlatformAdapter();
+  }
+
+  void FollowSettings() {
+    node::SettingsReloader::Hooks hooks;
+    hooks.stamp = [this] { return ReadStamp(this->parsed.file); };
+    hooks.read = [this] { return ReadWholeFile(this->parsed.file); };
+    hooks.parse = [this](const std::string& text) {
+      return this->command.Parse([&text](const std::string&) { return text; });
+    };
+    hooks.apply = [this](const node::NodeSettings& settings) { this->node.Apply(settings); };
+    this->reloader.emplace(this->timers, this->parsed, std::move(hooks));
+  }
+
+  void WaitForSignal() {
+    this->signals.async_wait([this](const asio::error_code& error, int signal) {
+      if (error) return;
+      this->OnSignal(signal);
+      this->WaitForSignal();
     });
   }
 
-  void OnSignal() {
-    if (this->stopping) {
-      Log(LogLevel::kWarning, "node", "event=stopped-at-once");
-      this->loop.stop();
+  void OnSignal(int signal) {
+    if (signal == SIGHUP) {
+      Log(LogLevel::kInfo, "node", "event=reloading");
+      if (this->reloader) this->reloader->Reload();
+      return;
+    }
+    if (!this->stopping) {
+      this->stopping = true;
+      Log(LogLevel::kInfo, "node", "event=stopping");
+      this->node.Stop([this] { this->loop.stop(); });
       return;
     }
-    this->stopping = true;
-    Log(LogLevel::kInfo, "node", "event=stopping");
-    this->node.Stop([this] { this->loop.stop(); });
-    this->Wait();
+    // Whoever waits at a terminal may press twice; a second SIGTERM is no reason to cut calls off.
+    if (signal != SIGINT) return;
+    Log(LogLevel::kWarning, "node", "event=stopped-at-once");
+    this->loop.stop();
   }
 
-  asio::io_context& loop;
-  node::Node& node;
+  CommandLine command;
+  node::ParsedNodeSettings parsed;
+  // One thread runs the loop, so Asio needs no locks.
+  asio::io_context loop{1};
   asio::signal_set signals;
+  TimerService timers;
+  node::Node node;
+  std::optional<node::SettingsReloader> reloader;
   bool stopping = false;
 };
 
-int RunUntilStopped(const node::NodeSettings& settings) {
-  InitializeLog(settings.node, settings.log_level);
-  // One thread runs the loop, so Asio needs no locks.
-  asio::io_context loop(1);
-  const bool on_platform = settings.store_protocol == node::StoreProtocol::kPlatform;
-  node::Node node(loop, settings,
-                  on_platform ? platform::MakeAdapter() : node::PlatformAdapter());
-  if (const auto started = node.Start(); !started) {
-    Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
-    return kExitFailed;
-  }
-  SignalHandler handler(loop, node);
-  Log(LogLevel::kInfo, "node",
-      "event=running zone=" + settings.zone + " region=" + settings.region +
-          " cluster=" + settings.cluster);
-  loop.run();
-  Log(LogLevel::kInfo, "node", "event=ended");
-  return kExitDone;
-}
-
 }  // namespace
 
 int RunNode(int argc, char** argv) {
-  const auto parsed = node::ParseNodeSettings(argc, argv, ReadEnvironmentVariable, ReadWholeFile);
+  // A change of settings that is told before anybody listens finds them unread as yet.
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
+  const CommandLine command{argc, argv};
+  auto parsed = command.Parse(ReadWholeFile);
   if (parsed.help) {
     std::cout << node::NodeHelp();
     return kExitDone;
@@ -96,7 +152,8 @@
     std::cerr << FormatFindings(parsed.findings) << "See fireflyrun node --help.\n";
     return kExitWrongUsage;
   }
-  return RunUntilStopped(parsed.settings);
+  InitializeLog(parsed.settings.node, parsed.settings.log_level);
+  return NodeProcess(command, std::move(parsed)).Run();
 }
 
 }  // namespace fireflyrun::cli
--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -41,6 +41,8 @@
   sink->locked_backend()->auto_flush(true);
 }
 
+void SetLogLevel(LogLevel lowest_level) { lowest_enabled_level = lowest_level; }
+
 void Log(LogLevel level, std::string_view part, std::string_view message) {
   if (!LogEnabled(level)) return;
   BOOST_LOG_SEV(SharedLogger(), level) << "part=" << part << ' ' << message;
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -15,6 +15,7 @@
 #include "node/level_key.h"
 #include "node/node_metrics.h"
 #include "node/record_keeper.h"
+#include "node/stop_times.h"
 #include "node/target_announcement.h"
 #include "node/target_directory.h"
 #include "node/target_service.h"
@@ -71,9 +72,8 @@
   this->CreateLinks(own_incarnation);
   this->sender = std::make_unique<AttemptSender>(this->SenderHooks(), this->chooser);
   this->dispatcher = std::make_unique<CallDispatcher>(this->MakeDispatchServices());
-  this->caller_service =
-      std::make_unique<CallerService>(*this->dispatcher, this->contexts, this->settings.wire,
-                                      this->CallerHooks());
+  this->caller_service = std::make_unique<CallerService>(*this->dispatcher, this->contexts,
+                                                         this->settings.wire, this->CallerHooks());
 }
 
 CallPlane::~CallPlane() = default;
@@ -95,8 +95,8 @@
   options.wire = this->settings.wire;
   this->target = std::make_unique<TargetService>(this->timers, client, this->contexts, options,
                                                  this->metrics.TargetHooks());
-  this->target_watcher = std::make_unique<TargetWatcher>(
-      this->timers, this->control.Fleet(), *this->target, this->settings.announcement_limit);
+  this->target_watcher = std::make_unique<TargetWatcher>(this->timers, this->control.Fleet(),
+                                                         *this->target, this->settings);
 }
 
 void CallPlane::CreateLinks(std::uint64_t incarnation) {
@@ -153,6 +153,12 @@
 
 std::uint32_t CallPlane::TicketWindow() { return this->target->TicketWindow(); }
 
+void CallPlane::OnSettingsChanged() {
+  const double rate = this->settings.link_bytes_per_second;
+  this->link_budget.SetRate(rate, rate * kLinkBurstSeconds, SteadyClock::now());
+  this->target_watcher->OnSettingsChanged();
+}
+
 void CallPlane::Leave() {
   this->leaving = true;
   this->left_at = SteadyClock::now();
@@ -219,8 +225,11 @@
     this->metrics.OnEnded(call, result, latency);
   };
   hooks.stopping = [this] { return this->leaving; };
-  hooks.turns_away = [this] {
-    return this->leaving && SteadyClock::now() >= this->left_at + this->settings.stop_notice;
+  hooks.turns_away = [this](bool first_on_connection) {
+    const bool noticed = SteadyClock::now() >= this->left_at + StopTimesOf(this->settings).notice;
+    // Where a kill follows, even a call on a kept connection may not end in time any more.
+    const bool kill_follows = this->settings.stop_grace > Duration::zero();
+    return this->leaving && noticed && (first_on_connection || kill_follows);
   };
   hooks.own_service = [this] { return this->OwnService(); };
   return hooks;
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -61,6 +61,9 @@
   std::string DescribeTargets() const;
   std::uint32_t TicketWindow();
 
+  /// Follows those of the node's settings that change while it runs.
+  void OnSettingsChanged();
+
   /// The local target takes no new call from now on, and callers are sent elsewhere.
   void Leave();
   bool Leaving() const { return this->leaving; }
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -119,11 +119,13 @@
   auto target = request.target;
   const auto host = http::FindHeader(request.headers, kHostHeader);
   const http::Header host_header{std::string(kHostHeader), std::string(host.value_or(""))};
+  const bool first_on_connection = request.sequence == 0;
   auto call = this->BuildCall(&request, std::move(route));
   if (!call) {
     this->Refuse(call.error(), request.headers, *exchange);
     return;
   }
+  if (this->TurnAway(*call, first_on_connection, *exchange)) return;
   call->target = std::move(target);
   call->headers.push_back(host_header);
   // Each request through a route is one call; the node at which it arrives is the only one that can
@@ -137,8 +139,9 @@
     const std::shared_ptr<http::Exchange>& exchange) {
   const auto target = http::SplitTarget(request.target);
   if (!target) {
-    this->Refuse({RefusalReason::kBadRequest, "the request target is not /SERVICE or /SERVICE/PATH"},
-                 request.headers, *exchange);
+    this->Refuse(
+        {RefusalReason::kBadRequest, "the request target is not /SERVICE or /SERVICE/PATH"},
+        request.headers, *exchange);
     return;
   }
   if (target->service == kTicketsService) {
@@ -151,18 +154,22 @@
     this->Refuse(call.error(), request.headers, *exchange);
     return;
   }
-  // The local target finishes what it runs, by calls on new connections if need be.
-  if (this->hooks.turns_away() && first_on_connection && !call->parent) {
-    const bool has_key = call->ticket_source != TicketSource::kNone;
-    this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
-                                  has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN,
-                                  this->wire),
-                  *exchange);
-    return;
-  }
+  if (this->TurnAway(*call, first_on_connection, *exchange)) return;
   this->Dispatch(std::move(*call), exchange);
 }
 
+bool CallerService::TurnAway(const OutboundCall& call, bool first_on_connection,
+                             http::Exchange& exchange) const {
+  // The local target finishes what it runs, by calls on new connections if need be.
+  if (call.parent || !this->hooks.turns_away(first_on_connection)) return false;
+  const bool has_key = call.ticket_source != TicketSource::kNone;
+  this->Respond(
+      RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
+                      has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN, this->wire),
+      exchange);
+  return true;
+}
+
 void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
                            http::Exchange& exchange) const {
   this->Respond(RefusalResponse(refusal.reason, refusal.detail,
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -42,8 +42,8 @@
     std::function<void(const OutboundCall&, const CallResult&, Duration latency)> on_ended;
     /// True while the node stops: callers are told to use another connection.
     std::function<bool()> stopping;
-    /// True once callers had time to notice that the node stops: new ones are refused.
-    std::function<bool()> turns_away;
+    /// True for requests that come once callers had time to notice that the node stops.
+    std::function<bool(bool first_on_connection)> turns_away;
     /// The service on this host; empty while it isn't known.
     std::function<std::string()> own_service;
   };
@@ -75,6 +75,8 @@
       const std::shared_ptr<const records::Configuration>& configuration) const;
   /// All but the target's path. Takes the headers and the body out of the request.
   tl::expected<OutboundCall, Refusal> BuildCall(http::Request* request, PolicyPointer route) const;
+  /// Refuses a call that comes too late for a node that stops; true if it did.
+  bool TurnAway(const OutboundCall& call, bool first_on_connection, http::Exchange& exchange) const;
   void Refuse(const Refusal& refusal, const http::Headers& headers, http::Exchange& exchange) const;
   tl::expected<void, Refusal> SetDeadline(const http::Request& request, OutboundCall* call) const;
   tl::expected<void, Refusal> SetTicketSource(const http::Request& request,
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -1,5 +1,6 @@
 #include "node/control_plane.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -22,6 +23,8 @@
 
 constexpr Duration kTicketWindowPeriod = std::chrono::seconds(1);
 constexpr Duration kContactPeriod = std::chrono::seconds(1);
+/// A node that has heard nobody for so long serves with what it has.
+constexpr Duration kLonelyLimit = std::chrono::seconds(5);
 /// Delegates look for a part of the fleet that they have never met once in so many periods.
 constexpr unsigned kReunionPeriods = 30;
 
@@ -170,7 +173,13 @@
     } catch (const std::runtime_error& error) {
       return tl::unexpected(std::string(error.what()));
     }
-    for (const auto& seed : this->settings.seeds) this->membership->AddContact(seed);
+    this->started = SteadyClock::now();
+    const std::string own =
+        Endpoint(AdvertisedAddress(this->settings), this->settings.control_port);
+    const auto& seeds = this->settings.seeds;
+    this->seems_alone = !this->roster && std::all_of(seeds.begin(), seeds.end(),
+                                                     [&](const auto& seed) { return seed == own; });
+    for (const auto& seed : seeds) this->membership->AddContact(seed);
     this->membership->SetTicketWindow(this->current_window());
     this->membership->Start();
     this->window_timer = this->timers.Every(
@@ -204,24 +213,40 @@
   if (this->membership->HasJoined() && !look_for_others) return;
   store::ReadRoster(*this->store, this->settings.cluster, [this](auto entries) {
     if (!entries) return;
+    bool names_others = false;
     for (const auto& entry : *entries) {
-      if (entry.node != this->settings.node) this->membership->AddContact(entry.control_address);
+      if (entry.node == this->settings.node) continue;
+      names_others = true;
+      this->membership->AddContact(entry.control_address);
     }
+    this->seems_alone = !names_others;
   });
 }
 
+void ControlPlane::LeaveRoster() {
+  if (!this->roster || std::exchange(this->left_roster, true)) return;
+  this->contact_timer.Reset();
+  this->roster->Leave([] {});
+}
+
+bool ControlPlane::KnowsFleet() const {
+  const bool waited = SteadyClock::now() - this->started >= kLonelyLimit;
+  return this->membership->HasJoined() || this->seems_alone || waited;
+}
+
 Part ControlPlane::RosterPart() {
   Part part;
   part.name = "roster";
   part.start = [this]() -> tl::expected<void, std::string> {
+    this->left_roster = false;
     this->roster->Start();
     this->RefreshContacts();
     this->contact_timer = this->timers.Every(kContactPeriod, [this] { this->RefreshContacts(); });
     return {};
   };
-  part.stop = [this](std::function<void()> done) {
-    this->contact_timer.Reset();
-    this->roster->Leave(std::move(done));
+  part.stop = [this](const std::function<void()>& done) {
+    this->LeaveRoster();
+    done();
   };
   return part;
 }
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "common/clock.h"
 #include "common/timer_subscription.h"
 #include "node/dispatch_services.h"
 #include "node/node_settings.h"
@@ -54,6 +55,10 @@
   void AddMetrics(NodeMetrics* metrics) const;
 
   membership::Membership& Fleet() { return *this->membership; }
+  /// True once another node was heard of, or there seems to be none.
+  bool KnowsFleet() const;
+  /// Gives up the roster's slot, without waiting for the store.
+  void LeaveRoster();
   const RecordKeeper& Records() const { return *this->records; }
   /// `hook` runs whenever other records come into force.
   void OnConfiguration(std::function<void(const records::Configuration&)> hook);
@@ -87,6 +92,9 @@
   TimerSubscription window_timer;
   TimerSubscription contact_timer;
   unsigned contact_rounds = 0;
+  bool seems_alone = false;  ///< No other node is named by the roster, or by the seeds without one.
+  bool left_roster = false;
+  SteadyTime started;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "common/log.h"
 #include "common/random.h"
 #include "common/timer_service.h"
 #include "http/call_server.h"
@@ -19,6 +20,7 @@
 #include "node/node_drain.h"
 #include "node/node_metrics.h"
 #include "node/record_keeper.h"
+#include "node/stop_times.h"
 #include "node/supervisor.h"
 #include "records/caller_limits.h"
 #include "records/configuration.h"
@@ -63,7 +65,8 @@
                  const PlatformAdapter& platform);
 
   tl::expected<void, std::string> Start() { return this->root.Start(); }
-  void Stop(std::function<void()> done) { this->root.Stop(std::move(done)); }
+  void Apply(const NodeSettings& changed);
+  void Stop(std::function<void()> done);
 
  private:
   AdminService::Hooks AdminHooks();
@@ -90,6 +93,8 @@
   NodeDrain drain;
   Supervisor call_supervisor;
   Supervisor root;
+  std::function<void()> on_stopped;  ///< Empty before the stop.
+  TimerSubscription stop_timer;
 };
 
 Node::Implementation::Implementation(asio::io_context& loop, NodeSettings node_settings,
@@ -110,7 +115,7 @@
                     [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
                       this->calls.OnRequest(std::move(request), exchange);
                     }),
-      drain(timers, settings.stop_notice, settings.stop_limit, DrainHooks()),
+      drain(timers, settings, DrainHooks()),
       call_supervisor(timers, "calls"),
       root(timers, "node") {
   this->call_supervisor.Add(this->calls.LinksPart());
@@ -130,6 +135,33 @@
   this->calls.AddMetrics(&this->metrics);
 }
 
+void Node::Implementation::Stop(std::function<void()> done) {
+  if (this->on_stopped) return;
+  this->on_stopped = [called = false, done = std::move(done)]() mutable {
+    if (!std::exchange(called, true)) done();
+  };
+  // Nothing that a part waits for may hold up the end beyond this.
+  this->stop_timer = this->timers.After(StopTimesOf(this->settings).whole_limit, [this] {
+    Log(LogLevel::kWarning, "node", "event=stop-limit-passed");
+    this->on_stopped();
+  });
+  this->root.Stop([this] { this->on_stopped(); });
+}
+
+void Node::Implementation::Apply(const NodeSettings& changed) {
+  SetLogLevel(changed.log_level);
+  // The parts read these whenever they use them.
+  this->settings.log_level = changed.log_level;
+  this->settings.announcement_limit = changed.announcement_limit;
+  this->settings.stop_notice = changed.stop_notice;
+  this->settings.stop_limit = changed.stop_limit;
+  this->settings.stop_grace = changed.stop_grace;
+  this->settings.link_bytes_per_second = changed.link_bytes_per_second;
+  this->settings.target_service = changed.target_service;
+  this->settings.target_address = changed.target_address;
+  this->calls.OnSettingsChanged();
+}
+
 AdminService::Hooks Node::Implementation::AdminHooks() {
   AdminService::Hooks hooks;
   hooks.on_announcement = [this](const TargetAnnouncement& announcement) {
@@ -144,7 +176,8 @@
   hooks.describe_records = [this] { return this->control.Records().Describe(); };
   hooks.describe_targets = [this] { return this->calls.DescribeTargets(); };
   hooks.ready = [this] {
-    return this->control.Records().InForce() != nullptr && !this->calls.Leaving();
+    const bool has_records = this->control.Records().InForce() != nullptr;
+    return has_records && this->control.KnowsFleet() && !this->calls.Leaving();
   };
   return hooks;
 }
@@ -153,6 +186,7 @@
   NodeDrain::Hooks hooks;
   hooks.busy = [this] { return this->calls.Busy() || this->caller_server.OpenExchanges() > 0; };
   hooks.unclaimed = [this] { return this->calls.HasUnclaimedAnswers(); };
+  hooks.close_doors = [this] { this->caller_server.StopAccepting(); };
   return hooks;
 }
 
@@ -192,7 +226,10 @@
   part.name = "drain";
   part.start = []() -> tl::expected<void, std::string> { return {}; };
   part.stop = [this](std::function<void()> done) {
+    this->caller_server.BeginDrain();
     this->calls.Leave();
+    // The store may take long to answer; the drain gives it time.
+    this->control.LeaveRoster();
     this->drain.Start(std::move(done));
   };
   return part;
@@ -205,6 +242,8 @@
 
 tl::expected<void, std::string> Node::Start() { return this->implementation->Start(); }
 
+void Node::Apply(const NodeSettings& changed) { this->implementation->Apply(changed); }
+
 void Node::Stop(std::function<void()> done) { this->implementation->Stop(std::move(done)); }
 
 }  // namespace fireflyrun::node
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -23,6 +23,9 @@
   /// Starts every part; the error names the part and its reason.
   tl::expected<void, std::string> Start();
 
+  /// Brings those of `changed` into force that can change while the node runs.
+  void Apply(const NodeSettings& changed);
+
   /// Stops gracefully: tells the fleet, takes no new work, finishes what runs, and calls `done`.
   /// What still runs after the stop limit is given up.
   void Stop(std::function<void()> done);
--- a/src/node/node_drain.cc
+++ b/src/node/node_drain.cc
@@ -4,6 +4,8 @@
 
 #include "common/log.h"
 #include "common/timer_service.h"
+#include "node/node_settings.h"
+#include "node/stop_times.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -16,12 +18,9 @@
 
 }  // namespace
 
-NodeDrain::NodeDrain(TimerService& timer_service, Duration notice, Duration drain_limit,
+NodeDrain::NodeDrain(TimerService& timer_service, const NodeSettings& node_settings,
                      Hooks drain_hooks)
-    : timers(timer_service),
-      shortest(notice),
-      limit(drain_limit),
-      hooks(std::move(drain_hooks)) {}
+    : timers(timer_service), settings(node_settings), hooks(std::move(drain_hooks)) {}
 
 void NodeDrain::Start(std::function<void()> on_drained) {
   this->done = std::move(on_drained);
@@ -32,12 +31,17 @@
 
 void NodeDrain::Check() {
   const SteadyTime now = SteadyClock::now();
-  if (this->hooks.busy()) this->last_busy = now;
+  const StopTimes times = StopTimesOf(this->settings);
+  const bool busy = this->hooks.busy();
+  if (busy) this->last_busy = now;
   const Duration idle_time = now - this->last_busy;
   const Duration needed = this->hooks.unclaimed() ? kUnclaimedTime : kIdleTime;
   const Duration waited = now - this->started;
-  const bool given_up = waited >= this->limit;
-  const bool drained = idle_time >= needed && waited >= this->shortest;
+  const bool given_up = waited >= times.drain_limit;
+  const bool drained = idle_time >= needed && waited >= times.notice;
+  if (!busy && waited >= times.notice && !std::exchange(this->doors_closed, true)) {
+    this->hooks.close_doors();
+  }
   if (!drained && !given_up) return;
   if (!drained) Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
   this->check_timer.Reset();
--- a/src/node/node_drain.h
+++ b/src/node/node_drain.h
@@ -11,6 +11,8 @@
 
 namespace fireflyrun::node {
 
+struct NodeSettings;
+
 /// Waits until a node has been idle for a while, or until a limit has passed.
 class NodeDrain {
  public:
@@ -19,10 +21,12 @@
     std::function<bool()> busy;
     /// True while answers wait for their callers to fetch them, some of whom may be gone.
     std::function<bool()> unclaimed;
+    /// The notice is over and no call is open: nobody is left to be let in.
+    std::function<void()> close_doors;
   };
 
-  /// Waits at least `notice`, and at most `drain_limit`.
-  NodeDrain(TimerService& timer_service, Duration notice, Duration drain_limit, Hooks drain_hooks);
+  /// Follows the settings while it waits.
+  NodeDrain(TimerService& timer_service, const NodeSettings& node_settings, Hooks drain_hooks);
 
   /// Calls `done` once.
   void Start(std::function<void()> done);
@@ -31,12 +35,12 @@
   void Check();
 
   TimerService& timers;
-  Duration shortest;
-  Duration limit;
+  const NodeSettings& settings;
   Hooks hooks;
   std::function<void()> done;
   SteadyTime started;
   SteadyTime last_busy;
+  bool doors_closed = false;
   TimerSubscription check_timer;
 };
 
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -21,6 +21,8 @@
 constexpr std::size_t kMaxNameLength = 63;
 constexpr int kHelpOption = 1000;
 constexpr int kFirstSettingOption = 1001;
+/// Of SettingSpec::live.
+constexpr bool kLive = true;
 
 bool IsNameCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '.';
@@ -188,7 +190,7 @@
 std::vector<Spec> LimitSpecs() {
   return {
       {"log-level", "FIREFLYRUN_LOG_LEVEL", "LEVEL",
-       "lowest level written: debug, info, warning, error [info]", StoreLogLevel},
+       "lowest level written: debug, info, warning, error [info]", StoreLogLevel, kLive},
       {"max-body-bytes", "FIREFLYRUN_MAX_BODY_BYTES", "BYTES",
        "largest request or answer body, 1024 to 67108864 [8388608]",
        [](std::string_view value, NodeSettings& settings) {
@@ -203,22 +205,32 @@
        "a target not heard from for this long is withdrawn, 1 to 600 [5]",
        [](std::string_view value, NodeSettings& settings) {
          return StoreSeconds(value, 1, 600, &settings.announcement_limit);
-       }},
+       },
+       kLive},
       {"stop-limit", "FIREFLYRUN_STOP_LIMIT", "SECONDS",
        "a graceful stop waits this long for running calls, 1 to 3600 [60]",
        [](std::string_view value, NodeSettings& settings) {
          return StoreSeconds(value, 1, 3600, &settings.stop_limit);
-       }},
+       },
+       kLive},
       {"stop-notice", "FIREFLYRUN_STOP_NOTICE", "SECONDS",
        "a stopping node takes requests this long, until callers see it in /health, 0 to 600 [0]",
        [](std::string_view value, NodeSettings& settings) {
          return StoreSeconds(value, 0, 600, &settings.stop_notice);
-       }},
+       },
+       kLive},
+      {"stop-grace", "FIREFLYRUN_STOP_GRACE", "SECONDS",
+       "a stopping node is killed after this long, and stops sooner; 0: not killed, 0 to 3600 [0]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSeconds(value, 0, 3600, &settings.stop_grace);
+       },
+       kLive},
       {"link-bytes", "FIREFLYRUN_LINK_BYTES", "BYTES",
        "bytes of calls a second to other regions, 0 to 1000000000 [2000]",
        [](std::string_view value, NodeSettings& settings) {
          return StoreNumber(value, 0, 1'000'000'000, " bytes", &settings.link_bytes_per_second);
-       }},
+       },
+       kLive},
       {"decisions-off", "FIREFLYRUN_DECISIONS_OFF", "on|off",
        "baseline for benchmarks: fixed retries per hop, no shedding, first in first out [off]",
        [](std::string_view value, NodeSettings& settings) {
@@ -267,14 +279,16 @@
        "service of this host's target [as announced]",
        [](std::string_view value, NodeSettings& settings) {
          return StoreOptionalName(value, &settings.target_service);
-       }},
+       },
+       kLive},
       {"target-address", "FIREFLYRUN_TARGET_ADDRESS", "IP:PORT",
        "where alone this host's target may be [as announced]",
        [](std::string_view value, NodeSettings& settings) {
          auto problem = CheckEndpoint(value);
          if (!problem) settings.target_address = std::string(value);
          return problem;
-       }},
+       },
+       kLive},
   };
 }
 
@@ -302,6 +316,7 @@
                 ParsedNodeSettings* parsed) {
   auto problem = spec.store(value, parsed->settings);
   if (problem) parsed->findings.push_back({place, *problem});
+  parsed->values.insert_or_assign(std::string(spec.flag), std::string(value));
 }
 
 void ReadFileLine(std::string_view line, const std::string& place, ParsedNodeSettings* parsed) {
--- a/src/node/node_setting_table.h
+++ b/src/node/node_setting_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,11 +25,13 @@
 /// Environment variable with the path of a file of settings, which may change while the node runs.
 inline constexpr std::string_view kSettingsFileVariable = "FIREFLYRUN_BOOT";
 
-/// Reads the file of settings, the environment over it, then the flags over both. Every wrong value is reported, with the flag or
-/// variable it came from; `wrong_usage` is set when the command line itself cannot be understood.
+/// Reads the file of settings, the environment over it, then the flags over both. Every wrong value
+/// is reported, with the flag or variable it came from; `wrong_usage` is set when the command line
+/// itself cannot be understood.
 struct ParsedNodeSettings {
   NodeSettings settings;
   Findings findings;
+  std::map<std::string, std::string, std::less<>> values;  ///< By flag, those that were given.
   std::string file;  ///< Path of the file of settings; empty without one.
   bool wrong_usage = false;
   bool help = false;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -34,6 +34,7 @@
   Duration announcement_limit = std::chrono::seconds(5);
   Duration stop_limit = std::chrono::seconds(60);
   Duration stop_notice = Duration::zero();  ///< Callers leave a stopping node within this time.
+  Duration stop_grace = Duration::zero();   ///< From a stop to the kill; zero: none comes.
   std::uint32_t link_bytes_per_second = 2'000;
   bool decisions_off = false;
   WireNames wire;
--- a/src/node/setting_spec.h
+++ b/src/node/setting_spec.h
@@ -16,6 +16,8 @@
   std::string_view help;
   /// Stores the value, or says what is wrong with it and what is allowed.
   std::function<std::optional<std::string>(std::string_view value, Settings& settings)> store;
+  /// A change comes into force while the command runs; the others need a restart.
+  bool live = false;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/target_watcher.cc
+++ b/src/node/target_watcher.cc
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "common/timer_service.h"
 #include "membership/membership.h"
+#include "node/node_settings.h"
 #include "node/target_service.h"
 
 namespace fireflyrun::node {
@@ -13,16 +14,16 @@
 }  // namespace
 
 TargetWatcher::TargetWatcher(TimerService& timer_service, membership::Membership& fleet,
-                             TargetService& target_service, Duration silence_limit)
-    : membership(fleet), target(target_service), limit(silence_limit) {
+                             TargetService& target_service, const NodeSettings& node_settings)
+    : membership(fleet), target(target_service), settings(node_settings) {
   this->silence_timer = timer_service.Every(kCheckPeriod, [this] { this->CheckSilence(); });
 }
 
 void TargetWatcher::OnAnnouncement(const TargetAnnouncement& announcement) {
   if (this->IsReplaced(announcement)) return;
   const bool leaves = announcement.state == membership::TargetState::kLeaving;
-  const bool same_run = announcement.target.id == this->latest.target.id &&
-                        announcement.born == this->latest.born;
+  const bool same_run =
+      announcement.target.id == this->latest.target.id && announcement.born == this->latest.born;
   // A run never takes back that it leaves, so even a late word of that holds.
   if (same_run && leaves) this->has_departed = !announcement.target.id.empty();
   if (this->IsStale(announcement)) {
@@ -55,12 +56,12 @@
 }
 
 void TargetWatcher::TakeOver(const TargetAnnouncement& announcement) {
-  const bool other_run = announcement.target.id != this->latest.target.id ||
-                         announcement.born != this->latest.born;
+  const bool other_run =
+      announcement.target.id != this->latest.target.id || announcement.born != this->latest.born;
   if (other_run || !this->last_heard) {
     Log(LogLevel::kInfo, "target",
-        "event=announced service=" + announcement.target.service + " id=" +
-            announcement.target.id + " born=" + std::to_string(announcement.born));
+        "event=announced service=" + announcement.target.service + " id=" + announcement.target.id +
+            " born=" + std::to_string(announcement.born));
   }
   if (other_run) this->has_departed = announcement.state == membership::TargetState::kLeaving;
   this->last_heard = SteadyClock::now();
@@ -87,7 +88,9 @@
 }
 
 void TargetWatcher::CheckSilence() {
-  if (!this->last_heard || SteadyClock::now() - *this->last_heard < this->limit) return;
+  if (!this->last_heard ||
+      SteadyClock::now() - *this->last_heard < this->settings.announcement_limit)
+    return;
   this->last_heard.reset();
   this->serving = false;
   Log(LogLevel::kWarning, "target", "event=silent");
--- a/src/node/target_watcher.h
+++ b/src/node/target_watcher.h
@@ -16,13 +16,17 @@
 namespace fireflyrun::node {
 
 class TargetService;
+struct NodeSettings;
 
 /// Follows the local target's announcements: tells the fleet and the target service of its coming,
 /// its leaving, and its silence.
 class TargetWatcher {
  public:
   TargetWatcher(TimerService& timer_service, membership::Membership& fleet,
-                TargetService& target_service, Duration silence_limit);
+                TargetService& target_service, const NodeSettings& node_settings);
+
+  /// Where the target may be, or of which service, may have changed.
+  void OnSettingsChanged() {}
 
   void OnAnnouncement(const TargetAnnouncement& announcement);
 
@@ -43,10 +47,10 @@
 
   membership::Membership& membership;
   TargetService& target;
-  Duration limit;
+  const NodeSettings& settings;
   std::optional<SteadyTime> last_heard;
-  TargetAnnouncement latest;   ///< Of the run that is believed to be there.
-  bool has_departed = false;   ///< That run said that it leaves; it can't take this back.
+  TargetAnnouncement latest;  ///< Of the run that is believed to be there.
+  bool has_departed = false;  ///< That run said that it leaves; it can't take this back.
   bool serving = false;
   bool node_stopping = false;
   TimerSubscription silence_timer;
--- /dev/null
+++ b/tests/integration/stop_test.cc
@@ -0,0 +1,94 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+#include <future>
+
+#include "tests/integration/fleet.h"
+#include "tests/integration/wait_until.h"
+
+namespace fireflyrun::integration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kLimit{10'000};
+constexpr milliseconds kGrace{3'000};
+constexpr milliseconds kNotice{1'000};
+constexpr milliseconds kMoment{300};
+
+/// An entry and two targets; the entry is killed three seconds after a stop.
+std::vector<HostLayout> Hosts() {
+  HostLayout entry{"a1", "east", "east-a"};
+  entry.node_flags = {"--stop-grace", "3", "--stop-notice", "1"};
+  return {
+      entry, {"a2", "east", "east-a", "deep", 20, 700}, {"a3", "east", "east-a", "deep", 20, 700}};
+}
+
+class StopTest : public ::testing::Test {
+ protected:
+  void SetUp() override { ASSERT_TRUE(this->fleet.WaitReady()); }
+
+  std::future<HttpAnswer> CallInBackground() {
+    return std::async(std::launch::async,
+                      [this] { return this->fleet.Call("a1", "GET", "/deep/x"); });
+  }
+  bool IsReady() const { return Get(this->fleet.AdminUrl("a1") + "/health").status == 200; }
+
+  Fleet fleet{Hosts(), ChainRecords()};
+};
+
+TEST_F(StopTest, HangupsAndBrokenSettingsEndNothing) {
+  Process& node = this->fleet.NodeProcess("a1");
+  auto call = this->CallInBackground();
+  node.Signal(SIGHUP);
+  node.Signal(SIGPIPE);
+  node.Signal(SIGHUP);
+  EXPECT_EQ(call.get().status, 200);
+  EXPECT_TRUE(node.Running());
+  EXPECT_TRUE(this->IsReady());
+}
+
+TEST_F(StopTest, EndsBeforeTheKillAlthoughTheStoreSaysNothing) {
+  Process& node = this->fleet.NodeProcess("a1");
+  this->fleet.StoreProcess().Pause();
+  const auto start = steady_clock::now();
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.WaitForExit(kGrace), 0) << node.ErrorOutput();
+  EXPECT_GE(steady_clock::now() - start, kNotice);
+  EXPECT_LT(steady_clock::now() - start, kGrace - kMoment);
+  this->fleet.StoreProcess().Resume();
+}
+
+TEST_F(StopTest, ServesUntilTheNoticeIsOverAndFinishesWhatItTook) {
+  Process& node = this->fleet.NodeProcess("a1");
+  const auto start = steady_clock::now();
+  auto before = this->CallInBackground();
+  ASSERT_FALSE(WaitUntil(kMoment, [&] { return !this->IsReady(); }));
+  node.Signal(SIGTERM);
+  EXPECT_TRUE(WaitUntil(kMoment, [&] { return !this->IsReady(); }));
+  auto meanwhile = this->CallInBackground();
+  node.Signal(SIGTERM);
+  EXPECT_EQ(before.get().status, 200);
+  const HttpAnswer last = meanwhile.get();
+  EXPECT_EQ(last.status, 200) << last.error;
+  EXPECT_EQ(node.WaitForExit(kLimit), 0);
+  EXPECT_LT(steady_clock::now() - start, kGrace + kMoment);
+}
+
+/// A target that never ends its call doesn't hold the process beyond the kill.
+TEST_F(StopTest, GivesUpCallsThatOutlastTheStop) {
+  for (const auto* target : {"a2", "a3"}) {
+    this->fleet.SetTargetFault(target, R"({"hang": true})");
+  }
+  auto call = this->CallInBackground();
+  ASSERT_TRUE(HoldsFor(kMoment, [&] { return this->IsReady(); }));
+  Process& node = this->fleet.NodeProcess("a1");
+  node.Signal(SIGTERM);
+  EXPECT_EQ(node.WaitForExit(kGrace - kMoment / 3), 0) << node.ErrorOutput();
+  EXPECT_NE(call.get().status, 200);
+}
+
+}  // namespace
+}  // namespace fireflyrun::integration
--- a/tests/node/node_setting_table_test.cc
+++ b/tests/node/node_setting_table_test.cc
@@ -15,12 +15,14 @@
   pointers.reserve(arguments.size() + 1);
   for (auto& argument : arguments) pointers.push_back(argument.data());
   pointers.push_back(nullptr);
-  return ParseNodeSettings(static_cast<int>(arguments.size()), pointers.data(),
-                           [&](const std::string& name) -> std::optional<std::string> {
-                             const auto found = environment.find(name);
-                             if (found == environment.end()) return std::nullopt;
-                             return found->second;
-                           });
+  return ParseNodeSettings(
+      static_cast<int>(arguments.size()), pointers.data(),
+      [&](const std::string& name) -> std::optional<std::string> {
+        const auto found = environment.find(name);
+        if (found == environment.end()) return std::nullopt;
+        return found->second;
+      },
+      [](const std::string&) { return std::nullopt; });
 }
 
 std::vector<std::string> Required() {
--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -5,9 +5,10 @@
 #include <asio/io_context.hpp>
 
 #include "common/timer_service.h"
-#include "http/client.h"
+#include "http/target_client.h"
 #include "membership/membership.h"
 #include "node/context_table.h"
+#include "node/node_settings.h"
 #include "node/target_service.h"
 
 namespace fireflyrun::node {
@@ -29,19 +30,23 @@
   }
 
   static TargetAnnouncement Announcement(const std::string& address, TargetState state) {
-    return {{"calendar", address, 10}, state};
+    TargetAnnouncement announcement;
+    announcement.target = {"calendar", "", address, 10};
+    announcement.state = state;
+    return announcement;
   }
 
   TargetState State() const { return this->fleet.GetView().Self().target_state; }
 
   asio::io_context loop;
   TimerService timers{loop};
-  http::Client client{loop, 4};
+  http::TargetClient client{timers, {}};
   ContextTable contexts;
-  TargetService target{timers, client, contexts, {"n1", 1, 1024, false}, {}};
+  TargetService target{timers, client, contexts, {"n1", 1, 1024}, {}};
   membership::Membership fleet{
       timers, FleetOptions(), [](const std::string&, const std::string&) {}, {}};
-  TargetWatcher watcher{timers, fleet, target, std::chrono::seconds(5)};
+  NodeSettings settings;
+  TargetWatcher watcher{timers, fleet, target, settings};
 };
 
 TEST_F(TargetWatcherTest, LeavingTargetTakesNoNewCalls) {
