--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -8,6 +8,7 @@
 #include "http/target_client.h"
 #include "membership/membership.h"
 #include "node/context_table.h"
+#include "node/node_settings.h"
 #include "node/target_service.h"
 
 namespace fireflyrun::node {
@@ -29,7 +30,10 @@
   }
 
   static TargetAnnouncement Announcement(const std::string& address, TargetState state) {
-    return {{"calendar", address, 10}, state};
+    TargetAnnouncement announcement;
+    announcement.target = {"calendar", "", address, 10};
+    announcement.state = state;
+    return announcement;
   }
 
   TargetState State() const { return this->fleet.GetView().Self().target_state; }
@@ -41,7 +45,8 @@
   TargetService target{timers, client, contexts, {"n1", 1, 1024, false, {}}, {}};
   membership::Membership fleet{
       timers, FleetOptions(), [](const std::string&, const std::string&) {}, {}};
-  TargetWatcher watcher{timers, fleet, target, std::chrono::seconds(5)};
+  NodeSettings settings;
+  TargetWatcher watcher{timers, fleet, target, settings};
 };
 
 TEST_F(TargetWatcherTest, LeavingTargetTakesNoNewCalls) {
