--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -12,6 +12,10 @@
 
 #include "cli/exit_code.h"
 #include "common/log.h"
+#include "common/log_event.h"
+#include "common/log_flusher.h"
+#include "common/log_options.h"
+#include "common/timer_service.h"
 #include "node/node.h"
 #include "node/node_setting_table.h"
 #include "platform/adapter.h"
@@ -65,20 +69,24 @@
 };
 
 int RunUntilStopped(const node::NodeSettings& settings) {
-  InitializeLog(settings.node, settings.log_level);
+  InitializeLog({settings.node, settings.log_level, settings.log_lines});
   // One thread runs the loop, so Asio needs no locks.
   asio::io_context loop(1);
+  TimerService log_timers(loop);
+  const LogFlusher log_flusher(log_timers);
   const bool on_platform = settings.store_protocol == node::StoreProtocol::kPlatform;
   node::Node node(loop, settings,
                   on_platform ? platform::MakeAdapter() : node::PlatformAdapter());
   if (const auto started = node.Start(); !started) {
-    Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
+    LogEvent(LogLevel::kError, "node", "cannot-start").Add("cause", started.error());
     return kExitFailed;
   }
   SignalHandler handler(loop, node);
-  Log(LogLevel::kInfo, "node",
-      "event=running zone=" + settings.zone + " region=" + settings.region +
-          " cluster=" + settings.cluster);
+  LogEvent(LogLevel::kInfo, "node", "started")
+      .Add("zone", settings.zone)
+      .Add("region", settings.region)
+      .Add("cluster", settings.cluster)
+      .Add("log_lines", settings.log_lines);
   loop.run();
   Log(LogLevel::kInfo, "node", "event=ended");
   return kExitDone;
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -189,6 +189,11 @@
   return {
       {"log-level", "FIREFLYRUN_LOG_LEVEL", "LEVEL",
        "lowest level written: debug, info, warning, error [info]", StoreLogLevel},
+      {"log-lines", "FIREFLYRUN_LOG_LINES", "COUNT",
+       "log lines written a second; those of failures go first, 10 to 100000 [200]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 10, 100'000, "", &settings.log_lines);
+       }},
       {"max-body-bytes", "FIREFLYRUN_MAX_BODY_BYTES", "BYTES",
        "largest request or answer body, 1024 to 67108864 [8388608]",
        [](std::string_view value, NodeSettings& settings) {
