Explain each failed request in one line at its entry node

Debug lines named a root and little else. Each decision on a call now has a line with its inputs (routed, sent, moved, retried, not repeated and why), a request that fails gets one line with its cause at the node where it arrived and one for each failed attempt at its target's node, both under the caller's own request id.

--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -75,8 +75,7 @@
   TimerService log_timers(loop);
   const LogFlusher log_flusher(log_timers);
   const bool on_platform = settings.store_protocol == node::StoreProtocol::kPlatform;
-  node::Node node(loop, settings,
-                  on_platform ? platform::MakeAdapter() : node::PlatformAdapter());
+  node::Node node(loop, settings, on_platform ? platform::MakeAdapter() : node::PlatformAdapter());
   if (const auto started = node.Start(); !started) {
     LogEvent(LogLevel::kError, "node", "cannot-start").Add("cause", started.error());
     return kExitFailed;
--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -64,8 +64,7 @@
 }
 
 /// Takes the records of Boost.Log into the queue.
-class QueueBackend
-    : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding> {
+class QueueBackend : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding> {
  public:
   static void consume(const boost::log::record_view& record, const std::string& text) {
     LogState& state = State();
--- a/src/common/log.h
+++ b/src/common/log.h
@@ -12,9 +12,9 @@
 struct LogOptions;
 
 /// Starts logging to standard output, one record a line in logfmt:
-/// `ts=TIME level=LEVEL node=NAME part=PART event=EVENT key=value ...`. Call once, before any record
-/// is written. Logging is done on the thread of the event loop alone. From here on SIGPIPE is
-/// ignored: a reader of the log that goes away must not end the process.
+/// `ts=TIME level=LEVEL node=NAME part=PART event=EVENT key=value ...`. Call once, before any
+/// record is written. Logging is done on the thread of the event loop alone. From here on SIGPIPE
+/// is ignored: a reader of the log that goes away must not end the process.
 void InitializeLog(const LogOptions& options);
 
 /// True when records of `level` are written, so that callers can skip building a message.
--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -12,8 +12,8 @@
 
 namespace fireflyrun {
 
-/// One record of the log, written when it is destroyed. Does nothing, and formats nothing, where its
-/// level is off or the second has had its lines.
+/// One record of the log, written when it is destroyed. Does nothing, and formats nothing, where
+/// its level is off or the second has had its lines.
 class LogEvent {
  public:
   LogEvent(LogLevel level, std::string_view part, std::string_view event,
--- a/src/common/log_fields.cc
+++ b/src/common/log_fields.cc
@@ -10,9 +10,7 @@
 
 constexpr std::size_t kMaxValueLength = 200;
 
-bool IsPlain(char c) {
-  return c > ' ' && c != '=' && c != '"' && c != '\\' && c != '\x7f';
-}
+bool IsPlain(char c) { return c > ' ' && c != '=' && c != '"' && c != '\\' && c != '\x7f'; }
 
 void AppendName(std::string_view name, std::string* line) {
   line->push_back(' ');
--- a/src/common/log_flusher.cc
+++ b/src/common/log_flusher.cc
@@ -13,9 +13,8 @@
 }  // namespace
 
 LogFlusher::LogFlusher(TimerService& timer_service) : timers(timer_service) {
-  SetLogFlushHook([this] {
-    this->timer = this->timers.After(kBatchTime, [this] { this->Flush(); });
-  });
+  SetLogFlushHook(
+      [this] { this->timer = this->timers.After(kBatchTime, [this] { this->Flush(); }); });
 }
 
 LogFlusher::~LogFlusher() {
--- a/src/common/log_flusher.h
+++ b/src/common/log_flusher.h
@@ -6,8 +6,9 @@
 
 class TimerService;
 
-/// Writes the log in batches on the event loop, so that no request waits for it. Costs nothing while
-/// nothing is logged. What is left at its destruction is written if the reader takes it at once.
+/// Writes the log in batches on the event loop, so that no request waits for it. Costs nothing
+/// while nothing is logged. What is left at its destruction is written if the reader takes it at
+/// once.
 class LogFlusher {
  public:
   explicit LogFlusher(TimerService& timer_service);
--- a/src/node/call_result.h
+++ b/src/node/call_result.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "http/headers.h"
+#include "node/request_trace.h"
 #include "peer/peer.pb.h"
 #include "policy/priority_key.h"
 #include "policy/refusal_reason.h"
@@ -23,6 +24,7 @@
   policy::PriorityKey level = policy::kOpenLevel;
   std::uint32_t retries = 0;
   std::uint32_t moves = 0;
+  RequestTrace trace;  ///< What led to this end.
 
   bool Answered() const { return this->outcome == peer::pb::OUTCOME_ANSWERED; }
 };
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include "common/log.h"
 #include "common/random.h"
 #include "http/request_target.h"
 #include "http/status.h"
@@ -14,6 +13,7 @@
 #include "node/context_table.h"
 #include "node/header_names.h"
 #include "node/refusal_response.h"
+#include "node/request_log.h"
 #include "node/target_request.h"
 #include "policy/ticket.h"
 #include "records/configuration.h"
@@ -69,16 +69,6 @@
   return !key.empty() && key.size() <= kMaxKeyLength && printable;
 }
 
-void LogEnd(const OutboundCall& call, const CallResult& result, Duration latency) {
-  if (!LogEnabled(LogLevel::kDebug)) return;
-  Log(LogLevel::kDebug, "caller",
-      "event=ended root=" + call.root_id.ToHex() + " service=" + call.route->service +
-          " outcome=" + std::string(result.Answered() ? "answered" : OutcomeName(result.outcome)) +
-          " reason=" + std::string(policy::kRefusalReasonNames.NameOf(result.reason)) +
-          " retries=" + std::to_string(result.retries) +
-          " latency_us=" + std::to_string(ToMicroseconds(latency).count()));
-}
-
 }  // namespace
 
 CallerService::CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table,
@@ -154,6 +144,8 @@
   // The local target finishes what it runs, by calls on new connections if need be.
   if (this->hooks.turns_away() && first_on_connection && !call->parent) {
     const bool has_key = call->ticket_source != TicketSource::kNone;
+    LogTurnedAway(request.headers, this->wire, configuration.get(), RefusalReason::kLeaving,
+                  "this node is stopping");
     this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
                                   has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN,
                                   this->wire),
@@ -165,6 +157,8 @@
 
 void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
                            http::Exchange& exchange) const {
+  LogTurnedAway(headers, this->wire, this->hooks.configuration().get(), refusal.reason,
+                refusal.detail);
   this->Respond(RefusalResponse(refusal.reason, refusal.detail,
                                 OutcomeOfTurnedAway(refusal.reason, headers), this->wire),
                 exchange);
@@ -213,6 +207,8 @@
     const auto retries = handle ? 0U : RetriesOf(*call.route);
     call.allotment = std::make_shared<policy::RetryAllotment>(retries);
   }
+  call.request_id = RequestIdOf(request->headers, this->wire, call.root_id);
+  call.revision = this->hooks.configuration()->Revision();
   if (call.depth > kMaxDepth) {
     return tl::unexpected(Refusal{RefusalReason::kBadRequest, "the chain of calls is too deep"});
   }
@@ -337,7 +333,7 @@
                             http::Exchange& exchange) const {
   const Duration latency = SteadyClock::now() - started;
   this->hooks.on_ended(call, result, latency);
-  LogEnd(call, result, latency);
+  LogEnded(call, result, latency, this->wire);
   if (call.parent) NoteChild(result, call.parent.get());
   if (!result.Answered()) {
     this->Respond(RefusalResponse(result, this->wire), exchange);
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -65,6 +65,7 @@
 }
 
 void Dispatch::Cancel() {
+  this->trace.OnCancelled(this->call);
   this->Abandon();
   if (this->attempt_id) this->services.sender->Cancel(*this->attempt_id);
 }
@@ -104,6 +105,7 @@
     query.excluded.clear();
     choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
   }
+  this->trace.OnRouted(this->call, candidates, choice);
   if (!choice) {
     this->FinishRefused(choice.error());
     return;
@@ -120,6 +122,7 @@
 std::optional<policy::Ticket> Dispatch::ProposeTicket(const policy::TargetQuery& query) {
   const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
   const auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
+  this->trace.OnRouted(this->call, candidates, choice);
   if (!choice) return std::nullopt;
   const auto window = this->services.directory->TicketWindowOf(choice->node);
   return policy::Ticket::Mint(choice->node, choice->incarnation, window);
@@ -220,6 +223,7 @@
 }
 
 void Dispatch::SendAttempt(Attempt attempt) {
+  this->trace.OnSent(this->call, attempt);
   this->attempt_id = this->services.sender->Send(
       this->call, attempt, [weak = this->weak_from_this()](AttemptResult result) {
         const auto self = weak.lock();
@@ -229,6 +233,7 @@
 
 void Dispatch::OnAttempt(AttemptResult result) {
   this->attempt_id.reset();
+  this->trace.OnAttemptEnded(this->call, result);
   if (result.outcome == Outcome::OUTCOME_ANSWERED) {
     this->ran = true;
     const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
@@ -238,6 +243,7 @@
       this->After(RetryDelay(this->retries), [this] { this->Step(); });
       return;
     }
+    if (server_error) this->NoteNotRepeated(result);
     this->FinishAnswered(std::move(result));
     return;
   }
@@ -309,14 +315,22 @@
   } else if (time_left && this->MayRetry(result)) {
     this->After(RetryDelay(this->retries), again);
   } else {
+    this->NoteNotRepeated(result);
     this->FinishRefused(result);
   }
 }
 
+void Dispatch::NoteNotRepeated(const AttemptResult& result) {
+  this->trace.OnNotRepeated(
+      this->call, result,
+      {this->moves, kMaxMoves, this->services.budgets->Of(*this->call.route).Available()});
+}
+
 bool Dispatch::MayMove(const AttemptResult& result) {
   const bool nothing_ran = result.outcome == Outcome::OUTCOME_NOT_RUN;
   if (!nothing_ran || !IsMove(result.reason) || this->moves >= kMaxMoves) return false;
   ++this->moves;
+  this->trace.OnMoved(this->call, result);
   this->services.count_repeat(this->call, true);
   return true;
 }
@@ -331,6 +345,8 @@
     if (!this->call.allotment->TrySpend()) return false;
   }
   ++this->retries;
+  this->trace.OnRetried(this->call, result,
+                        this->services.budgets->Of(*this->call.route).Available());
   this->services.count_repeat(this->call, false);
   return true;
 }
@@ -399,6 +415,7 @@
   result.level = this->LoosestLevel();
   result.retries = this->retries;
   result.moves = this->moves;
+  result.trace = this->trace;
   const auto keep = this->shared_from_this();
   this->handler(std::move(result));
 }
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -14,6 +14,7 @@
 #include "node/call_result.h"
 #include "node/dispatch_services.h"
 #include "node/outbound_call.h"
+#include "node/request_trace.h"
 #include "policy/target_query.h"
 #include "policy/ticket.h"
 
@@ -57,6 +58,7 @@
   /// Arranges another attempt if the rules allow one, a move after `move_delay`; otherwise ends the
   /// call.
   void Repeat(const AttemptResult& result, Duration move_delay, const std::function<void()>& again);
+  void NoteNotRepeated(const AttemptResult& result);
   bool MayMove(const AttemptResult& result);
   bool MayRetry(const AttemptResult& result);
   void After(Duration delay, std::function<void()> step);
@@ -72,6 +74,7 @@
   OutboundCall call;
   Handler handler;
   TimerSubscription timer;
+  RequestTrace trace;
   std::optional<Id128> attempt_id;
   std::optional<policy::Ticket> ticket;
   std::optional<policy::Ticket> proposed_successor;
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -29,8 +29,8 @@
   StoreProtocol store_protocol = StoreProtocol::kEtcd;
   std::vector<std::string> seeds;
   LogLevel log_level = LogLevel::kInfo;
-  std::uint32_t log_lines = 200;    ///< Lines written a second at most.
-  std::uint16_t metrics_port = 0;   ///< 0: metrics are told at the admin port only.
+  std::uint32_t log_lines = 200;   ///< Lines written a second at most.
+  std::uint16_t metrics_port = 0;  ///< 0: metrics are told at the admin port only.
   std::size_t max_body_bytes = std::size_t{8} << 20;
   std::size_t max_connections = 700;
   Duration announcement_limit = std::chrono::seconds(5);
--- a/src/node/outbound_call.h
+++ b/src/node/outbound_call.h
@@ -20,6 +20,8 @@
 /// One call to be sent to a target of a service, from the node at which it starts.
 struct OutboundCall {
   Id128 root_id;
+  std::string request_id;     ///< Names the call in the log.
+  std::int64_t revision = 0;  ///< Of the records that routed it.
   SteadyTime deadline;
   std::shared_ptr<const records::RoutePolicy> route;
   policy::CallClass call_class;  ///< The route's, or the parent's where that is shed later.
--- a/src/node/refusal_response.cc
+++ b/src/node/refusal_response.cc
@@ -95,6 +95,10 @@
   }
 }
 
+int RefusalStatus(const CallResult& result, const WireNames& wire) {
+  return StatusOf(result.outcome, result.reason, wire);
+}
+
 http::Response RefusalResponse(const CallResult& result, const WireNames& wire) {
   return BuildResponse(result.outcome, result.reason, "", result.retry_after, wire);
 }
--- a/src/node/refusal_response.h
+++ b/src/node/refusal_response.h
@@ -21,6 +21,9 @@
 http::Response RefusalResponse(policy::RefusalReason reason, std::string_view detail,
                                peer::pb::Outcome outcome, const WireNames& wire);
 
+/// The status of the response to a call that was refused or failed.
+int RefusalStatus(const CallResult& result, const WireNames& wire);
+
 /// `not-run`, `ran` or `unknown`.
 std::string_view OutcomeName(peer::pb::Outcome outcome);
 
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "common/log.h"
 #include "common/timer_service.h"
 #include "http/headers.h"
 #include "http/status.h"
 #include "node/answer_codec.h"
 #include "node/call_context.h"
 #include "node/context_table.h"
+#include "node/request_log.h"
 #include "node/target_request.h"
 #include "node/ticket_codec.h"
 #include "policy/admission_request.h"
@@ -55,14 +55,6 @@
   return context;
 }
 
-void LogCall(std::string_view event, const InboundCall& inbound, std::string_view detail) {
-  if (!LogEnabled(LogLevel::kDebug)) return;
-  const auto root = Id128::FromBytes(inbound.call.head.root_id()).value_or(Id128());
-  Log(LogLevel::kDebug, "target",
-      "event=" + std::string(event) + " root=" + root.ToHex() +
-          " service=" + inbound.call.head.service() + " " + std::string(detail));
-}
-
 }  // namespace
 
 TargetService::TargetService(TimerService& timer_service, http::TargetClient& http_client,
@@ -212,6 +204,7 @@
     this->StartCall(inbound->id);
     return;
   }
+  LogQueued(this->LogContext(*inbound));
   const auto root = Id128::FromBytes(head.root_id()).value_or(Id128());
   this->admission.Offer({inbound->id, policy::KeyFor(head.class_rank(), root), inbound->deadline},
                         SteadyClock::now());
@@ -230,7 +223,7 @@
     return;
   }
   this->hooks.on_admitted(*inbound, inbound->started - inbound->arrived);
-  LogCall("run", *inbound, "");
+  LogAdmitted(this->LogContext(*inbound));
   this->SendToTarget(inbound);
 }
 
@@ -288,7 +281,7 @@
     this->admission.Abandoned(inbound->id, now);
   }
   this->hooks.on_answered(*inbound, service_time);
-  LogCall("answered", *inbound, "status=" + std::to_string(response.status));
+  LogTargetAnswered(this->LogContext(*inbound), response.status, service_time);
   peer::Answer answer;
   auto& head = answer.head;
   head.set_outcome(Outcome::OUTCOME_ANSWERED);
@@ -311,8 +304,7 @@
   const SteadyTime now = SteadyClock::now();
   const bool never_sent = error.kind == http::ClientErrorKind::kNotSent;
   this->admission.Finished(inbound->id, now - inbound->started, false, now);
-  LogCall("failed", *inbound,
-          "error=" + std::string(http::kClientErrorKindNames.NameOf(error.kind)));
+  LogTargetFailed(this->LogContext(*inbound), error);
   if (never_sent && (!inbound->ticket || this->ledger.WithdrawUnsent(*inbound->ticket))) {
     this->Refuse(inbound, RefusalReason::kTargetFailed);
     return;
@@ -327,7 +319,7 @@
 }
 
 void TargetService::Refuse(const CallPointer& inbound, RefusalReason reason) {
-  LogCall("refused", *inbound, "reason=" + std::string(policy::kRefusalReasonNames.NameOf(reason)));
+  LogTargetRefused(this->LogContext(*inbound), reason);
   this->hooks.on_refused(*inbound, reason);
   auto answer = RefusalAnswer(Outcome::OUTCOME_NOT_RUN, reason);
   if (inbound->ticket) {
@@ -395,6 +387,7 @@
   if (!inbound) return;
   const SteadyTime now = SteadyClock::now();
   const bool queued = !inbound->context;
+  LogTargetCancelled(this->LogContext(*inbound));
   if (queued) {
     // Whoever joined the call still waits for it.
     if (!inbound->joined.empty() || !this->admission.Cancel(call_id)) return;
@@ -415,4 +408,8 @@
   this->admission.Abandoned(call_id, now);
 }
 
+TargetLogContext TargetService::LogContext(const InboundCall& inbound) const {
+  return {inbound, this->admission, this->Target(), this->options.wire};
+}
+
 }  // namespace fireflyrun::node
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -26,6 +26,7 @@
 namespace fireflyrun::node {
 
 class ContextTable;
+struct TargetLogContext;
 
 /// The target's side of a node: admits calls, keeps the ledger of tickets, hands calls to the local
 /// target over HTTP and answers them. A call refused here was not run, and never will be under its
@@ -101,6 +102,7 @@
   void FillLoad(peer::pb::AnswerHead* head, const InboundCall& inbound);
   void EndContext(const CallPointer& inbound);
   CallPointer Find(const Id128& id) const;
+  TargetLogContext LogContext(const InboundCall& inbound) const;
 
   TimerService& timers;
   http::TargetClient& client;
--- a/src/records/configuration.cc
+++ b/src/records/configuration.cc
@@ -43,6 +43,7 @@
 
   std::shared_ptr<const Configuration> Build() {
     this->result->revision = this->book.Revision();
+    this->result->built_at = SteadyClock::now();
     this->ChooseRecords();
     for (const auto& [name, service] : this->chosen_services) {
       this->AddService(service);
--- a/src/records/configuration.h
+++ b/src/records/configuration.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/clock.h"
 #include "common/finding.h"
 #include "records/caller_limits.h"
 #include "records/name_hash.h"
@@ -27,6 +28,7 @@
   static std::shared_ptr<const Configuration> Build(const RecordBook& book);
 
   std::int64_t Revision() const { return this->revision; }
+  SteadyTime BuiltAt() const { return this->built_at; }
 
   /// The policy of a call by service name, or null for a service that is unknown or that only route
   /// records lead to. `path` is what follows the service's own path segment; a query is ignored.
@@ -69,6 +71,7 @@
   };
 
   std::int64_t revision = 0;
+  SteadyTime built_at;
   std::unordered_map<std::string, Service, NameHash, std::equal_to<>> services;
   std::vector<std::string> service_names;
   RouteTable routes;
