Log what a node believes and measure what an operator asks for

Members seen, lost, regained and drained, the admission level, outliers and the store's loss had no line. They have one now, with the inputs that decided and their age; metrics tell members by state, store calls by kind and result, the age of the records, budgets, connections, memory and lines left out.

--- a/src/common/log_queue.cc
+++ b/src/common/log_queue.cc
@@ -1,10 +1,26 @@
 #include "common/log_queue.h"
 
+#include <climits>
 #include <utility>
 
 #include "common/non_blocking_output.h"
 
 namespace fireflyrun {
+namespace {
+
+/// A pipe takes so much in one piece or not at all (POSIX), so that lines of processes that share
+/// it stay whole.
+constexpr std::size_t kPieceBytes = PIPE_BUF;
+
+/// As many of the first lines as fit a piece, but one at least.
+std::string_view WholeLines(std::string_view lines) {
+  if (lines.size() <= kPieceBytes) return lines;
+  auto end = lines.rfind('\n', kPieceBytes - 1);
+  if (end == std::string_view::npos) end = lines.find('\n');
+  return lines.substr(0, end + 1);
+}
+
+}  // namespace
 
 LogQueue::LogQueue(std::unique_ptr<NonBlockingOutput> line_output)
     : output(std::move(line_output)) {}
@@ -27,7 +43,7 @@
 bool LogQueue::Flush() {
   while (!this->Empty()) {
     const std::string_view rest = std::string_view(this->lines).substr(this->written);
-    const std::size_t taken = this->output->Write(rest);
+    const std::size_t taken = this->output->Write(WholeLines(rest));
     if (taken == 0) return false;
     this->written += taken;
   }
--- a/src/http/call_server.cc
+++ b/src/http/call_server.cc
@@ -27,6 +27,8 @@
 
 std::size_t CallServer::OpenExchanges() const { return this->core->OpenExchanges(); }
 
+std::size_t CallServer::OpenConnections() const { return this->core->OpenConnections(); }
+
 void CallServer::Close() { this->core->Close(); }
 
 }  // namespace fireflyrun::http
--- a/src/http/call_server.h
+++ b/src/http/call_server.h
@@ -52,6 +52,7 @@
 
   /// Requests received whose responses are not yet written to the operating system.
   std::size_t OpenExchanges() const;
+  std::size_t OpenConnections() const;
 
   /// Closes every connection; hooks for gone callers do not run. Call when OpenExchanges() is 0 for
   /// a graceful stop.
--- a/src/http/call_server_core.h
+++ b/src/http/call_server_core.h
@@ -34,6 +34,7 @@
   void SetLimits(const CallServerLimits& limits) { this->options.limits = limits; }
   std::uint16_t Port() const { return this->port; }
   std::size_t OpenExchanges() const { return this->open_exchanges; }
+  std::size_t OpenConnections() const { return this->idle.size() + this->busy.size(); }
 
   // For its connections:
   asio::io_context& Loop() { return this->loop; }
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -15,6 +15,7 @@
 #include "node/level_key.h"
 #include "node/node_metrics.h"
 #include "node/record_keeper.h"
+#include "node/request_log.h"
 #include "node/target_announcement.h"
 #include "node/target_directory.h"
 #include "node/target_service.h"
@@ -64,7 +65,8 @@
               {[](std::uint64_t bound) { return RandomBelow(bound); },
                [this](std::uint64_t bytes, SteadyTime now) {
                  return this->link_budget.TryTake(bytes, now);
-               }}),
+               },
+               LogEjection}),
       directory(std::make_unique<TargetDirectory>(control_plane.Fleet())) {
   this->ForgetGoneTargets();
   this->CreateTarget(http_client, own_incarnation);
@@ -130,6 +132,18 @@
                 [this] { return static_cast<double>(this->target->Admission().InFlight()); });
   out->AddGauge("fireflyrun_admission_queue_length", "Calls waiting for the target.",
                 [this] { return static_cast<double>(this->target->Admission().QueueLength()); });
+  out->AddGauge("fireflyrun_admission_level_rank",
+                "Rank up to which calls are admitted; the largest number when all are.",
+                [this] { return static_cast<double>(this->target->Admission().Level().rank); });
+  out->AddGauge("fireflyrun_target_slots", "Slots that the target announced; 0 without target.",
+                [this] {
+                  const TargetAddress* address = this->target->Target();
+                  return address == nullptr ? 0.0 : static_cast<double>(address->slots);
+                });
+  out->AddGauge("fireflyrun_retry_budget_left", "Retries held, over all services.",
+                [this] { return this->budgets.Available(); });
+  out->AddGauge("fireflyrun_calls_in_progress", "Calls that began at this node and have not ended.",
+                [this] { return static_cast<double>(this->dispatcher->InProgress()); });
   out->AddGauge("fireflyrun_tickets", "Tickets remembered.",
                 [this] { return static_cast<double>(this->target->Ledger().Entries()); });
   out->AddGauge("fireflyrun_open_links", "Links to other nodes.",
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -5,12 +5,17 @@
 
 #include "common/timer_service.h"
 #include "http/client.h"
+#include "membership/member_state.h"
 #include "membership/membership.h"
+#include "membership/view.h"
 #include "membership/zero_mq_transport.h"
+#include "node/membership_log.h"
 #include "node/node_metrics.h"
+#include "node/process_metrics.h"
 #include "node/record_keeper.h"
 #include "store/etcd_store.h"
 #include "store/key_binder.h"
+#include "store/observed_store.h"
 #include "store/record_source.h"
 #include "store/record_store.h"
 #include "store/roster.h"
@@ -60,6 +65,21 @@
   return std::make_unique<store::EtcdStore>(client, timers, options);
 }
 
+double AgeSeconds(const records::Configuration* configuration) {
+  if (configuration == nullptr) return -1;
+  return std::chrono::duration<double>(SteadyClock::now() - configuration->BuiltAt()).count();
+}
+
+double CountMembers(const membership::View& view, membership::Reachability reachability) {
+  double count = 0;
+  for (const auto& zone : view.Zones()) {
+    for (const auto* state : view.MembersOf(zone)) {
+      if (state->IsPresent() && state->reachability == reachability) count += 1;
+    }
+  }
+  return count;
+}
+
 tl::expected<std::string, RefusalReason> ToTicketAnswer(
     tl::expected<std::string, store::StoreError> standing) {
   if (!standing) return tl::unexpected(RefusalReason::kStoreUnavailable);
@@ -88,8 +108,9 @@
 
 void ControlPlane::CreateStore(http::Client& client, const PlatformAdapter& platform) {
   if (!this->settings.store_endpoints.empty()) {
-    this->store = platform.make_store ? platform.make_store(client, this->timers, this->settings)
-                                      : MakeEtcdStore(client, this->timers, this->settings);
+    this->store = std::make_unique<store::ObservedStore>(
+        platform.make_store ? platform.make_store(client, this->timers, this->settings)
+                            : MakeEtcdStore(client, this->timers, this->settings));
     if (platform.make_record_source) {
       this->record_source = platform.make_record_source(*this->store, this->timers);
     } else {
@@ -113,6 +134,7 @@
   };
   this->membership =
       std::make_unique<membership::Membership>(this->timers, options, send, this->records->Hooks());
+  this->membership_log = std::make_unique<MembershipLog>(*this->membership);
 }
 
 void ControlPlane::OnConfiguration(std::function<void(const records::Configuration&)> hook) {
@@ -126,6 +148,18 @@
   metrics->AddGauge("fireflyrun_members", "Nodes known, this one included.", [this] {
     return static_cast<double>(this->membership->GetView().CountPresent());
   });
+  metrics->AddGauge("fireflyrun_records_age_seconds",
+                    "Time since the records in force came into force; -1 without records.",
+                    [this] { return AgeSeconds(this->records->InForce().get()); });
+  for (const auto& [reachability, name] : membership::kReachabilityNames.Entries()) {
+    metrics->AddGauge("fireflyrun_members_by_state",
+                      "Nodes known, this one included, by what is believed of them.",
+                      [this, reachability = reachability] {
+                        return CountMembers(this->membership->GetView(), reachability);
+                      },
+                      {{"state", std::string(name)}});
+  }
+  AddStoreMetrics(this->store.get(), metrics);
   metrics->AddCounter("fireflyrun_control_sent_bytes_total", "Control bytes sent.",
                       [counters] { return static_cast<double>(counters().bytes_sent); });
   metrics->AddCounter("fireflyrun_control_received_bytes_total", "Control bytes received.",
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -27,13 +27,14 @@
 }
 namespace fireflyrun::store {
 class KeyBinder;
+class ObservedStore;
 class RecordSource;
 class Roster;
-class Store;
 }  // namespace fireflyrun::store
 
 namespace fireflyrun::node {
 
+class MembershipLog;
 class NodeMetrics;
 class RecordKeeper;
 
@@ -75,13 +76,14 @@
 
   TimerService& timers;
   const NodeSettings& settings;
-  std::unique_ptr<store::Store> store;
+  std::unique_ptr<store::ObservedStore> store;
   std::unique_ptr<store::RecordSource> record_source;
   std::unique_ptr<store::KeyBinder> key_binder;
   std::unique_ptr<store::Roster> roster;
   std::unique_ptr<RecordKeeper> records;
   std::unique_ptr<membership::ZeroMqTransport> transport;
   std::unique_ptr<membership::Membership> membership;
+  std::unique_ptr<MembershipLog> membership_log;
   Supervisor supervisor;
   std::function<std::uint32_t()> current_window;
   TimerSubscription window_timer;
--- /dev/null
+++ b/src/node/membership_log.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "membership/member.h"
+#include "membership/view_change.h"
+
+namespace fireflyrun::membership {
+class Membership;
+struct MemberState;
+}  // namespace fireflyrun::membership
+
+namespace fireflyrun::node {
+
+/// Writes a line for each change of what this node believes of another: seen, lost, regained,
+/// drained, gone.
+class MembershipLog {
+ public:
+  explicit MembershipLog(membership::Membership& fleet);
+  ~MembershipLog();
+  MembershipLog(const MembershipLog&) = delete;
+  MembershipLog& operator=(const MembershipLog&) = delete;
+
+ private:
+  /// What was last told of a member.
+  struct Told {
+    std::uint64_t incarnation = 0;
+    bool present = false;
+    bool reachable = true;
+    membership::TargetState target = membership::TargetState::kAbsent;
+  };
+
+  void OnChange(membership::ViewChange change, const membership::MemberState& state);
+
+  membership::Membership& membership;
+  std::size_t subscription;
+  std::unordered_map<std::string, Told> members;
+};
+
+}  // namespace fireflyrun::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -18,6 +18,7 @@
 #include "node/control_plane.h"
 #include "node/node_drain.h"
 #include "node/node_metrics.h"
+#include "node/process_metrics.h"
 #include "node/record_keeper.h"
 #include "node/supervisor.h"
 #include "records/caller_limits.h"
@@ -73,6 +74,7 @@
   static Part ServerPart(std::string name, Server& server);
   void FollowLimits(const records::CallerLimits& limits);
   Part DrainPart();
+  void AddServerMetrics();
 
   // Destroyed in reverse order: what uses a member stands below it.
   NodeSettings settings;
@@ -128,6 +130,7 @@
   });
   this->control.AddMetrics(&this->metrics);
   this->calls.AddMetrics(&this->metrics);
+  this->AddServerMetrics();
 }
 
 AdminService::Hooks Node::Implementation::AdminHooks() {
@@ -187,6 +190,16 @@
   return part;
 }
 
+void Node::Implementation::AddServerMetrics() {
+  AddProcessMetrics(&this->metrics);
+  this->metrics.AddGauge(
+      "fireflyrun_open_exchanges", "Callers' requests that are not yet answered in full.",
+      [this] { return static_cast<double>(this->caller_server.OpenExchanges()); });
+  this->metrics.AddGauge(
+      "fireflyrun_open_connections", "Callers' connections that are open.",
+      [this] { return static_cast<double>(this->caller_server.OpenConnections()); });
+}
+
 Part Node::Implementation::DrainPart() {
   Part part;
   part.name = "drain";
--- a/src/node/node_metrics.cc
+++ b/src/node/node_metrics.cc
@@ -70,13 +70,13 @@
 }
 
 void NodeMetrics::AddGauge(std::string_view name, std::string_view help,
-                           std::function<double()> value) {
-  this->registry.AddGauge(name, help, std::move(value));
+                           std::function<double()> value, metrics::Labels labels) {
+  this->registry.AddGauge(name, help, std::move(value), std::move(labels));
 }
 
 void NodeMetrics::AddCounter(std::string_view name, std::string_view help,
-                             std::function<double()> value) {
-  this->registry.AddCounter(name, help, std::move(value));
+                             std::function<double()> value, metrics::Labels labels) {
+  this->registry.AddCounter(name, help, std::move(value), std::move(labels));
 }
 
 }  // namespace fireflyrun::node
--- a/src/node/node_metrics.h
+++ b/src/node/node_metrics.h
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "metrics/call_metrics.h"
+#include "metrics/label.h"
 #include "metrics/registry.h"
 #include "node/target_service.h"
 
@@ -26,8 +27,10 @@
   void OnEnded(const OutboundCall& call, const CallResult& result, Duration latency);
   void CountRepeat(const OutboundCall& call, bool is_move);
 
-  void AddGauge(std::string_view name, std::string_view help, std::function<double()> value);
-  void AddCounter(std::string_view name, std::string_view help, std::function<double()> value);
+  void AddGauge(std::string_view name, std::string_view help, std::function<double()> value,
+                metrics::Labels labels = {});
+  void AddCounter(std::string_view name, std::string_view help, std::function<double()> value,
+                  metrics::Labels labels = {});
   std::string Render() const { return this->registry.Render(); }
 
  private:
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -13,6 +13,7 @@
 #include "node/target_address.h"
 #include "node/wire_names.h"
 #include "policy/admission_controller.h"
+#include "policy/target_load.h"
 #include "records/configuration.h"
 
 namespace fireflyrun::node {
@@ -26,11 +27,6 @@
 constexpr std::string_view kHostHeader = "Host";
 constexpr std::string_view kNoId = "none";
 
-std::string LevelText(const policy::PriorityKey& level) {
-  if (level == policy::kOpenLevel) return "open";
-  return fmt::format("{}:{}", level.rank, level.hash);
-}
-
 std::string InboundRequestId(const InboundCall& inbound, const WireNames& wire) {
   for (const auto& header : inbound.call.head.headers()) {
     if (wire.request_id.empty()) break;
@@ -88,6 +84,11 @@
 
 }  // namespace
 
+std::string LevelText(const policy::PriorityKey& level) {
+  if (level == policy::kOpenLevel) return "open";
+  return fmt::format("{}:{}", level.rank, level.hash);
+}
+
 std::string RequestIdOf(const http::Headers& headers, const WireNames& wire, const Id128& root) {
   const auto id =
       wire.request_id.empty() ? std::nullopt : http::FindHeader(headers, wire.request_id);
@@ -131,6 +132,14 @@
   result.trace.AddTo(&event);
 }
 
+void LogEjection(std::string_view node, const policy::TargetLoad& load) {
+  LogEvent event(LogLevel::kInfo, kCallerPart, load.Ejected() ? "outlier-out" : "outlier-in");
+  if (!event.Active()) return;
+  event.Add("target", node).Add("failures_in_row", load.ConsecutiveFailures());
+  event.Add("failure_share", load.FailureShare());
+  if (load.Ejected()) event.Add("for_ms", load.EjectedUntil() - SteadyClock::now());
+}
+
 void LogQueued(const TargetLogContext& context) {
   if (!LogEnabled(LogLevel::kDebug)) return;
   TargetEvent event(LogLevel::kDebug, "offered", LogUrgency::kSuccess, context);
--- a/src/node/request_log.h
+++ b/src/node/request_log.h
@@ -8,11 +8,13 @@
 #include "common/id128.h"
 #include "http/client_error.h"
 #include "http/headers.h"
+#include "policy/priority_key.h"
 #include "policy/refusal_reason.h"
 
 namespace fireflyrun::policy {
 class AdmissionController;
-}
+class TargetLoad;
+}  // namespace fireflyrun::policy
 namespace fireflyrun::records {
 class Configuration;
 }
@@ -25,6 +27,9 @@
 struct TargetAddress;
 struct WireNames;
 
+/// `RANK:HASH`, or `open`.
+std::string LevelText(const policy::PriorityKey& level);
+
 /// The lines that tell what became of requests, apart from the steps of RequestTrace. A request
 /// that failed gets one line at the node where it arrived, and one for each attempt that failed at
 /// its target's node; each names a cause. What went well is told at level debug only.
@@ -49,6 +54,9 @@
   const WireNames& wire;
 };
 
+/// A target was ejected for its failures, or taken back.
+void LogEjection(std::string_view node, const policy::TargetLoad& load);
+
 void LogQueued(const TargetLogContext& context);
 void LogAdmitted(const TargetLogContext& context);
 void LogTargetAnswered(const TargetLogContext& context, int status, Duration service_time);
--- a/src/node/request_trace.cc
+++ b/src/node/request_trace.cc
@@ -6,8 +6,11 @@
 #include "common/log_event.h"
 #include "node/attempt.h"
 #include "node/attempt_result.h"
+#include "node/level_key.h"
 #include "node/outbound_call.h"
 #include "node/refusal_response.h"
+#include "node/request_log.h"
+#include "policy/target_chooser.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -16,6 +19,7 @@
 using policy::RefusalReason;
 
 constexpr std::string_view kPart = "caller";
+constexpr std::size_t kMostCandidatesTold = 6;
 
 /// A step on the way of a call, which is no news by itself.
 class StepEvent : public LogEvent {
@@ -38,11 +42,40 @@
   return inputs.moves >= inputs.max_moves ? "no-moves-left" : "not-repeatable";
 }
 
+/// `NODE/ZONE:WHY` of the first candidates.
+std::string WhyPassedOver(const OutboundCall& call,
+                          const std::vector<policy::Candidate>& candidates,
+                          const policy::TargetChooser& chooser) {
+  std::string text;
+  const std::string scope = LevelKey(*call.route);
+  const std::size_t told = std::min(candidates.size(), kMostCandidatesTold);
+  for (std::size_t i = 0; i < told; ++i) {
+    const auto& candidate = candidates[i];
+    const auto* load = chooser.LoadOf(candidate.node);
+    const auto level = chooser.Levels().Level(scope, candidate.node, SteadyClock::now());
+    std::string why = "may-take-it";
+    if (candidate.leaving) {
+      why = "leaving";
+    } else if (!candidate.reachable) {
+      why = "unreachable";
+    } else if (candidate.slots == 0) {
+      why = "no-slots";
+    } else if (level < call.key) {
+      why = "level-" + LevelText(level);
+    } else if (load != nullptr && load->Ejected()) {
+      why = "outlier";
+    }
+    if (!text.empty()) text += ',';
+    text += candidate.node + '/' + candidate.zone + ':' + why;
+  }
+  return text;
+}
+
 }  // namespace
 
 void RequestTrace::OnRouted(const OutboundCall& call,
-                            const std::vector<policy::Candidate>& candidates,
-                            const Choice& choice) {
+                            const std::vector<policy::Candidate>& candidates, const Choice& choice,
+                            const policy::TargetChooser& chooser) {
   this->routing = {};
   this->routing.candidates = candidates.size();
   for (const auto& candidate : candidates) {
@@ -53,6 +86,7 @@
     this->routing.tier = choice->tier;
   } else {
     this->routing.refusal = choice.error();
+    this->routing.passed_over = WhyPassedOver(call, candidates, chooser);
   }
   if (!LogEnabled(LogLevel::kDebug)) return;
   StepEvent event("routed", call);
@@ -132,6 +166,7 @@
   event->Add("leaving", this->routing.leaving);
   if (this->routing.refusal != RefusalReason::kNone) {
     event->Add("no_choice", kRefusalReasonNames.NameOf(this->routing.refusal));
+    event->Add("passed_over", this->routing.passed_over);
   } else if (this->routing.candidates > 0) {
     event->Add("tier", policy::kTargetTierNames.NameOf(this->routing.tier));
   }
--- a/src/node/request_trace.h
+++ b/src/node/request_trace.h
@@ -15,6 +15,9 @@
 namespace fireflyrun {
 class LogEvent;
 }
+namespace fireflyrun::policy {
+class TargetChooser;
+}
 
 namespace fireflyrun::node {
 
@@ -36,7 +39,7 @@
   };
 
   void OnRouted(const OutboundCall& call, const std::vector<policy::Candidate>& candidates,
-                const Choice& choice);
+                const Choice& choice, const policy::TargetChooser& chooser);
   void OnSent(const OutboundCall& call, const Attempt& attempt);
   void OnAttemptEnded(const OutboundCall& call, const AttemptResult& result);
   void OnMoved(const OutboundCall& call, const AttemptResult& result);
@@ -54,6 +57,7 @@
     std::size_t reachable = 0;
     std::size_t leaving = 0;
     policy::RefusalReason refusal = policy::RefusalReason::kNone;
+    std::string passed_over;  ///< Why each candidate was, when none was chosen.
     policy::TargetTier tier = policy::TargetTier::kZone;
   };
   struct Sent {
--- a/src/node/retry_budgets.cc
+++ b/src/node/retry_budgets.cc
@@ -20,4 +20,10 @@
   return entry.budget;
 }
 
+double RetryBudgets::Available() const {
+  double sum = 0;
+  for (const auto& [key, entry] : this->entries) sum += entry.budget.Available();
+  return sum;
+}
+
 }  // namespace fireflyrun::node
--- a/src/node/retry_budgets.h
+++ b/src/node/retry_budgets.h
@@ -12,6 +12,8 @@
 class RetryBudgets {
  public:
   policy::RetryBudget& Of(const records::RoutePolicy& route);
+  /// Over all of them.
+  double Available() const;
 
  private:
   struct Entry {
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -72,8 +72,10 @@
                    if (const auto inbound = this->Find(id)) this->Refuse(inbound, reason);
                  }},
                 SteadyClock::now()) {
-  this->tick_timer = this->timers.Every(policy::AdmissionController::kTickInterval,
-                                        [this] { this->admission.Tick(SteadyClock::now()); });
+  this->tick_timer = this->timers.Every(policy::AdmissionController::kTickInterval, [this] {
+    this->admission.Tick(SteadyClock::now());
+    this->admission_log.Note(this->admission);
+  });
 }
 
 TargetService::~TargetService() {
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -11,6 +11,7 @@
 #include "common/id128.h"
 #include "common/timer_subscription.h"
 #include "http/target_client.h"
+#include "node/admission_log.h"
 #include "node/inbound_call.h"
 #include "node/target_address.h"
 #include "node/wire_names.h"
@@ -115,6 +116,7 @@
   bool leaving = false;
   std::unordered_map<Id128, CallPointer> calls;
   std::unordered_map<Id128, Id128> running_tickets;  ///< Nonce to the id of the call it runs in.
+  AdmissionLog admission_log;
   TimerSubscription tick_timer;
 };
 
--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -75,7 +75,10 @@
                                const std::optional<PriorityKey>& level, SteadyTime now) {
   const auto known = this->known_targets.find(node);
   if (known == this->known_targets.end()) return;
+  const bool was_ejected = known->second.load.Ejected();
   known->second.load.OnAnswered(outcome, latency, load, now);
+  const bool news = known->second.load.Ejected() != was_ejected;
+  if (news && this->hooks.on_ejection) this->hooks.on_ejection(node, known->second.load);
   if (level) this->levels.OnHeard(level_scope, node, *level, now);
 }
 
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -27,6 +27,8 @@
   /// not outlast a fault that all targets had and during which they were used all the same.
   bool Ejected() const { return this->ejected; }
   bool ProbeDue(SteadyTime now) const;
+  std::uint32_t ConsecutiveFailures() const { return this->consecutive_failures; }
+  double FailureShare() const { return this->failure_share; }
   SteadyTime EjectedUntil() const { return this->ejected_until; }
 
  private:
--- a/tests/integration/whole_path_test.cc
+++ b/tests/integration/whole_path_test.cc
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr std::chrono::seconds kLogLimit{5};
+
 std::vector<HostLayout> ChainOfThree() {
   return {{"a1", "east", "east-a", "entry", 20, 2, "middle:/part"},
           {"a2", "east", "east-a", "middle", 20, 2, "deep:/leaf"},
@@ -107,11 +109,15 @@
 TEST_F(WholePathTest, RequestIsFollowedAcrossNodesByItsRootId) {
   const auto answer = fleet->Call("a1", "GET", "/entry/days", {"X-Request-Tag: traced"});
   ASSERT_EQ(answer.status, 200);
-  const std::string log = fleet->NodeProcess("a1").ErrorOutput();
-  const auto last = log.rfind("root=");
-  ASSERT_NE(last, std::string::npos);
-  const std::string root = log.substr(last, 37);
-  EXPECT_NE(fleet->NodeProcess("b1").ErrorOutput().find(root), std::string::npos);
+  const std::string ended = "part=caller event=answered request=";
+  ASSERT_TRUE(WaitUntil(kLogLimit, [&] {
+    return fleet->NodeProcess("a1").Output().find(ended) != std::string::npos;
+  }));
+  const std::string log = fleet->NodeProcess("a1").Output();
+  const std::string root = log.substr(log.rfind(ended) + ended.size(), 32);
+  EXPECT_TRUE(WaitUntil(kLogLimit, [&] {
+    return fleet->NodeProcess("b1").Output().find("request=" + root) != std::string::npos;
+  }));
 }
 
 }  // namespace
