fireflyrun explain: one request over many nodes' logs in causal order

A request's lines lie in the logs of several hosts whose clocks differ. explain gathers them by its id, orders them by what must precede what, and ends with the cause, down to the call below that failed.

--- /dev/null
+++ b/src/cli/explain_command.cc
@@ -0,0 +1,88 @@
+#include "cli/explain_command.h"
+
+#include <fstream>
+#include <iostream>
+#include <string>
+
+#include "cli/exit_code.h"
+#include "cli/operator_options.h"
+#include "cli/request_story.h"
+
+namespace fireflyrun::cli {
+namespace {
+
+constexpr std::size_t kMostLogs = 10'000;
+
+constexpr OperatorUsage kUsage{
+    .synopsis = "explain ID LOG...",
+    .description =
+        "Prints what the nodes' logs (\"-\" is standard input) say of the request ID and of the\n"
+        "calls made for it, in causal order, and ends with its cause. Give the logs of all nodes;\n"
+        "those of one node from old to new. Exit status 1 if they name no cause.",
+    .min_arguments = 2,
+    .max_arguments = kMostLogs,
+    .needs_store = false};
+
+void ReadLog(std::istream& log, RequestStory* story) {
+  std::string line;
+  while (std::getline(log, line)) story->Add(line);
+}
+
+bool ReadLogFile(const std::string& path, RequestStory* story) {
+  if (path == "-") {
+    ReadLog(std::cin, story);
+    return true;
+  }
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": can't be read\n";
+    return false;
+  }
+  ReadLog(file, story);
+  return true;
+}
+
+void PrintCause(const LogRecord& end) {
+  std::cout << "cause: " << end.Get("cause") << "  (request " << end.Get("request") << ", "
+            << end.Get("event") << " at " << end.Get("node");
+  if (!end.Get("status").empty()) std::cout << ", status " << end.Get("status");
+  if (!end.Get("target").empty()) std::cout << ", target " << end.Get("target");
+  std::cout << ")\n";
+}
+
+int Conclude(const RequestStory& story, const std::string& request) {
+  const LogRecord* end = story.EndOf(request);
+  if (end == nullptr) {
+    std::cout << "cause: not told; the log of the node where it arrived is missing\n";
+    return kExitFailed;
+  }
+  if (end->Get("event") == "answered") {
+    std::cout << "answered: status " << end->Get("status") << " by " << end->Get("target") << '\n';
+    return kExitDone;
+  }
+  const auto causes = story.Causes();
+  for (const LogRecord* cause : causes) PrintCause(*cause);
+  return causes.empty() ? kExitFailed : kExitDone;
+}
+
+}  // namespace
+
+int RunExplain(int argc, char** argv) {
+  const auto options = ParseOperatorOptions(argc, argv, kUsage);
+  if (!options) return options.error();
+  const std::string& request = options->arguments[0];
+  RequestStory story(request);
+  bool all_read = true;
+  for (std::size_t i = 1; i < options->arguments.size(); ++i) {
+    all_read = ReadLogFile(options->arguments[i], &story) && all_read;
+  }
+  if (story.Empty()) {
+    std::cerr << request << ": no line is about it\n";
+    return kExitFailed;
+  }
+  for (const LogRecord* record : story.InOrder()) std::cout << record->text << '\n';
+  const int status = Conclude(story, request);
+  return all_read ? status : kExitFailed;
+}
+
+}  // namespace fireflyrun::cli
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -7,6 +7,7 @@
 #include "cli/apply_command.h"
 #include "cli/check_command.h"
 #include "cli/exit_code.h"
+#include "cli/explain_command.h"
 #include "cli/get_command.h"
 #include "cli/node_command.h"
 #include "cli/retire_command.h"
@@ -26,12 +27,13 @@
   int (*run)(int argc, char** argv);
 };
 
-constexpr std::array<Subcommand, 6> kSubcommands = {{
+constexpr std::array<Subcommand, 7> kSubcommands = {{
     {"node", "run the node of this host", fireflyrun::cli::RunNode},
     {"check", "check a file of records", fireflyrun::cli::RunCheck},
     {"apply", "write the records of a file", fireflyrun::cli::RunApply},
     {"get", "print records as they stand", fireflyrun::cli::RunGet},
     {"retire", "retire a record", fireflyrun::cli::RunRetire},
+    {"explain", "tell from the logs why a request failed", fireflyrun::cli::RunExplain},
     {"status", "show zones, nodes and the records in force", fireflyrun::cli::RunStatus},
 }};
 
