A line for requests that were not read, and less for what is told twice

The caller's connection answered 400, 408, 413, 431 and 503 by itself without a line. An upstream's own 5xx is told at the entry node with target and status, so the target's node tells it at debug only; lines of attempts now give way to those of requests.

--- a/src/cli/explain_command.cc
+++ b/src/cli/explain_command.cc
@@ -53,7 +53,9 @@
 int Conclude(const RequestStory& story, const std::string& request) {
   const LogRecord* end = story.EndOf(request);
   if (end == nullptr) {
-    std::cout << "cause: not told; the log of the node where it arrived is missing\n";
+    std::cout << "cause: not told. Either it went well, which is told at level debug only, or the "
+                 "log of the\n"
+                 "node where it arrived is missing, or that node ended before it could tell.\n";
     return kExitFailed;
   }
   if (end->Get("event") == "answered") {
--- a/src/common/line_limit.cc
+++ b/src/common/line_limit.cc
@@ -5,7 +5,7 @@
 
 constexpr Duration kWindow = std::chrono::seconds(1);
 /// Of a second's lines, how many hundredths may be in use when a line of the urgency is admitted.
-constexpr std::array<std::uint64_t, kLogUrgencies> kShares = {100, 90, 50};
+constexpr std::array<std::uint64_t, kLogUrgencies> kShares = {100, 95, 60, 30};
 constexpr std::uint64_t kWhole = 100;
 
 }  // namespace
--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -12,6 +12,7 @@
 #include "http/call_server_core.h"
 #include "http/headers.h"
 #include "http/rejection.h"
+#include "http/rejection_log.h"
 #include "http/response_head.h"
 #include "http/status.h"
 
@@ -51,6 +52,7 @@
 
 void CallConnection::Refuse(std::string text) {
   if (this->continue_pending) return this->Close();
+  LogRejection(this->remote_address, text);
   this->response_head = std::move(text);
   this->response_body.clear();
   this->close_after = true;
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -145,7 +145,8 @@
   if (this->hooks.turns_away() && first_on_connection && !call->parent) {
     const bool has_key = call->ticket_source != TicketSource::kNone;
     LogTurnedAway(request.headers, this->wire, configuration.get(), RefusalReason::kLeaving,
-                  "this node is stopping");
+                  "this node is stopping",
+                  has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN);
     this->Respond(RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
                                   has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN,
                                   this->wire),
@@ -158,7 +159,7 @@
 void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
                            http::Exchange& exchange) const {
   LogTurnedAway(headers, this->wire, this->hooks.configuration().get(), refusal.reason,
-                refusal.detail);
+                refusal.detail, OutcomeOfTurnedAway(refusal.reason, headers));
   this->Respond(RefusalResponse(refusal.reason, refusal.detail,
                                 OutcomeOfTurnedAway(refusal.reason, headers), this->wire),
                 exchange);
@@ -285,6 +286,9 @@
   const std::string service(target.path.substr(1));
   const auto* route = configuration ? configuration->Find(service, "POST", "/") : nullptr;
   if (route == nullptr) {
+    LogTurnedAway({}, this->wire, configuration.get(),
+                  configuration ? RefusalReason::kUnknownService : RefusalReason::kNotReady,
+                  "a ticket was asked for", Outcome::OUTCOME_NOT_RUN);
     this->Respond(
         RefusalResponse(configuration ? RefusalReason::kUnknownService : RefusalReason::kNotReady,
                         "no record describes the service \"" + service + "\"",
@@ -294,6 +298,8 @@
   }
   const auto ticket = this->hooks.mint_ticket(*route);
   if (!ticket) {
+    LogTurnedAway({}, this->wire, configuration.get(), RefusalReason::kNoTarget,
+                  "a ticket was asked for", Outcome::OUTCOME_NOT_RUN);
     this->Respond(RefusalResponse(RefusalReason::kNoTarget, "the service has no target",
                                   Outcome::OUTCOME_NOT_RUN, this->wire),
                   exchange);
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -97,13 +97,17 @@
 
 void LogTurnedAway(const http::Headers& headers, const WireNames& wire,
                    const records::Configuration* configuration, RefusalReason reason,
-                   std::string_view detail) {
+                   std::string_view detail, peer::pb::Outcome outcome) {
   LogEvent event(LogLevel::kInfo, kCallerPart, "refused", LogUrgency::kFailure);
   if (!event.Active()) return;
   const auto id =
       wire.request_id.empty() ? std::nullopt : http::FindHeader(headers, wire.request_id);
   event.Add("request", id.value_or(kNoId)).Add("cause", kRefusalReasonNames.NameOf(reason));
-  event.Add("detail", detail).Add("outcome", "not-run").Add("decided_by", "entry");
+  CallResult result;
+  result.outcome = outcome;
+  result.reason = reason;
+  event.Add("detail", detail).Add("outcome", OutcomeName(outcome));
+  event.Add("status", RefusalStatus(result, wire)).Add("decided_by", "entry");
   event.Add("host", http::FindHeader(headers, kHostHeader).value_or(""));
   event.Add("revision", configuration == nullptr ? 0 : configuration->Revision());
   if (configuration == nullptr) return;
@@ -128,7 +132,9 @@
   event.Add("once", call.ticket_source != TicketSource::kNone);
   event.Add("retries", result.retries).Add("moves", result.moves);
   event.Add("bytes", result.body.size()).Add("revision", call.revision);
-  if (!good) event.Add("key", LevelText(call.key)).Add("admission_level", LevelText(result.level));
+  if (result.level != policy::kOpenLevel) {
+    event.Add("key", LevelText(call.key)).Add("admission_level", LevelText(result.level));
+  }
   result.trace.AddTo(&event);
 }
 
@@ -154,29 +160,29 @@
 
 void LogTargetAnswered(const TargetLogContext& context, int status, Duration service_time) {
   const bool good = !http::IsServerError(status);
-  const LogLevel level = good ? LogLevel::kDebug : LogLevel::kInfo;
-  if (!LogEnabled(level)) return;
-  TargetEvent event(level, "answered", good ? LogUrgency::kSuccess : LogUrgency::kFailure, context);
+  if (!LogEnabled(LogLevel::kDebug)) return;
+  TargetEvent event(LogLevel::kDebug, "answered",
+                    good ? LogUrgency::kSuccess : LogUrgency::kAttempt, context);
   event.Add("status", status).Add("service_ms", service_time);
   if (!good) event.Add("cause", "target-status");
   event.AddLoad(context);
 }
 
 void LogTargetRefused(const TargetLogContext& context, RefusalReason reason) {
-  TargetEvent event(LogLevel::kInfo, "refused", LogUrgency::kFailure, context);
+  TargetEvent event(LogLevel::kInfo, "refused", LogUrgency::kAttempt, context);
   event.Add("cause", kRefusalReasonNames.NameOf(reason));
   event.AddLoad(context);
 }
 
 void LogTargetFailed(const TargetLogContext& context, const http::ClientError& error) {
-  TargetEvent event(LogLevel::kInfo, "failed", LogUrgency::kFailure, context);
+  TargetEvent event(LogLevel::kInfo, "failed", LogUrgency::kAttempt, context);
   event.Add("cause", http::kClientErrorKindNames.NameOf(error.kind));
   event.Add("detail", error.message);
   event.AddLoad(context);
 }
 
 void LogTargetCancelled(const TargetLogContext& context) {
-  TargetEvent event(LogLevel::kInfo, "cancelled", LogUrgency::kFailure, context);
+  TargetEvent event(LogLevel::kInfo, "cancelled", LogUrgency::kAttempt, context);
   event.Add("cause", "caller-gone");
   event.AddLoad(context);
 }
--- a/src/node/request_log.h
+++ b/src/node/request_log.h
@@ -8,6 +8,7 @@
 #include "common/id128.h"
 #include "http/client_error.h"
 #include "http/headers.h"
+#include "peer/peer.pb.h"
 #include "policy/priority_key.h"
 #include "policy/refusal_reason.h"
 
@@ -40,7 +41,7 @@
 /// A request that ended before it became a call. `configuration` is null before the first.
 void LogTurnedAway(const http::Headers& headers, const WireNames& wire,
                    const records::Configuration* configuration, policy::RefusalReason reason,
-                   std::string_view detail);
+                   std::string_view detail, peer::pb::Outcome outcome);
 
 /// The end of a call at the node where it arrived.
 void LogEnded(const OutboundCall& call, const CallResult& result, Duration latency,
