--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -16,6 +16,9 @@
 
 #include "cli/exit_code.h"
 #include "common/log.h"
+#include "common/log_event.h"
+#include "common/log_flusher.h"
+#include "common/log_options.h"
 #include "common/timer_service.h"
 #include "node/node.h"
 #include "node/node_setting_table.h"
@@ -64,19 +67,22 @@
         // Before everything else, so that no early signal ends the process.
         signals(loop, SIGTERM, SIGINT, SIGHUP),
         timers(loop),
+        log_flusher(timers),
         node(loop, this->parsed.settings, MakeAdapter(this->parsed.settings)) {}
 
   int Run() {
     const node::NodeSettings& settings = this->parsed.settings;
     if (const auto started = this->node.Start(); !started) {
-      Log(LogLevel::kError, "node", "event=cannot-start reason=\"" + started.error() + "\"");
+      LogEvent(LogLevel::kError, "node", "cannot-start").Add("cause", started.error());
       return kExitFailed;
     }
     this->WaitForSignal();
     if (!this->parsed.file.empty()) this->FollowSettings();
-    Log(LogLevel::kInfo, "node",
-        "event=running zone=" + settings.zone + " region=" + settings.region +
-            " cluster=" + settings.cluster);
+    LogEvent(LogLevel::kInfo, "node", "started")
+        .Add("zone", settings.zone)
+        .Add("region", settings.region)
+        .Add("cluster", settings.cluster)
+        .Add("log_lines", settings.log_lines);
     this->loop.run();
     Log(LogLevel::kInfo, "node", "event=ended");
     return kExitDone;
@@ -131,6 +137,7 @@
   asio::io_context loop{1};
   asio::signal_set signals;
   TimerService timers;
+  LogFlusher log_flusher;
   node::Node node;
   std::optional<node::SettingsReloader> reloader;
   bool stopping = false;
@@ -152,7 +159,7 @@
     std::cerr << FormatFindings(parsed.findings) << "See fireflyrun node --help.\n";
     return kExitWrongUsage;
   }
-  InitializeLog(parsed.settings.node, parsed.settings.log_level);
+  InitializeLog({parsed.settings.node, parsed.settings.log_level, parsed.settings.log_lines});
   return NodeProcess(command, std::move(parsed)).Run();
 }
 
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <utility>
 
-#include "common/log.h"
 #include "common/random.h"
 #include "http/request_target.h"
 #include "http/status.h"
@@ -14,6 +13,7 @@
 #include "node/context_table.h"
 #include "node/header_names.h"
 #include "node/refusal_response.h"
+#include "node/request_log.h"
 #include "node/target_request.h"
 #include "policy/ticket.h"
 #include "records/configuration.h"
@@ -69,16 +69,6 @@
   return !key.empty() && key.size() <= kMaxKeyLength && printable;
 }
 
-void LogEnd(const OutboundCall& call, const CallResult& result, Duration latency) {
-  if (!LogEnabled(LogLevel::kDebug)) return;
-  Log(LogLevel::kDebug, "caller",
-      "event=ended root=" + call.root_id.ToHex() + " service=" + call.route->service +
-          " outcome=" + std::string(result.Answered() ? "answered" : OutcomeName(result.outcome)) +
-          " reason=" + std::string(policy::kRefusalReasonNames.NameOf(result.reason)) +
-          " retries=" + std::to_string(result.retries) +
-          " latency_us=" + std::to_string(ToMicroseconds(latency).count()));
-}
-
 }  // namespace
 
 CallerService::CallerService(CallDispatcher& call_dispatcher, ContextTable& context_table,
@@ -116,10 +106,6 @@
 
 void CallerService::OnRoutedRequest(http::Request request, PolicyPointer route,
                                     const std::shared_ptr<http::Exchange>& exchange) {
-  if (this->hooks.turns_away()) {
-    this->Refuse({RefusalReason::kLeaving, "this node is stopping"}, request.headers, *exchange);
-    return;
-  }
   auto target = request.target;
   const auto host = http::FindHeader(request.headers, kHostHeader);
   const http::Header host_header{std::string(kHostHeader), std::string(host.value_or(""))};
@@ -167,6 +153,9 @@
   // The local target finishes what it runs, by calls on new connections if need be.
   if (call.parent || !this->hooks.turns_away(first_on_connection)) return false;
   const bool has_key = call.ticket_source != TicketSource::kNone;
+  LogTurnedAway(call.headers, this->wire, this->hooks.configuration().get(),
+                RefusalReason::kLeaving, "this node is stopping",
+                has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN);
   this->Respond(
       RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
                       has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN, this->wire),
@@ -176,6 +165,8 @@
 
 void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
                            http::Exchange& exchange) const {
+  LogTurnedAway(headers, this->wire, this->hooks.configuration().get(), refusal.reason,
+                refusal.detail, OutcomeOfTurnedAway(refusal.reason, headers));
   this->Respond(RefusalResponse(refusal.reason, refusal.detail,
                                 OutcomeOfTurnedAway(refusal.reason, headers), this->wire),
                 exchange);
@@ -224,6 +215,8 @@
     const auto retries = handle ? 0U : RetriesOf(*call.route);
     call.allotment = std::make_shared<policy::RetryAllotment>(retries);
   }
+  call.request_id = RequestIdOf(request->headers, this->wire, call.root_id);
+  call.revision = this->hooks.configuration()->Revision();
   if (call.depth > kMaxDepth) {
     return tl::unexpected(Refusal{RefusalReason::kBadRequest, "the chain of calls is too deep"});
   }
@@ -300,6 +293,9 @@
   const std::string service(target.path.substr(1));
   const auto* route = configuration ? configuration->Find(service, "POST", "/") : nullptr;
   if (route == nullptr) {
+    LogTurnedAway({}, this->wire, configuration.get(),
+                  configuration ? RefusalReason::kUnknownService : RefusalReason::kNotReady,
+                  "a ticket was asked for", Outcome::OUTCOME_NOT_RUN);
     this->Respond(
         RefusalResponse(configuration ? RefusalReason::kUnknownService : RefusalReason::kNotReady,
                         "no record describes the service \"" + service + "\"",
@@ -309,6 +305,8 @@
   }
   const auto ticket = this->hooks.mint_ticket(*route);
   if (!ticket) {
+    LogTurnedAway({}, this->wire, configuration.get(), RefusalReason::kNoTarget,
+                  "a ticket was asked for", Outcome::OUTCOME_NOT_RUN);
     this->Respond(RefusalResponse(RefusalReason::kNoTarget, "the service has no target",
                                   Outcome::OUTCOME_NOT_RUN, this->wire),
                   exchange);
@@ -348,7 +346,7 @@
                             http::Exchange& exchange) const {
   const Duration latency = SteadyClock::now() - started;
   this->hooks.on_ended(call, result, latency);
-  LogEnd(call, result, latency);
+  LogEnded(call, result, latency, this->wire);
   if (call.parent) NoteChild(result, call.parent.get());
   if (!result.Answered()) {
     this->Respond(RefusalResponse(result, this->wire), exchange);
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -72,6 +72,7 @@
 }
 
 void Dispatch::Cancel() {
+  this->trace.OnCancelled(this->call);
   this->Abandon();
   if (this->attempt_id) this->services.sender->Cancel(*this->attempt_id);
 }
@@ -111,6 +112,7 @@
     query.excluded.clear();
     choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
   }
+  this->trace.OnRouted(this->call, candidates, choice, *this->services.chooser);
   if (!choice) {
     this->FinishRefused(choice.error());
     return;
@@ -127,6 +129,7 @@
 std::optional<policy::Ticket> Dispatch::ProposeTicket(const policy::TargetQuery& query) {
   const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
   const auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
+  this->trace.OnRouted(this->call, candidates, choice, *this->services.chooser);
   if (!choice) return std::nullopt;
   const auto window = this->services.directory->TicketWindowOf(choice->node);
   return policy::Ticket::Mint(choice->node, choice->incarnation, window);
@@ -227,6 +230,7 @@
 }
 
 void Dispatch::SendAttempt(Attempt attempt) {
+  this->trace.OnSent(this->call, attempt);
   this->attempt_id = this->services.sender->Send(
       this->call, attempt, [weak = this->weak_from_this()](AttemptResult result) {
         const auto self = weak.lock();
@@ -236,6 +240,7 @@
 
 void Dispatch::OnAttempt(AttemptResult result) {
   this->attempt_id.reset();
+  this->trace.OnAttemptEnded(this->call, result);
   if (result.outcome == Outcome::OUTCOME_ANSWERED) {
     this->ran = true;
     const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
@@ -245,6 +250,7 @@
       this->After(RetryDelay(this->retries), [this] { this->Step(); });
       return;
     }
+    if (server_error) this->NoteNotRepeated(result);
     this->FinishAnswered(std::move(result));
     return;
   }
@@ -316,16 +322,24 @@
   } else if (time_left && this->MayRetry(result)) {
     this->After(RetryDelay(this->retries), again);
   } else {
+    this->NoteNotRepeated(result);
     this->FinishRefused(result);
   }
 }
 
+void Dispatch::NoteNotRepeated(const AttemptResult& result) {
+  this->trace.OnNotRepeated(
+      this->call, result,
+      {this->moves, kMaxMoves, this->services.budgets->Of(*this->call.route).Available()});
+}
+
 bool Dispatch::MayMove(const AttemptResult& result) {
   if (result.outcome != Outcome::OUTCOME_NOT_RUN) return false;
   const bool for_load = IsLoadMove(result.reason);
   if (!for_load && !IsMove(result.reason)) return false;
   if (this->moves >= (for_load ? kMaxLoadMoves : kMaxMoves)) return false;
   ++this->moves;
+  this->trace.OnMoved(this->call, result);
   this->services.count_repeat(this->call, true);
   return true;
 }
@@ -340,6 +354,8 @@
     if (!this->call.allotment->TrySpend()) return false;
   }
   ++this->retries;
+  this->trace.OnRetried(this->call, result,
+                        this->services.budgets->Of(*this->call.route).Available());
   this->services.count_repeat(this->call, false);
   return true;
 }
@@ -408,6 +424,7 @@
   result.level = this->LoosestLevel();
   result.retries = this->retries;
   result.moves = this->moves;
+  result.trace = this->trace;
   const auto keep = this->shared_from_this();
   this->handler(std::move(result));
 }
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -11,6 +11,7 @@
 #include "common/id128.h"
 #include "common/timer_subscription.h"
 #include "http/target_client.h"
+#include "node/admission_log.h"
 #include "node/inbound_call.h"
 #include "node/target_address.h"
 #include "node/wire_names.h"
@@ -26,6 +27,7 @@
 namespace fireflyrun::node {
 
 class ContextTable;
+struct TargetLogContext;
 
 /// The target's side of a node: admits calls, keeps the ledger of tickets, hands calls to the local
 /// target over HTTP and answers them. A call refused here was not run, and never will be under its
@@ -101,6 +103,7 @@
   void FillLoad(peer::pb::AnswerHead* head, const InboundCall& inbound);
   void EndContext(const CallPointer& inbound);
   CallPointer Find(const Id128& id) const;
+  TargetLogContext LogContext(const InboundCall& inbound) const;
 
   TimerService& timers;
   http::TargetClient& client;
@@ -113,6 +116,7 @@
   bool leaving = false;
   std::unordered_map<Id128, CallPointer> calls;
   std::unordered_map<Id128, Id128> running_tickets;  ///< Nonce to the id of the call it runs in.
+  AdmissionLog admission_log;
   TimerSubscription tick_timer;
 };
 
