--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -31,7 +31,7 @@
 
   static TargetAnnouncement Announcement(const std::string& address, TargetState state) {
     TargetAnnouncement announcement;
-    announcement.target = {"calendar", "", address, 10};
+    announcement.target = {"calendar", address, 10, {}, {}};
     announcement.state = state;
     return announcement;
   }
