Ask the target where nothing is heard of it, and take in its own words only

A node restarted beside a living target served it only after the next announcement; a suspended one went on believing what it had heard before; a late announcement withdrew a target that was alive; announcements of another service or address were taken in, and a departure that overtook the first announcement was forgotten. The watcher now asks the named target once at its start and after a suspension (SuspensionDetector), again with a back-off, before it withdraws a silent one, and when calls fail. Departures are kept by run; foreign announcements are answered 400. A drained node ends 200 ms after its last call rather than 1.5 s, once calls on their way had 1.5 s to arrive.

--- a/src/node/admin_service.cc
+++ b/src/node/admin_service.cc
@@ -33,7 +33,7 @@
   if (request.method == "PUT" && about_target) {
     this->OnAnnouncement(request, *exchange);
   } else if (request.method == "DELETE" && about_target) {
-    this->hooks.on_departure(std::string(TargetIdOf(request)));
+    this->hooks.on_departure(std::string(TargetIdOf(request)), ParseDepartedBorn(request.body));
     exchange->Respond(TextResponse(200, kJson, "{}"));
   } else if (get && request.target == "/metrics") {
     exchange->Respond(TextResponse(200, "text/plain; version=0.0.4", this->hooks.render_metrics()));
@@ -55,15 +55,15 @@
 }
 
 void AdminService::OnAnnouncement(const http::Request& request, http::Exchange& exchange) {
-  const auto announcement = ParseAnnouncement(TargetIdOf(request), request.body);
-  if (!announcement) {
+  const auto open_calls =
+      ParseAnnouncement(TargetIdOf(request), request.body).and_then(this->hooks.on_announcement);
+  if (!open_calls) {
     exchange.Respond(http::MakeProblem(400, "bad-announcement", "The announcement is not valid",
-                                       FormatFindings(announcement.error())));
+                                       FormatFindings(open_calls.error())));
     return;
   }
-  const std::size_t open_calls = this->hooks.on_announcement(*announcement);
   exchange.Respond(TextResponse(200, "application/json",
-                                R"({"open_calls":)" + std::to_string(open_calls) + "}"));
+                                R"({"open_calls":)" + std::to_string(*open_calls) + "}"));
 }
 
 }  // namespace fireflyrun::node
--- a/src/node/admin_service.h
+++ b/src/node/admin_service.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <tl/expected.hpp>
 
 #include "http/exchange.h"
 #include "http/request.h"
@@ -14,10 +16,11 @@
 class AdminService {
  public:
   struct Hooks {
-    /// Returns how many calls the node still has at the target or on the way to it.
-    std::function<std::size_t(const TargetAnnouncement&)> on_announcement;
-    /// The target with this id leaves.
-    std::function<void(const std::string& id)> on_departure;
+    /// Returns how many calls the node still has at the target or on the way to it, or why the
+    /// announcement can't be one of this host's target.
+    std::function<tl::expected<std::size_t, Findings>(const TargetAnnouncement&)> on_announcement;
+    /// The target with this id leaves; `born` is 0 where it isn't told.
+    std::function<void(const std::string& id, std::uint64_t born)> on_departure;
     std::function<std::string()> render_metrics;
     /// Collects the fleet's report as JSON.
     std::function<void(std::function<void(std::string)>)> collect_fleet;
@@ -30,7 +33,8 @@
 
   explicit AdminService(Hooks service_hooks);
 
-  /// `PUT /target[?id=ID]`, `DELETE /target?id=ID`, `GET /metrics`, `/fleet`, `/records`, `/targets`, `/health`.
+  /// `PUT /target[?id=ID]`, `DELETE /target?id=ID`, `GET /metrics`, `/fleet`, `/records`,
+  /// `/targets`, `/health`.
   void OnRequest(const http::Request& request, const std::shared_ptr<http::Exchange>& exchange);
 
  private:
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -18,10 +18,10 @@
 #include "node/stop_times.h"
 #include "node/target_announcement.h"
 #include "node/target_directory.h"
-#include "node/target_service.h"
-#include "node/target_watcher.h"
+#include "node/target_probe.h"
 #include "peer/link_pool.h"
 #include "peer/link_server.h"
+#include "records/configuration.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -94,9 +94,40 @@
   options.admit_all = this->settings.decisions_off;
   options.wire = this->settings.wire;
   this->target = std::make_unique<TargetService>(this->timers, client, this->contexts, options,
-                                                 this->metrics.TargetHooks());
-  this->target_watcher = std::make_unique<TargetWatcher>(this->timers, this->control.Fleet(),
-                                                         *this->target, this->settings);
+                                                 this->TargetHooks());
+  this->target_probe = std::make_unique<TargetProbe>(client, this->settings.wire);
+  this->target_watcher = std::make_unique<TargetWatcher>(
+      this->timers, this->control.Fleet(), *this->target, this->settings, this->WatcherHooks());
+}
+
+TargetService::Hooks CallPlane::TargetHooks() {
+  TargetService::Hooks hooks = this->metrics.TargetHooks();
+  hooks.on_answered = [this, count = std::move(hooks.on_answered)](const InboundCall& inbound,
+                                                                   Duration service_time) {
+    if (this->target_watcher) this->target_watcher->OnAnswer();
+    count(inbound, service_time);
+  };
+  hooks.on_refused = [this, count = std::move(hooks.on_refused)](const InboundCall& inbound,
+                                                                 policy::RefusalReason reason) {
+    const bool failed = reason == policy::RefusalReason::kTargetFailed;
+    if (failed && this->target_watcher) this->target_watcher->OnFailure();
+    count(inbound, reason);
+  };
+  return hooks;
+}
+
+TargetWatcher::Hooks CallPlane::WatcherHooks() {
+  TargetWatcher::Hooks hooks;
+  hooks.probe = [this](const std::string& address, const std::string& path,
+                       TargetProbe::Handler handler) {
+    this->target_probe->Send(address, path, std::move(handler));
+  };
+  hooks.health_path = [this](const std::string& service) -> std::optional<std::string> {
+    const auto configuration = this->control.Records().InForce();
+    const auto* policy = configuration ? configuration->FindService(service) : nullptr;
+    return policy == nullptr ? std::nullopt : policy->health_path;
+  };
+  return hooks;
 }
 
 void CallPlane::CreateLinks(std::uint64_t incarnation) {
@@ -140,13 +171,15 @@
   this->caller_service->OnRequest(std::move(request), exchange);
 }
 
-std::size_t CallPlane::OnAnnouncement(const TargetAnnouncement& announcement) {
-  this->target_watcher->OnAnnouncement(announcement);
+tl::expected<std::size_t, Findings> CallPlane::OnAnnouncement(
+    const TargetAnnouncement& announcement) {
+  auto findings = this->target_watcher->OnAnnouncement(announcement);
+  if (!findings.empty()) return tl::unexpected(std::move(findings));
   return this->target->OpenCallsOf(announcement.target.address);
 }
 
-void CallPlane::OnDeparture(const std::string& target_id) {
-  this->target_watcher->OnDeparture(target_id);
+void CallPlane::OnDeparture(const std::string& target_id, std::uint64_t born) {
+  this->target_watcher->OnDeparture(target_id, born);
 }
 
 std::string CallPlane::DescribeTargets() const { return this->directory->Describe(); }
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -6,8 +6,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <tl/expected.hpp>
 
 #include "common/clock.h"
+#include "common/finding.h"
 #include "node/attempt_sender.h"
 #include "node/caller_service.h"
 #include "node/context_table.h"
@@ -15,6 +17,8 @@
 #include "node/node_settings.h"
 #include "node/part.h"
 #include "node/retry_budgets.h"
+#include "node/target_service.h"
+#include "node/target_watcher.h"
 #include "policy/byte_budget.h"
 #include "policy/target_chooser.h"
 
@@ -35,8 +39,7 @@
 class ControlPlane;
 class NodeMetrics;
 class TargetDirectory;
-class TargetService;
-class TargetWatcher;
+class TargetProbe;
 struct TargetAnnouncement;
 
 /// The path of a call through a node: the callers' side, the choice of targets, the links to other
@@ -56,8 +59,8 @@
 
   void OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange);
   /// Returns how many calls are still open at the target or on the way to it.
-  std::size_t OnAnnouncement(const TargetAnnouncement& announcement);
-  void OnDeparture(const std::string& target_id);
+  tl::expected<std::size_t, Findings> OnAnnouncement(const TargetAnnouncement& announcement);
+  void OnDeparture(const std::string& target_id, std::uint64_t born);
   std::string DescribeTargets() const;
   std::uint32_t TicketWindow();
 
@@ -71,6 +74,9 @@
   bool HasUnclaimedAnswers() const;
 
  private:
+  /// The metrics' hooks, which the target's watcher listens in on.
+  TargetService::Hooks TargetHooks();
+  TargetWatcher::Hooks WatcherHooks();
   void CreateTarget(http::TargetClient& client, std::uint64_t incarnation);
   void CreateLinks(std::uint64_t incarnation);
   AttemptSender::Hooks SenderHooks();
@@ -96,6 +102,7 @@
   policy::TargetChooser chooser;
   std::unique_ptr<TargetDirectory> directory;
   std::unique_ptr<TargetService> target;
+  std::unique_ptr<TargetProbe> target_probe;
   std::unique_ptr<TargetWatcher> target_watcher;
   std::unique_ptr<peer::LinkPool> links;
   std::unique_ptr<peer::LinkServer> link_server;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -167,7 +167,9 @@
   hooks.on_announcement = [this](const TargetAnnouncement& announcement) {
     return this->calls.OnAnnouncement(announcement);
   };
-  hooks.on_departure = [this](const std::string& id) { this->calls.OnDeparture(id); };
+  hooks.on_departure = [this](const std::string& id, std::uint64_t born) {
+    this->calls.OnDeparture(id, born);
+  };
   hooks.render_metrics = [this] { return this->metrics.Render(); };
   hooks.collect_fleet = [this](std::function<void(std::string)> respond) {
     this->control.Fleet().CollectFleet(
--- a/src/node/node_drain.cc
+++ b/src/node/node_drain.cc
@@ -1,5 +1,6 @@
 #include "node/node_drain.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "common/log.h"
@@ -12,7 +13,9 @@
 
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
 /// Requests that were on their way when the leaving was told arrive within this time.
-constexpr Duration kIdleTime = std::chrono::milliseconds(1500);
+constexpr Duration kArrivalTime = std::chrono::milliseconds(1500);
+/// Between the parts of one caller's work.
+constexpr Duration kIdleTime = std::chrono::milliseconds(200);
 /// A caller that lost its link fetches its answer within this time, or is gone.
 constexpr Duration kUnclaimedTime = std::chrono::seconds(5);
 
@@ -38,7 +41,7 @@
   const Duration needed = this->hooks.unclaimed() ? kUnclaimedTime : kIdleTime;
   const Duration waited = now - this->started;
   const bool given_up = waited >= times.drain_limit;
-  const bool drained = idle_time >= needed && waited >= times.notice;
+  const bool drained = idle_time >= needed && waited >= std::max(times.notice, kArrivalTime);
   if (!busy && waited >= times.notice && !std::exchange(this->doors_closed, true)) {
     this->hooks.close_doors();
   }
--- a/src/node/target_announcement.cc
+++ b/src/node/target_announcement.cc
@@ -92,7 +92,16 @@
   ReadCount(document, "seq", &announcement.seq, &findings);
   ReadColdTime(document, &announcement, &findings);
   if (!findings.empty()) return tl::unexpected(std::move(findings));
+  announcement.complete = document.contains("state") && document.contains("seq");
   return announcement;
 }
 
+std::uint64_t ParseDepartedBorn(std::string_view text) {
+  const json document = json::parse(text, nullptr, false);
+  std::uint64_t born = 0;
+  Findings ignored;
+  if (document.is_object()) ReadCount(document, "born", &born, &ignored);
+  return born;
+}
+
 }  // namespace fireflyrun::node
--- a/src/node/target_announcement.h
+++ b/src/node/target_announcement.h
@@ -17,13 +17,17 @@
   membership::TargetState state = membership::TargetState::kServing;
   std::uint64_t born = 0;  ///< Orders the runs of a target; 0: not told.
   std::uint64_t seq = 0;   ///< Orders what one run says; 0: not told.
+  bool complete = false;   ///< It tells both its state and its `seq`.
   double cold_left = 0;    ///< Seconds for which the target stays slow after its start.
 };
 
 /// Parses `{"service", "address": "IP:PORT", "slots": 1..10000, "state": "serving"|"leaving"}`, of
-/// which `state` may be absent, with the optional numbers `born`, `seq` and `cold_left`. `id` may be
-/// empty. Reports everything that is wrong, with JSON pointers as places.
+/// which `state` may be absent, with the optional numbers `born`, `seq` and `cold_left`. `id` may
+/// be empty. Reports everything that is wrong, with JSON pointers as places.
 tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view id,
                                                              std::string_view json);
 
+/// The `born` that the body of a departure may tell; 0 otherwise.
+std::uint64_t ParseDepartedBorn(std::string_view json);
+
 }  // namespace fireflyrun::node
--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -36,6 +36,35 @@
     return announcement;
   }
 
+  /// What a run of this host's target says of itself.
+  static TargetAnnouncement Word(const std::string& id, std::uint64_t born, std::uint64_t seq,
+                                 TargetState state = TargetState::kServing) {
+    TargetAnnouncement announcement = Announcement("127.0.0.1:8001", state);
+    announcement.target.id = id;
+    announcement.born = born;
+    announcement.seq = seq;
+    announcement.complete = true;
+    return announcement;
+  }
+
+  TargetWatcher::Hooks MakeHooks() {
+    TargetWatcher::Hooks hooks;
+    hooks.probe = [this](const std::string&, const std::string&,
+                         TargetWatcher::Hooks::ProbeHandler handler) {
+      this->questions.push_back(std::move(handler));
+    };
+    hooks.health_path = [](const std::string&) { return std::optional<std::string>("/healthz"); };
+    return hooks;
+  }
+
+  /// As on a host whose settings name its target.
+  void NameTarget() {
+    this->settings.target_service = "calendar";
+    this->settings.target_address = "127.0.0.1:8001";
+    this->settings.wire.expected_target = "Expect-Target";
+    this->settings.wire.target_id = "Target-Id";
+  }
+
   TargetState State() const { return this->fleet.GetView().Self().target_state; }
 
   asio::io_context loop;
@@ -46,7 +75,15 @@
   membership::Membership fleet{
       timers, FleetOptions(), [](const std::string&, const std::string&) {}, {}};
   NodeSettings settings;
-  TargetWatcher watcher{timers, fleet, target, settings};
+  std::vector<TargetWatcher::Hooks::ProbeHandler> questions;
+  Duration boot_time = Duration::zero();
+  TargetWatcher watcher{
+      timers,
+      fleet,
+      target,
+      settings,
+      MakeHooks(),
+      SuspensionDetector([this] { return this->boot_time; }, [] { return Duration::zero(); })};
 };
 
 TEST_F(TargetWatcherTest, LeavingTargetTakesNoNewCalls) {
@@ -71,5 +108,117 @@
   EXPECT_EQ(this->State(), TargetState::kLeaving);
 }
 
+TEST_F(TargetWatcherTest, TakesInNoWordOfATargetThatIsNotThisHosts) {
+  this->NameTarget();
+  auto other_service = Word("i-1", 100, 1);
+  other_service.target.service = "memorial";
+  auto other_address = Word("i-1", 100, 1);
+  other_address.target.address = "127.0.0.1:8002";
+  auto partial = Word("i-1", 100, 1);
+  partial.complete = false;
+  for (const auto& word : {other_service, other_address, partial, Word("i 1", 100, 1)}) {
+    EXPECT_FALSE(this->watcher.OnAnnouncement(word).empty());
+  }
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  EXPECT_TRUE(this->watcher.OnAnnouncement(Word("i-1", 100, 1)).empty());
+  EXPECT_EQ(this->State(), TargetState::kServing);
+}
+
+TEST_F(TargetWatcherTest, OldWordsOfADeadPredecessorChangeNothing) {
+  this->NameTarget();
+  this->watcher.OnAnnouncement(Word("i-2", 200, 1));
+  this->watcher.OnAnnouncement(Word("i-1", 100, 90));
+  this->watcher.OnAnnouncement(Word("i-1", 100, 91, TargetState::kLeaving));
+  EXPECT_EQ(this->target.Target()->id, "i-2");
+  EXPECT_EQ(this->State(), TargetState::kServing);
+}
+
+TEST_F(TargetWatcherTest, ADepartureBindsItsRunAndNoLaterOneOfItsId) {
+  this->NameTarget();
+  this->watcher.OnAnnouncement(Word("i-1", 100, 5));
+  this->watcher.OnAnnouncement(Word("i-1", 100, 7, TargetState::kLeaving));
+  this->watcher.OnAnnouncement(Word("i-1", 100, 8));
+  EXPECT_EQ(this->State(), TargetState::kLeaving);
+  this->watcher.OnAnnouncement(Word("i-1", 300, 1));
+  EXPECT_EQ(this->State(), TargetState::kServing);
+  this->watcher.OnDeparture("i-1", 100);
+  EXPECT_EQ(this->State(), TargetState::kServing);
+  this->watcher.OnDeparture("i-1", 300);
+  EXPECT_EQ(this->State(), TargetState::kLeaving);
+}
+
+TEST_F(TargetWatcherTest, ADepartureThatOvertakesItsRunsWordsHolds) {
+  this->NameTarget();
+  this->watcher.OnDeparture("i-1", 0);
+  this->watcher.OnAnnouncement(Word("i-1", 100, 1));
+  EXPECT_EQ(this->State(), TargetState::kLeaving);
+  this->watcher.OnAnnouncement(Word("i-1", 100, 2));
+  EXPECT_EQ(this->State(), TargetState::kLeaving);
+}
+
+TEST_F(TargetWatcherTest, FindsATargetThatRanBeforeTheNode) {
+  this->NameTarget();
+  this->watcher.Check();
+  this->watcher.Check();
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kServing, "i-1"});
+  EXPECT_EQ(this->State(), TargetState::kServing);
+  EXPECT_EQ(this->target.Target()->id, "i-1");
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  EXPECT_EQ(this->target.Target()->slots, 10U);
+  this->watcher.Check();
+  EXPECT_EQ(this->questions.size(), 1U);
+}
+
+TEST_F(TargetWatcherTest, ATargetThatDrainsIsAwaited) {
+  this->NameTarget();
+  this->watcher.Check();
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kUnwilling, "i-1"});
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  EXPECT_FALSE(this->loop.stopped());
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  EXPECT_EQ(this->State(), TargetState::kServing);
+}
+
+TEST_F(TargetWatcherTest, ASilentTargetIsWithdrawnOnlyIfItDoesNotAnswer) {
+  this->NameTarget();
+  this->settings.announcement_limit = Duration::zero();
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  this->watcher.Check();
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kBusy, ""});
+  EXPECT_EQ(this->State(), TargetState::kServing);
+  this->watcher.Check();
+  ASSERT_EQ(this->questions.size(), 2U);
+  this->questions[1]({ProbeVerdict::kSilent, ""});
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  this->watcher.OnAnnouncement(Word("i-1", 100, 5));
+  EXPECT_EQ(this->State(), TargetState::kServing);
+}
+
+TEST_F(TargetWatcherTest, ATargetThatRefusesConnectionsIsGoneAtOnce) {
+  this->NameTarget();
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  this->watcher.OnFailure();
+  this->watcher.OnFailure();
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kGone, ""});
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+}
+
+TEST_F(TargetWatcherTest, ASuspensionMakesTheTargetUnknownUntilItAnswers) {
+  this->NameTarget();
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  this->boot_time += std::chrono::seconds(4);
+  this->watcher.Check();
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  EXPECT_EQ(this->target.Target(), nullptr);
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kServing, "i-1"});
+  EXPECT_EQ(this->State(), TargetState::kServing);
+  EXPECT_EQ(this->target.Target()->slots, 10U);
+}
+
 }  // namespace
 }  // namespace fireflyrun::node
