--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -186,6 +186,11 @@
 
 std::uint32_t CallPlane::TicketWindow() { return this->target->TicketWindow(); }
 
+void CallPlane::OnConfiguration() {
+  // The first records tell where a target is asked; one that has long been there serves at once.
+  this->target_watcher->Check();
+}
+
 void CallPlane::OnSettingsChanged() {
   const double rate = this->settings.link_bytes_per_second;
   this->link_budget.SetRate(rate, rate * kLinkBurstSeconds, SteadyClock::now());
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -64,6 +64,8 @@
   std::string DescribeTargets() const;
   std::uint32_t TicketWindow();
 
+  /// Other records are in force.
+  void OnConfiguration();
   /// Follows those of the node's settings that change while it runs.
   void OnSettingsChanged();
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -130,6 +130,7 @@
   this->root.Add(this->DrainPart());
   this->control.OnConfiguration([this](const records::Configuration& configuration) {
     this->FollowLimits(configuration.Limits());
+    this->calls.OnConfiguration();
   });
   this->control.AddMetrics(&this->metrics);
   this->calls.AddMetrics(&this->metrics);
--- a/tests/integration/restart_test.cc
+++ b/tests/integration/restart_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
 
@@ -94,5 +96,31 @@
   EXPECT_TRUE(fleet->WaitReady());
 }
 
+/// A port of loopback that nothing uses just now.
+int FreePort() {
+  asio::io_context loop;
+  const asio::ip::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+/// The node's site demands more of announcements than this target says, so that only asking it
+/// shows the node its target.
+TEST(RestartBesideATargetTest, ATargetThatSaysNothingIsFoundByAsking) {
+  const std::string port = std::to_string(FreePort());
+  HostLayout host{"n1", "east", "east-a", "deep"};
+  host.node_flags = {"--target-service", "deep", "--target-address", "127.0.0.1:" + port};
+  host.target_flags = {"--port", port};
+  std::string records = ChainRecords();
+  const std::string deep = R"("schema": 1, "name": "deep")";
+  records.replace(records.find(deep), deep.size(),
+                  R"("schema": 3, "name": "deep", "health_path": "/health")");
+  Fleet own({host}, records);
+  ASSERT_TRUE(own.WaitReady());
+  own.NodeProcess("n1").Kill();
+  own.StartNode("n1");
+  ASSERT_TRUE(own.WaitReady(kMembershipLimit)) << own.NodeProcess("n1").ErrorOutput();
+  EXPECT_EQ(own.Call("n1", "GET", "/deep/x").status, 200);
+}
+
 }  // namespace
 }  // namespace fireflyrun::integration
