--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -15,7 +15,6 @@
 #include <string>
 #include <utility>
 
-#include "common/log_event.h"
 #include "common/log_fields.h"
 #include "common/log_options.h"
 #include "common/log_queue.h"
@@ -86,11 +85,10 @@
 }
 
 void RequestFlush(LogState& state) {
-  if (!state.flush_hook) {
-    state.queue->Flush();
-  } else if (!std::exchange(state.flush_due, true)) {
-    state.flush_hook();
-  }
+  // A whole piece is written in the turn of the loop that there is anyway.
+  const bool at_once = !state.flush_hook || state.queue->HasWholePiece();
+  if (at_once && state.queue->Flush() && !state.limit.HasReport()) return;
+  if (state.flush_hook && !std::exchange(state.flush_due, true)) state.flush_hook();
 }
 
 }  // namespace
@@ -151,10 +149,13 @@
   std::uint64_t all = 0;
   for (const auto count : counts) all += count;
   if (all == 0) return state.limit.HasReport();
-  LogEvent event(LogLevel::kWarning, "log", "left-out");
+  // Outside the bound: it is what tells that the bound was reached.
+  std::string text = "part=log event=left-out";
   for (const auto& [urgency, name] : kLogUrgencyNames.Entries()) {
-    event.Add(name, counts[static_cast<std::size_t>(urgency)]);
+    AppendLogField(name, static_cast<std::int64_t>(counts[static_cast<std::size_t>(urgency)]),
+                   &text);
   }
+  WriteLogLine(LogLevel::kWarning, LogUrgency::kState, text);
   return false;
 }
 
--- a/src/common/log_flusher.cc
+++ b/src/common/log_flusher.cc
@@ -6,9 +6,7 @@
 namespace fireflyrun {
 namespace {
 
-constexpr Duration kBatchTime = std::chrono::milliseconds(50);
-/// For an output that takes nothing now, and for what was left out and is to be said.
-constexpr Duration kRetryTime = std::chrono::milliseconds(250);
+constexpr Duration kBatchTime = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -27,7 +25,7 @@
   const bool more_to_report = ReportLogLinesLeftOut();
   const bool all_written = FlushLog();
   if (all_written && !more_to_report) return;
-  this->timer = this->timers.After(kRetryTime, [this] { this->Flush(); });
+  this->timer = this->timers.After(kBatchTime, [this] { this->Flush(); });
 }
 
 }  // namespace fireflyrun
--- a/src/common/log_queue.cc
+++ b/src/common/log_queue.cc
@@ -40,11 +40,16 @@
   return true;
 }
 
+bool LogQueue::HasWholePiece() const {
+  return !this->output_full && this->lines.size() - this->written >= kPieceBytes;
+}
+
 bool LogQueue::Flush() {
   while (!this->Empty()) {
     const std::string_view rest = std::string_view(this->lines).substr(this->written);
     const std::size_t taken = this->output->Write(WholeLines(rest));
-    if (taken == 0) return false;
+    this->output_full = taken == 0;
+    if (this->output_full) return false;
     this->written += taken;
   }
   this->lines.clear();
--- a/src/common/log_queue.h
+++ b/src/common/log_queue.h
@@ -28,11 +28,14 @@
   /// Writes what the output takes now. True when nothing is left.
   bool Flush();
   bool Empty() const { return this->written == this->lines.size(); }
+  /// Enough lines wait for a whole write, and the output has not just refused one.
+  bool HasWholePiece() const;
 
  private:
   std::unique_ptr<NonBlockingOutput> output;
   std::string lines;
-  std::size_t written = 0;  ///< Bytes of `lines` that the output has taken.
+  std::size_t written = 0;   ///< Bytes of `lines` that the output has taken.
+  bool output_full = false;  ///< It took nothing the last time.
 };
 
 }  // namespace fireflyrun
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -1,5 +1,7 @@
 #include "tests/integration/fleet.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -21,6 +23,7 @@
 /// From a host's own address to the one at which a FaultNetwork stands for it.
 constexpr int kAdvertisedOctetOffset = 100;
 constexpr int kOctetValues = 250;
+constexpr mode_t kPipeMode = 0600;
 
 std::string MakeFolder() {
   std::string name = (std::filesystem::temp_directory_path() / "fireflyrun-XXXXXX").string();
@@ -61,6 +64,7 @@
 
 Fleet::Fleet(std::vector<HostLayout> layouts, const std::string& records, FleetOptions options)
     : folder(MakeFolder()), address_prefix(MakeAddressPrefix()) {
+  this->unread_output = options.unread_output;
   this->StartStore();
   const auto applied = this->Command({"apply", this->WriteFile("records.json", records)});
   if (applied.status != 0) throw std::runtime_error("apply: " + applied.output + applied.errors);
@@ -76,6 +80,7 @@
     if (host.node) host.node->Kill();
   }
   this->store->Kill();
+  for (const int pipe : this->unread_pipes) close(pipe);
   if (std::getenv("FIREFLYRUN_KEEP_LOGS") == nullptr) std::filesystem::remove_all(this->folder);
 }
 
@@ -149,8 +154,15 @@
                                    "--log-level",
                                    "debug"};
   command.insert(command.end(), layout.node_flags.begin(), layout.node_flags.end());
-  return std::make_unique<Process>(
-      std::move(command), this->folder + "/" + layout.node + "-" + std::to_string(this->starts++));
+  const std::string output =
+      this->folder + "/" + layout.node + "-" + std::to_string(this->starts++);
+  if (this->unread_output) this->MakeUnreadPipe(output + ".out");
+  return std::make_unique<Process>(std::move(command), output);
+}
+
+void Fleet::MakeUnreadPipe(const std::string& path) {
+  if (mkfifo(path.c_str(), kPipeMode) != 0) throw std::runtime_error("cannot make " + path);
+  this->unread_pipes.push_back(open(path.c_str(), O_RDWR | O_CLOEXEC));
 }
 
 void Fleet::StartTarget(const std::string& node) {
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -93,6 +93,7 @@
   const Host& Find(const std::string& node) const;
   std::string SeeAllTargets(const Host& host) const;
   std::string Seeds() const;
+  void MakeUnreadPipe(const std::string& path);
 
   std::string folder;
   std::string address_prefix;
@@ -103,6 +104,8 @@
   std::vector<Host> hosts;
   mutable std::atomic<int> commands = 0;
   int starts = 0;
+  bool unread_output = false;
+  std::vector<int> unread_pipes;
 };
 
 /// Records for the three-service chain used by most tests: `entry` (idempotent, class `status`),
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -29,6 +29,7 @@
 
   pid_t Id() const { return this->id; }
   std::string Output() const;
+  const std::string& OutputPath() const { return this->output_path; }
   std::string ErrorOutput() const;
 
  private:
--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20;
 constexpr std::chrono::seconds kCallTimeout(60);
+constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 constexpr int kOk = 200;
 constexpr int kFirstErrorStatus = 300;
 constexpr int kBadRequest = 400;
@@ -245,6 +246,8 @@
 void TargetService::Finish(const RunPointer& run, http::Response response) {
   if (this->running.erase(run) == 0) return;
   this->log.Complete(run->number);
+  const auto id = http::FindHeader(run->request.headers, kRequestIdHeader);
+  if (id) response.headers.push_back({std::string(kRequestIdHeader), std::string(*id)});
   run->exchange->Respond(std::move(response));
   this->StartNext();
 }
