--- a/src/node/target_watcher.cc
+++ b/src/node/target_watcher.cc
@@ -205,8 +205,9 @@
                      found.target.address == this->settings.target_address &&
                      found.target.service == this->settings.target_service;
   if (!known) {
-    found.target = {this->settings.target_service, result.id, this->settings.target_address,
-                    kPresumedSlots};
+    // It ran before this node did, so it is taken for warm.
+    found.target = {this->settings.target_service, this->settings.target_address, kPresumedSlots,
+                    result.id, 0.0};
     found.state = TargetState::kServing;
     found.seq = 0;
   }
