--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "common/log_event.h"
 #include "common/timer_service.h"
 #include "membership/membership.h"
 #include "node/record_codec.h"
@@ -103,11 +104,13 @@
 void RecordKeeper::OnBookChanged() {
   this->configuration = records::Configuration::Build(this->book);
   if (this->on_configuration) this->on_configuration(*this->configuration);
-  Log(LogLevel::kInfo, "records",
-      "event=in-force revision=" + std::to_string(this->book.Revision()));
+  LogEvent(LogLevel::kInfo, "records", "in-force")
+      .Add("revision", this->book.Revision())
+      .Add("records", this->book.Entries().size());
   for (const Finding& problem : this->configuration->Problems()) {
-    Log(LogLevel::kWarning, "records",
-        "event=unusable-record place=" + problem.place + " problem=\"" + problem.message + "\"");
+    LogEvent(LogLevel::kWarning, "records", "unusable-record")
+        .Add("place", problem.place)
+        .Add("problem", problem.message);
   }
 }
 
--- a/src/store/record_watch.cc
+++ b/src/store/record_watch.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "common/log.h"
+#include "common/log_event.h"
 #include "common/random.h"
 #include "common/timer_service.h"
 
@@ -17,7 +17,9 @@
 
 void LogProblems(const Findings& problems) {
   for (const Finding& problem : problems) {
-    Log(LogLevel::kWarning, "records", "key=" + problem.place + " problem=" + problem.message);
+    LogEvent(LogLevel::kWarning, "records", "problem")
+        .Add("place", problem.place)
+        .Add("problem", problem.message);
   }
 }
 
@@ -102,9 +104,9 @@
 
 void RecordWatch::OnWatchEnd(const StoreError& error) {
   this->watch = 0;
-  Log(LogLevel::kInfo, "records",
-      "watch=ended kind=" + std::string(kStoreErrorKindNames.NameOf(error.kind)) +
-          " reason=" + error.message);
+  LogEvent(LogLevel::kInfo, "records", "watch-ended")
+      .Add("cause", kStoreErrorKindNames.NameOf(error.kind))
+      .Add("detail", error.message);
   if (SteadyClock::now() - this->watch_opened >= kSteadyWatch) this->retry_delay = kMinRetryDelay;
   if (error.kind == StoreErrorKind::kCompacted && this->retry_delay == kMinRetryDelay) {
     // A listing brings the watch past what was compacted; only a repetition has to wait.
