--- a/src/common/log.cc
+++ b/src/common/log.cc
@@ -65,6 +65,7 @@
 /// Takes the records of Boost.Log into the queue.
 class QueueBackend : public sinks::basic_formatted_sink_backend<char, sinks::concurrent_feeding> {
  public:
+  // NOLINTNEXTLINE(readability-identifier-naming): Boost.Log calls it by this name.
   static void consume(const boost::log::record_view& record, const std::string& text) {
     LogState& state = State();
     const auto level = record["Severity"].extract<LogLevel>();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -69,7 +69,7 @@
  private:
   AdminService::Hooks AdminHooks();
   NodeDrain::Hooks DrainHooks();
-  std::unique_ptr<http::Server> MakeHealthServer(asio::io_context& loop);
+  std::unique_ptr<http::Server> MakeAdminServer(asio::io_context& loop, std::uint16_t port);
   template <typename Server>
   static Part ServerPart(std::string name, Server& server);
   void FollowLimits(const records::CallerLimits& limits);
@@ -88,6 +88,7 @@
   AdminService admin_service;
   http::Server admin_server;
   std::unique_ptr<http::Server> health_server;
+  std::unique_ptr<http::Server> metrics_server;
   http::CallServer caller_server;
   NodeDrain drain;
   Supervisor call_supervisor;
@@ -119,9 +120,13 @@
   this->call_supervisor.Add(this->ServerPart("caller-server", this->caller_server));
   this->root.Add(this->ServerPart("admin-server", this->admin_server));
   if (settings.health_port != 0) {
-    this->health_server = this->MakeHealthServer(loop);
+    this->health_server = this->MakeAdminServer(loop, settings.health_port);
     this->root.Add(this->ServerPart("health-server", *this->health_server));
   }
+  if (settings.metrics_port != 0) {
+    this->metrics_server = this->MakeAdminServer(loop, settings.metrics_port);
+    this->root.Add(this->ServerPart("metrics-server", *this->metrics_server));
+  }
   this->root.Add(this->control.AsPart([this] { return this->calls.TicketWindow(); }));
   this->root.Add(this->call_supervisor.AsPart());
   this->root.Add(this->DrainPart());
@@ -169,9 +174,10 @@
   this->caller_server.SetLimits(now);
 }
 
-std::unique_ptr<http::Server> Node::Implementation::MakeHealthServer(asio::io_context& loop) {
+std::unique_ptr<http::Server> Node::Implementation::MakeAdminServer(asio::io_context& loop,
+                                                                    std::uint16_t port) {
   http::ServerOptions options = AdminServerOptions(this->settings);
-  options.port = this->settings.health_port;
+  options.port = port;
   return std::make_unique<http::Server>(
       loop, options, [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
         this->admin_service.OnRequest(request, exchange);
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -172,6 +172,11 @@
                "takes announcements; serves /metrics and /fleet [7401]", &NodeSettings::admin_port),
       PortSpec("health-port", "FIREFLYRUN_HEALTH_PORT",
                "serves /health as well [the admin port alone]", &NodeSettings::health_port),
+      {"metrics-port", "FIREFLYRUN_METRICS_PORT", "PORT",
+       "serves /metrics as well; 0: the admin port alone [0]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 0, 65535, "", &settings.metrics_port);
+       }},
       PortSpec("peer-port", "FIREFLYRUN_PEER_PORT", "takes calls from other nodes [7402]",
                &NodeSettings::peer_port),
       PortSpec("control-port", "FIREFLYRUN_CONTROL_PORT", "takes control messages [7403]",
