--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -122,7 +122,7 @@
 std::optional<policy::Ticket> Dispatch::ProposeTicket(const policy::TargetQuery& query) {
   const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
   const auto choice = this->services.chooser->Choose(query, candidates, SteadyClock::now());
-  this->trace.OnRouted(this->call, candidates, choice, *this->services.chooser);
+  if (!this->ticket) this->trace.OnRouted(this->call, candidates, choice, *this->services.chooser);
   if (!choice) return std::nullopt;
   const auto window = this->services.directory->TicketWindowOf(choice->node);
   return policy::Ticket::Mint(choice->node, choice->incarnation, window);
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -72,6 +72,11 @@
 }
 
 std::string_view CauseOfEnd(const CallResult& result) {
+  // A call that runs at most once is refused as without target whatever kept one from being chosen.
+  const auto no_choice = result.trace.NoChoice();
+  const bool hidden =
+      result.reason == RefusalReason::kNoTarget && no_choice != RefusalReason::kNone;
+  if (hidden) return kRefusalReasonNames.NameOf(no_choice);
   if (result.reason != RefusalReason::kNone) return kRefusalReasonNames.NameOf(result.reason);
   return result.Answered() ? "target-status" : "unexplained";
 }
--- a/src/node/request_trace.cc
+++ b/src/node/request_trace.cc
@@ -150,6 +150,10 @@
   this->AddTo(&event);
 }
 
+RefusalReason RequestTrace::NoChoice() const {
+  return this->attempts == 0 ? this->routing.refusal : RefusalReason::kNone;
+}
+
 void RequestTrace::AddTo(LogEvent* event) const {
   this->AddRouting(event);
   event->Add("attempts", this->attempts);
--- a/src/node/request_trace.h
+++ b/src/node/request_trace.h
@@ -48,6 +48,8 @@
                      const RepeatInputs& inputs);
   void OnCancelled(const OutboundCall& call) const;
 
+  /// Why no target was chosen for a call that was never sent; kNone otherwise.
+  policy::RefusalReason NoChoice() const;
   /// Adds what led to the call's end.
   void AddTo(LogEvent* event) const;
 
