--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -102,7 +102,7 @@
     fleet->StartNode(node);
     ASSERT_TRUE(WaitUntil(kStartLimit, [&] {
       return Get(fleet->AdminUrl(node) + "/health").status == 200;
-    })) << fleet->NodeProcess(node).ErrorOutput();
+    })) << fleet->NodeProcess(node).Output();
   }
 
   static std::unique_ptr<Fleet> fleet;
--- a/tests/integration/log_lines_test.cc
+++ b/tests/integration/log_lines_test.cc
@@ -154,6 +154,21 @@
   EXPECT_TRUE(Tells(*fleet, "a2", {"event=ended"}));
 }
 
+TEST_F(LogLinesTest, MetricsTellWhatTheLinesTell) {
+  EXPECT_EQ(CallAs(*fleet, "counted-1", "/middle/x").status, 503);
+  const std::string metrics = Get(fleet->AdminUrl("a0") + "/metrics").body;
+  for (const char* sample : {"fireflyrun_members_by_state{state=\"reachable\"} ",
+                             "fireflyrun_store_calls_total{call=\"list\",result=\"ok\"} ",
+                             "fireflyrun_records_age_seconds ", "fireflyrun_retry_budget_left ",
+                             "fireflyrun_open_connections ",
+                             "fireflyrun_log_lines_left_out_total{urgency=\"failure\"} 0",
+                             "process_resident_memory_bytes "}) {
+    EXPECT_NE(metrics.find(sample), std::string::npos) << sample;
+  }
+  EXPECT_NE(metrics.find("reason=\"no-target\""), std::string::npos);
+  EXPECT_EQ(metrics.find("records_age_seconds -1"), std::string::npos);
+}
+
 /// Times of calls one after another, shortest first.
 std::vector<Clock::duration> TimesOfCalls(Fleet& fleet) {
   std::vector<Clock::duration> times;
