--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -115,7 +115,7 @@
         platform.make_store ? platform.make_store(client, this->timers, this->settings)
                             : MakeEtcdStore(client, this->timers, this->settings));
     if (platform.make_record_source) {
-      this->record_source = platform.make_record_source(*this->store, this->timers);
+      this->record_source = platform.make_record_source(*this->store, this->timers, this->settings);
     } else {
       this->record_source =
           std::make_unique<store::RecordStore>(*this->store, this->timers, this->settings.cluster);
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -68,6 +68,17 @@
   return std::nullopt;
 }
 
+Problem StoreShare(std::string_view value, double* share) {
+  double parsed = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
+  const bool whole = error == std::errc{} && end == value.data() + value.size();
+  if (!whole || !(parsed >= 0 && parsed <= 1)) {
+    return fmt::format("\"{}\" is out of range; allowed is a number of 0 to 1", value);
+  }
+  *share = parsed;
+  return std::nullopt;
+}
+
 Problem StoreEndpoints(std::string_view value, std::vector<std::string>* endpoints) {
   endpoints->clear();
   while (!value.empty()) {
@@ -174,6 +185,11 @@
                "takes announcements; serves /metrics and /fleet [7401]", &NodeSettings::admin_port),
       PortSpec("health-port", "FIREFLYRUN_HEALTH_PORT",
                "serves /health as well [the admin port alone]", &NodeSettings::health_port),
+      {"metrics-port", "FIREFLYRUN_METRICS_PORT", "PORT",
+       "serves /metrics as well; 0: the admin port alone [0]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 0, 65535, "", &settings.metrics_port);
+       }},
       PortSpec("peer-port", "FIREFLYRUN_PEER_PORT", "takes calls from other nodes [7402]",
                &NodeSettings::peer_port),
       PortSpec("control-port", "FIREFLYRUN_CONTROL_PORT", "takes control messages [7403]",
@@ -236,6 +252,11 @@
          return StoreNumber(value, 0, 1'000'000'000, " bytes", &settings.link_bytes_per_second);
        },
        kLive},
+      {"retry-ratio", "FIREFLYRUN_RETRY_RATIO", "SHARE",
+       "repeats that a service may get of its requests, where the site sets it, 0 to 1 [0.2]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreShare(value, &settings.retry_ratio);
+       }},
       {"decisions-off", "FIREFLYRUN_DECISIONS_OFF", "on|off",
        "baseline for benchmarks: fixed retries per hop, no shedding, first in first out [off]",
        [](std::string_view value, NodeSettings& settings) {
