--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -95,6 +95,7 @@
   options.max_body_bytes = this->settings.max_body_bytes;
   options.admit_all = this->settings.decisions_off;
   options.wire = this->settings.wire;
+  options.admission.queue_target = this->settings.queue_target;
   this->target = std::make_unique<TargetService>(this->timers, client, this->contexts, options,
                                                  this->TargetHooks());
   this->target_probe = std::make_unique<TargetProbe>(client, this->settings.wire);
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -252,6 +252,11 @@
          return StoreNumber(value, 0, 1'000'000'000, " bytes", &settings.link_bytes_per_second);
        },
        kLive},
+      {"queue-target", "FIREFLYRUN_QUEUE_TARGET", "SECONDS",
+       "calls may always wait this long for the target before fewer are taken, 0.001 to 10 [0.02]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSeconds(value, 0.001, 10, &settings.queue_target);
+       }},
       {"retry-ratio", "FIREFLYRUN_RETRY_RATIO", "SHARE",
        "repeats that a service may get of its requests, where the site sets it, 0 to 1 [0.2]",
        [](std::string_view value, NodeSettings& settings) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -38,6 +38,7 @@
   Duration stop_notice = Duration::zero();  ///< Callers leave a stopping node within this time.
   Duration stop_grace = Duration::zero();   ///< From a stop to the kill; zero: none comes.
   std::uint32_t link_bytes_per_second = 2'000;
+  Duration queue_target = std::chrono::milliseconds(20);  ///< See policy/admission_options.h.
   double retry_ratio = 0.2;  ///< Repeats that a service may get, of its requests, at most.
   bool decisions_off = false;
   WireNames wire;
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -23,6 +23,8 @@
 
 constexpr int kServiceUnavailableStatus = 503;
 constexpr int kMisdirectedStatus = 421;
+/// Of the slots of a target that says that it is cold: all of them work, but slowly.
+constexpr double kFirstShareOfCold = 0.5;
 constexpr std::uint32_t kRememberedWindows = 12;
 constexpr std::size_t kTicketsPerWindow = 16'000;
 constexpr std::size_t kRetainedAnswerBytes = std::size_t{2} << 20;
@@ -43,9 +45,10 @@
 }
 
 /// A target that doesn't tell whether it has just started is taken for new.
-Duration WarmUpOf(const TargetAddress& target) {
-  if (!target.cold_seconds) return policy::kDefaultWarmUp;
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*target.cold_seconds));
+policy::WarmUp WarmUpOf(const TargetAddress& target) {
+  if (!target.cold_seconds) return {};
+  const std::chrono::duration<double> told(*target.cold_seconds);
+  return {std::chrono::duration_cast<Duration>(told), kFirstShareOfCold};
 }
 
 std::shared_ptr<CallContext> MakeContext(const InboundCall& inbound) {
@@ -72,15 +75,24 @@
       options(std::move(service_options)),
       hooks(std::move(service_hooks)),
       ledger(this->options.node, this->options.incarnation, LedgerLimits(), SteadyClock::now()),
-      admission({},
+      admission(this->options.admission,
                 {[this](const Id128& id) { this->StartCall(id); },
                  [this](const Id128& id, RefusalReason reason) {
                    if (const auto inbound = this->Find(id)) this->Refuse(inbound, reason);
                  }},
                 SteadyClock::now()) {
-  this->tick_timer = this->timers.Every(policy::AdmissionController::kTickInterval, [this] {
+}
+
+void TargetService::TickWhenDue() {
+  const Duration delay = this->admission.NextTick();
+  if (delay == Duration::zero() || (this->tick_due && delay >= this->tick_delay)) return;
+  this->tick_due = true;
+  this->tick_delay = delay;
+  this->tick_timer = this->timers.After(delay, [this] {
+    this->tick_due = false;
     this->admission.Tick(SteadyClock::now());
     this->admission_log.Note(this->admission);
+    this->TickWhenDue();
   });
 }
 
@@ -97,7 +109,7 @@
 
 void TargetService::WithdrawTarget() {
   this->target.reset();
-  this->admission.SetSlots(0, Duration::zero(), SteadyClock::now());
+  this->admission.SetSlots(0, SteadyClock::now());
 }
 
 void TargetService::SetLeaving(bool is_leaving) {
@@ -217,6 +229,7 @@
   const auto root = Id128::FromBytes(head.root_id()).value_or(Id128());
   this->admission.Offer({inbound->id, policy::KeyFor(head.class_rank(), root), inbound->deadline},
                         SteadyClock::now());
+  this->TickWhenDue();
 }
 
 void TargetService::StartCall(const Id128& id) {
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -42,6 +42,7 @@
     std::size_t max_body_bytes = 0;
     bool admit_all = false;  ///< Baseline for benchmarks: no shedding, first in first out.
     WireNames wire = {};
+    policy::AdmissionOptions admission = {};
   };
 
   struct Hooks {
@@ -86,6 +87,8 @@
   bool ClaimTicket(const CallPointer& inbound);
   void Join(const CallPointer& inbound);
   void Offer(const CallPointer& inbound);
+  /// Sets the timer for the admission's next tick, if it needs one.
+  void TickWhenDue();
   void StartCall(const Id128& id);
   void SendToTarget(const CallPointer& inbound);
   void OnTargetEnded(const CallPointer& inbound,
@@ -117,6 +120,8 @@
   std::unordered_map<Id128, CallPointer> calls;
   std::unordered_map<Id128, Id128> running_tickets;  ///< Nonce to the id of the call it runs in.
   AdmissionLog admission_log;
+  bool tick_due = false;
+  Duration tick_delay = Duration::zero();
   TimerSubscription tick_timer;
 };
 
--- a/src/policy/admission_controller.cc
+++ b/src/policy/admission_controller.cc
@@ -35,7 +35,7 @@
       interval_start(now),
       last_completion(now) {}
 
-void AdmissionController::SetSlots(std::uint32_t slots, Duration warm_up, SteadyTime now) {
+void AdmissionController::SetSlots(std::uint32_t slots, const WarmUp& warm_up, SteadyTime now) {
   this->limit.SetCeiling(slots, warm_up, now);
   if (slots == 0) {
     this->RefuseEntries(this->queue.TakeAll(), RefusalReason::kNoTarget);
@@ -99,6 +99,13 @@
   this->RunActions();
 }
 
+Duration AdmissionController::NextTick() const {
+  if (this->queue.Size() > 0) return kTickInterval;
+  const bool at_rest = this->in_flight.empty() && this->offered_count == 0 &&
+                       this->level.Level() == kOpenLevel;
+  return at_rest ? Duration::zero() : kCalmTickInterval;
+}
+
 Duration AdmissionController::RetryAfter() const {
   const double completed = std::max(this->level.CompletedRate(), 1.0);
   const double excess = std::max(1.0, this->level.OfferedRate() / completed);
--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -22,10 +22,12 @@
 /// Decides at the target's node which calls run, wait or are refused.
 ///
 /// Hooks are called from within the events below, after the state has changed; a hook may call the
-/// controller again but must not destroy it. `Tick` is due every `kTickInterval`.
+/// controller again but must not destroy it. `Tick` is due as `NextTick` tells.
 class AdmissionController {
  public:
   static constexpr Duration kTickInterval = std::chrono::milliseconds(10);
+  /// While calls run and none waits, ticks only measure use.
+  static constexpr Duration kCalmTickInterval = std::chrono::milliseconds(50);
 
   AdmissionController(AdmissionOptions admission_options, AdmissionHooks admission_hooks,
                       SteadyTime now);
@@ -34,10 +36,8 @@
 
   /// The target's announced slots, and how long it takes to warm up if it is new; 0 while there is none, when queued calls are refused
   /// `kNoTarget`.
-  void SetSlots(std::uint32_t slots, Duration warm_up, SteadyTime now);
-  void SetSlots(std::uint32_t slots, SteadyTime now) {
-    this->SetSlots(slots, kDefaultWarmUp, now);
-  }
+  void SetSlots(std::uint32_t slots, const WarmUp& warm_up, SteadyTime now);
+  void SetSlots(std::uint32_t slots, SteadyTime now) { this->SetSlots(slots, WarmUp(), now); }
   /// The target is leaving: queued and new calls are refused `kLeaving`; calls in flight finish.
   void SetLeaving(bool is_leaving);
 
@@ -55,6 +55,10 @@
   /// Drops queued calls that can't meet their deadline, and adapts the level.
   void Tick(SteadyTime now);
 
+  /// When the next Tick() is due; zero for a controller at rest, which needs none until a call is
+  /// offered.
+  Duration NextTick() const;
+
   PriorityKey Level() const { return this->level.Level(); }
   std::uint32_t InFlight() const { return static_cast<std::uint32_t>(this->in_flight.size()); }
   std::uint32_t Limit(SteadyTime now) const { return this->limit.Limit(now); }
--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -59,13 +59,12 @@
 /// Below this share of the limit, calls in flight can't be the cause of a slower target.
 constexpr double kLittleUse = 0.5;
 
-constexpr double kRampStart = 0.1;
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
 
-void ConcurrencyLimit::SetCeiling(std::uint32_t slots, Duration warm_up, SteadyTime now) {
+void ConcurrencyLimit::SetCeiling(std::uint32_t slots, const WarmUp& warm_up, SteadyTime now) {
   if (slots == this->ceiling) return;
   if (this->ceiling == 0) {
     this->ramp_start = now;
@@ -76,7 +75,7 @@
     this->reduction = {};
     this->measuring = false;
     this->recover_to = 0;
-    this->probe_at = now + kDefaultWarmUp;
+    this->probe_at = now + WarmUp().time;
     this->settled_at = now + kStartSettle;
     this->StartWindow(now);
   }
@@ -101,8 +100,9 @@
 std::uint32_t ConcurrencyLimit::Limit(SteadyTime now) const {
   if (this->ceiling == 0) return 0;
   const Duration age = now - this->ramp_start;
-  const double share = age >= this->ramp ? 1 : Seconds(age) / Seconds(this->ramp);
-  const double ramp_limit = this->ceiling * (kRampStart + (1 - kRampStart) * share);
+  const double share = age >= this->ramp.time ? 1 : Seconds(age) / Seconds(this->ramp.time);
+  const double first = this->ramp.first_share;
+  const double ramp_limit = this->ceiling * (first + (1 - first) * share);
   return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::min(this->limit, ramp_limit)));
 }
 
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -8,8 +8,12 @@
 
 namespace fireflyrun::policy {
 
-/// Of a target that doesn't tell how long it takes.
-inline constexpr Duration kDefaultWarmUp = std::chrono::seconds(5);
+/// How the limit of a new target rises to its slots. The initial values are for a target that
+/// doesn't tell whether it is new.
+struct WarmUp {
+  Duration time = std::chrono::seconds(5);
+  double first_share = 0.1;  ///< Of the slots.
+};
 
 /// The number of calls that a target is given at once, adapted from observed service times.
 ///
@@ -34,10 +38,8 @@
 
   /// The announced slots: the ceiling of the limit; 0 stops all calls. A rise from 0 starts a ramp
   /// that lasts for `warm_up`.
-  void SetCeiling(std::uint32_t slots, Duration warm_up, SteadyTime now);
-  void SetCeiling(std::uint32_t slots, SteadyTime now) {
-    this->SetCeiling(slots, kDefaultWarmUp, now);
-  }
+  void SetCeiling(std::uint32_t slots, const WarmUp& warm_up, SteadyTime now);
+  void SetCeiling(std::uint32_t slots, SteadyTime now) { this->SetCeiling(slots, WarmUp(), now); }
 
   /// One call ended. `in_flight` counts it too. `ok` is false for timeouts and broken exchanges.
   void OnSample(Duration service_time, bool ok, std::uint32_t in_flight, SteadyTime now);
@@ -98,7 +100,7 @@
   double smoothed_seconds = 0;
   std::uint32_t settled_windows = 0;  ///< Windows since the limit changed.
   SteadyTime ramp_start;
-  Duration ramp = kDefaultWarmUp;
+  WarmUp ramp;
   SteadyTime settled_at;  ///< Samples before say nothing of the limit in force.
   Window window;
   Reduction reduction;
--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -176,7 +176,9 @@
 
 double TargetChooser::Score(const Candidate& candidate, SteadyTime now) {
   const TargetLoad& load = this->KnownOf(candidate).load;
-  const double limit = load.Limit(candidate.slots, now) * Warmth(candidate, now);
+  // What the target's node said of its limit counts more than how long it is known.
+  const double warmth = load.HeardLately(now) ? 1 : Warmth(candidate, now);
+  const double limit = load.Limit(candidate.slots, now) * warmth;
   return (load.InFlight(now) + 1) / limit;
 }
 
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -44,15 +44,19 @@
   }
 }
 
+bool TargetLoad::HeardLately(SteadyTime now) const {
+  return this->heard_load.limit != 0 && now - this->heard_at <= kHeardFreshFor;
+}
+
 double TargetLoad::InFlight(SteadyTime now) const {
   const double here = this->in_flight;
-  if (this->heard_load.limit == 0 || now - this->heard_at > kHeardFreshFor) return here;
+  if (!this->HeardLately(now)) return here;
   const double since_heard = here - this->in_flight_when_heard;
   return std::max(here, this->heard_load.in_flight + since_heard);
 }
 
 double TargetLoad::Limit(std::uint32_t slots, SteadyTime now) const {
-  if (this->heard_load.limit == 0 || now - this->heard_at > kHeardFreshFor) return slots;
+  if (!this->HeardLately(now)) return slots;
   return this->heard_load.limit;
 }
 
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -19,6 +19,8 @@
   std::uint32_t InFlightFromHere() const { return this->in_flight; }
   /// The limit heard lately, otherwise `slots`.
   double Limit(std::uint32_t slots, SteadyTime now) const;
+  /// A limit was heard lately.
+  bool HeardLately(SteadyTime now) const;
   /// Smoothed time of successes; 0 before the first.
   double LatencySeconds() const { return this->latency_seconds; }
 
--- a/tests/integration/stop_test.cc
+++ b/tests/integration/stop_test.cc
@@ -72,7 +72,7 @@
   }
   bool NodeSays(const std::string& text) {
     return WaitUntil(kLimit, [&] {
-      return this->fleet.NodeProcess("a1").ErrorOutput().find(text) != std::string::npos;
+      return this->fleet.NodeProcess("a1").Output().find(text) != std::string::npos;
     });
   }
 
