--- a/tests/integration/log_lines_test.cc
+++ b/tests/integration/log_lines_test.cc
@@ -7,6 +7,7 @@
 #include <sstream>
 #include <thread>
 
+#include "tests/integration/continuous_load.h"
 #include "tests/integration/fleet.h"
 #include "tests/integration/wait_until.h"
 
@@ -119,6 +120,19 @@
       {"event=failed request=failing-1 ", "cause=target-status", "status=500", "not_repeated="}));
 }
 
+TEST_F(LogLinesTest, OutliersOutAndIn) {
+  fleet->SetTargetFault("a1", R"({"fail": true})");
+  const auto told = [&](const std::string& event) {
+    return WaitUntil(kLimit, [&] {
+      CallAs(*fleet, "outlier", "/entry/x");
+      return fleet->NodeProcess("a0").Output().find(event) != std::string::npos;
+    });
+  };
+  EXPECT_TRUE(told("event=outlier-out target=a1 failures_in_row="));
+  fleet->SetTargetFault("a1", R"({"fail": false})");
+  EXPECT_TRUE(told("event=outlier-in target=a1 "));
+}
+
 TEST_F(LogLinesTest, CallerThatLeaves) {
   for (const char* node : {"a1", "a2"}) fleet->SetTargetFault(node, R"({"hang": true})");
   EXPECT_EQ(CallAs(*fleet, "gone-1", "/entry/x", kPatience).status, 0);
@@ -169,6 +183,33 @@
   EXPECT_EQ(metrics.find("records_age_seconds -1"), std::string::npos);
 }
 
+TEST(OverloadLinesTest, LevelAndRefusalsOfAnOverloadedTarget) {
+  Fleet fleet({{"a0", "east", "east-a", "", 0, 0, "", kIdFlags, {}},
+               {"a1", "east", "east-a", "entry", 2, 50, "", kIdFlags, {}}},
+              ChainRecords());
+  ASSERT_TRUE(fleet.WaitReady());
+  ContinuousLoad::Options options;
+  options.urls = {fleet.CallerUrl("a0") + "/entry/x"};
+  options.threads_per_url = 40;
+  ContinuousLoad load(options);
+  EXPECT_TRUE(Tells(fleet, "a1", {"event=level-changed from=open to=9:", "queue=", "limit="}));
+  EXPECT_TRUE(Tells(fleet, "a1", {"part=target event=refused ", "cause=overload", "slots=2"}));
+  EXPECT_TRUE(Tells(fleet, "a0", {"part=caller event=refused ", "status=503", "admission_level="}));
+  load.Stop();
+}
+
+TEST(MovedLinesTest, CallsToANodeThatIsGoneMove) {
+  Fleet fleet(Chain(Flags({"--log-lines", "100000"})), ChainRecords());
+  ASSERT_TRUE(fleet.WaitReady());
+  CallAs(fleet, "before", "/entry/x");
+  fleet.NodeProcess("a1").Kill();
+  EXPECT_TRUE(WaitUntil(kLimit, [&] {
+    EXPECT_EQ(CallAs(fleet, "moved", "/entry/x").status, 200);
+    return fleet.NodeProcess("a0").Output().find("event=moved request=moved ") != std::string::npos;
+  }));
+  EXPECT_TRUE(Tells(fleet, "a0", {"event=moved request=moved ", "from=a1", "cause=unreachable"}));
+}
+
 /// Times of calls one after another, shortest first.
 std::vector<Clock::duration> TimesOfCalls(Fleet& fleet) {
   std::vector<Clock::duration> times;
