--- a/src/cli/request_story.cc
+++ b/src/cli/request_story.cc
@@ -57,7 +57,9 @@
     causes.push_back(end);
     const LogRecord* below = nullptr;
     for (const LogRecord* record : ordered) {
-      const bool ends = record->Get("part") == kCallerPart && IsEnd(record->Get("event"));
+      // A call that was cancelled ended because of what called it, not the other way round.
+      const auto event = record->Get("event");
+      const bool ends = record->Get("part") == kCallerPart && IsEnd(event) && event != "cancelled";
       if (ends && IsFailure(*record) && IsChild(record->Get("request"), id)) below = record;
     }
     if (below == nullptr) break;
--- a/tests/cli/request_story_test.cc
+++ b/tests/cli/request_story_test.cc
@@ -53,12 +53,13 @@
   story.Add(Line("09", "a", "part=caller event=failed request=r1 cause=target-status status=500"));
   story.Add(Line("05", "b", "part=caller event=refused request=r1.c1 cause=overload status=503"));
   story.Add(Line("03", "b", "part=caller event=answered request=r1.c2 status=200"));
+  story.Add(Line("06", "b", "part=caller event=cancelled request=r1.c3 cause=caller-gone"));
   story.Add(Line("05", "b", "part=caller event=refused request=r10 cause=leaving"));
   const auto causes = story.Causes();
   ASSERT_EQ(causes.size(), 2U);
   EXPECT_EQ(causes[0]->Get("cause"), "target-status");
   EXPECT_EQ(causes[1]->Get("cause"), "overload");
-  EXPECT_EQ(Events(story).size(), 3U);
+  EXPECT_EQ(Events(story).size(), 4U);
 }
 
 TEST(RequestStoryTest, CancellationComesBeforeWhatItEnds) {
