--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -24,7 +24,7 @@
   std::function<std::unique_ptr<store::Store>(http::Client&, TimerService&, const NodeSettings&)>
       make_store;
   std::function<std::unique_ptr<store::RecordSource>(store::Store&, TimerService&,
-                                                    const NodeSettings&)>
+                                                     const NodeSettings&)>
       make_record_source;
   /// Every node follows the records itself; other nodes are asked only when the source fails.
   bool every_node_follows = false;
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -80,8 +80,7 @@
                  [this](const Id128& id, RefusalReason reason) {
                    if (const auto inbound = this->Find(id)) this->Refuse(inbound, reason);
                  }},
-                SteadyClock::now()) {
-}
+                SteadyClock::now()) {}
 
 void TargetService::TickWhenDue() {
   const Duration delay = this->admission.NextTick();
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -52,8 +52,8 @@
     std::function<void(const InboundCall&, Duration service_time)> on_answered;
   };
 
-  TargetService(TimerService& timer_service, http::TargetClient& http_client, ContextTable& context_table,
-                Options service_options, Hooks service_hooks);
+  TargetService(TimerService& timer_service, http::TargetClient& http_client,
+                ContextTable& context_table, Options service_options, Hooks service_hooks);
   ~TargetService();
   TargetService(const TargetService&) = delete;
   TargetService& operator=(const TargetService&) = delete;
--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -34,8 +34,8 @@
   AdmissionController(const AdmissionController&) = delete;
   AdmissionController& operator=(const AdmissionController&) = delete;
 
-  /// The target's announced slots, and how long it takes to warm up if it is new; 0 while there is none, when queued calls are refused
-  /// `kNoTarget`.
+  /// The target's announced slots, and how long it takes to warm up if it is new; 0 while there is
+  /// none, when queued calls are refused `kNoTarget`.
   void SetSlots(std::uint32_t slots, const WarmUp& warm_up, SteadyTime now);
   void SetSlots(std::uint32_t slots, SteadyTime now) { this->SetSlots(slots, WarmUp(), now); }
   /// The target is leaving: queued and new calls are refused `kLeaving`; calls in flight finish.
--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -59,7 +59,6 @@
 /// Below this share of the limit, calls in flight can't be the cause of a slower target.
 constexpr double kLittleUse = 0.5;
 
-
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
 }  // namespace
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -26,11 +26,10 @@
 ///
 /// The nearest tier with a target that admits the call's key and is not saturated is taken: own
 /// zone, then own region, then beyond, for classes that may leave the region and within the byte
-/// budget. If all are saturated, the nearest tier that admits the key at all. Within a tier: a stable
-/// subset, and of two drawn at random
-/// the less loaded one (Mitzenmacher 2001). Targets seen first a short time ago count as more
-/// loaded than they are. Targets that fail are ejected, at most half of a subset and none if all of
-/// it fails.
+/// budget. If all are saturated, the nearest tier that admits the key at all. Within a tier: a
+/// stable subset, and of two drawn at random the less loaded one (Mitzenmacher 2001). Targets seen
+/// first a short time ago count as more loaded than they are. Targets that fail are ejected, at
+/// most half of a subset and none if all of it fails.
 class TargetChooser {
  public:
   TargetChooser(TargetChooserOptions chooser_options, TargetChooserHooks chooser_hooks);
--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -119,8 +119,7 @@
   const bool exited = WaitUntil(kLeavingLimit, [&] { return !fleet.NodeProcess("s1").Running(); });
   const int runs = CountRuns(fleet, "s1");
   EXPECT_TRUE(exited || HoldsFor(kLeavingLimit, [&] { return CountRuns(fleet, "s1") == runs; }));
-  EXPECT_EQ(fleet.NodeProcess("s1").WaitForExit(kExitLimit), 0)
-      << fleet.NodeProcess("s1").Output();
+  EXPECT_EQ(fleet.NodeProcess("s1").WaitForExit(kExitLimit), 0) << fleet.NodeProcess("s1").Output();
   EXPECT_EQ(through_leaving.get().status, 200);
   load.Stop();
   EXPECT_EQ(load.Failures(), "");
@@ -155,8 +154,7 @@
   ASSERT_EQ(fleet.TargetProcess(node).WaitForExit(kExitLimit), 0) << node;
   runs->Add(LastLine(fleet.TargetProcess(node).Output()));
   fleet.NodeProcess(node).Signal(SIGTERM);
-  ASSERT_EQ(fleet.NodeProcess(node).WaitForExit(kExitLimit), 0)
-      << fleet.NodeProcess(node).Output();
+  ASSERT_EQ(fleet.NodeProcess(node).WaitForExit(kExitLimit), 0) << fleet.NodeProcess(node).Output();
   fleet.StartNode(node);
   fleet.StartTarget(node);
   ASSERT_TRUE(fleet.WaitReady()) << node;
--- a/tests/node/codec_test.cc
+++ b/tests/node/codec_test.cc
@@ -53,8 +53,8 @@
 }
 
 TEST(TargetAnnouncementTest, TakesAWholeAnnouncement) {
-  const auto parsed = ParseAnnouncement("",
-      R"({"service":"calendar","address":"127.0.0.1:8080","slots":90,"state":"leaving"})");
+  const auto parsed = ParseAnnouncement(
+      "", R"({"service":"calendar","address":"127.0.0.1:8080","slots":90,"state":"leaving"})");
   ASSERT_TRUE(parsed);
   EXPECT_EQ(parsed->target.slots, 90U);
   EXPECT_EQ(parsed->state, membership::TargetState::kLeaving);
--- a/tests/node/node_setting_table_test.cc
+++ b/tests/node/node_setting_table_test.cc
@@ -15,17 +15,18 @@
   pointers.reserve(arguments.size() + 1);
   for (auto& argument : arguments) pointers.push_back(argument.data());
   pointers.push_back(nullptr);
-  return ParseNodeSettings(static_cast<int>(arguments.size()), pointers.data(),
-                           [&](const std::string& name) -> std::optional<std::string> {
-                             const auto found = environment.find(name);
-                             if (found == environment.end()) return std::nullopt;
-                             return found->second;
-                           },
-                           [](const std::string& path) -> std::optional<std::string> {
-                             if (path != "settings") return std::nullopt;
-                             return "# of this host\n\nFIREFLYRUN_NODE=from-file\n"
-                                    "FIREFLYRUN_CALLER_PORT=10.0.0.1:8304\nODD\n";
-                           });
+  return ParseNodeSettings(
+      static_cast<int>(arguments.size()), pointers.data(),
+      [&](const std::string& name) -> std::optional<std::string> {
+        const auto found = environment.find(name);
+        if (found == environment.end()) return std::nullopt;
+        return found->second;
+      },
+      [](const std::string& path) -> std::optional<std::string> {
+        if (path != "settings") return std::nullopt;
+        return "# of this host\n\nFIREFLYRUN_NODE=from-file\n"
+               "FIREFLYRUN_CALLER_PORT=10.0.0.1:8304\nODD\n";
+      });
 }
 
 std::vector<std::string> Required() {
