Tell the calls that a target makes by their request ids

Cause: on the platform each call that a target makes entered as a root of its own: other hash, other rank, own retries. Ids on the wire extend the id of the request that the target runs; a node that runs that request now takes the call as its child (setting child-separator), so the product's own rules hold: one root hash, the more urgent rank, one allotment, the parent's deadline. Levels heard for another rank are carried over by their hash. Where no id matches, a call is a root as before.

--- a/src/node/call_context.h
+++ b/src/node/call_context.h
@@ -21,6 +21,7 @@
   static constexpr std::size_t kMaxKeyBindings = 1024;
 
   Id128 handle;
+  std::string request_id;  ///< The caller's, where it gave one.
   Id128 root_id;
   SteadyTime deadline;
   policy::CallClass call_class;
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -35,9 +35,18 @@
   return !result.Answered() || http::IsServerError(result.status);
 }
 
+/// A level that was told about calls of one rank, for calls of another rank that make them.
+policy::PriorityKey LevelForParent(const policy::PriorityKey& level, std::uint32_t child_rank,
+                                   std::uint32_t parent_rank) {
+  if (level.rank > child_rank) return policy::kOpenLevel;
+  if (level.rank < child_rank) return {parent_rank, 0};
+  return {parent_rank, level.hash};
+}
+
 /// What the calls below tell about the call that they were made for.
-void NoteChild(const CallResult& result, CallContext* parent) {
-  parent->tightest_level = std::min(parent->tightest_level, result.level);
+void NoteChild(const OutboundCall& call, const CallResult& result, CallContext* parent) {
+  const auto level = LevelForParent(result.level, call.call_class.rank, parent->call_class.rank);
+  parent->tightest_level = std::min(parent->tightest_level, level);
   if (!IsServerError(result)) return;
   parent->child_failed = true;
   parent->child_final = parent->child_final || result.final;
@@ -50,12 +59,6 @@
   }
 }
 
-/// How often the call may be repeated, all that is made for it included.
-std::uint32_t RetriesOf(const records::RoutePolicy& route) {
-  if (route.max_attempts > 0) return static_cast<std::uint32_t>(route.max_attempts - 1);
-  return static_cast<std::uint32_t>(route.retry.retries_per_request);
-}
-
 /// A node without records can't tell what became of earlier requests with the same key.
 Outcome OutcomeOfTurnedAway(RefusalReason reason, const http::Headers& headers) {
   const bool has_key = http::FindHeader(headers, kIdempotencyKeyHeader).has_value();
@@ -205,14 +208,14 @@
   const auto handle = this->wire.handle.empty()
                           ? std::nullopt
                           : http::FindHeader(request->headers, this->wire.handle);
-  const auto parent = handle ? this->contexts.Find(*handle) : nullptr;
+  const auto parent = handle ? this->contexts.Find(*handle) : this->ParentById(*request);
   call.route = std::move(route);
   if (parent) {
     this->InheritFrom(parent, &call);
   } else {
     call.root_id = Id128::Random();
     // A handle of a call that has ended, or that never was, comes with no retries.
-    const auto retries = handle ? 0U : RetriesOf(*call.route);
+    const auto retries = handle ? 0U : static_cast<std::uint32_t>(call.route->retry.retries_per_request);
     call.allotment = std::make_shared<policy::RetryAllotment>(retries);
   }
   call.request_id = RequestIdOf(request->headers, this->wire, call.root_id);
@@ -230,6 +233,14 @@
   return call;
 }
 
+std::shared_ptr<CallContext> CallerService::ParentById(const http::Request& request) const {
+  if (this->wire.child_separator.empty()) return nullptr;
+  const auto id = http::FindHeader(request.headers, this->wire.request_id).value_or("");
+  const auto separator = id.rfind(this->wire.child_separator);
+  if (separator == std::string_view::npos) return nullptr;
+  return this->contexts.FindRequest(id.substr(0, separator));
+}
+
 void CallerService::InheritFrom(const std::shared_ptr<CallContext>& parent,
                                 OutboundCall* call) const {
   call->parent = parent;
@@ -347,7 +358,7 @@
   const Duration latency = SteadyClock::now() - started;
   this->hooks.on_ended(call, result, latency);
   LogEnded(call, result, latency, this->wire);
-  if (call.parent) NoteChild(result, call.parent.get());
+  if (call.parent) NoteChild(call, result, call.parent.get());
   if (!result.Answered()) {
     this->Respond(RefusalResponse(result, this->wire), exchange);
     return;
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -81,6 +81,9 @@
   tl::expected<void, Refusal> SetDeadline(const http::Request& request, OutboundCall* call) const;
   tl::expected<void, Refusal> SetTicketSource(const http::Request& request,
                                               OutboundCall* call) const;
+  /// The call that the local target runs and for which it makes this one, as the ids tell; null
+  /// without one.
+  std::shared_ptr<CallContext> ParentById(const http::Request& request) const;
   void InheritFrom(const std::shared_ptr<CallContext>& parent, OutboundCall* call) const;
   void IssueTicket(const http::RequestTarget& target, http::Exchange& exchange) const;
   void Dispatch(OutboundCall call, const std::shared_ptr<http::Exchange>& exchange);
--- a/src/node/context_table.h
+++ b/src/node/context_table.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 
@@ -11,7 +12,7 @@
 
 struct CallContext;
 
-/// The contexts of the calls that the local target is running, by handle.
+/// The contexts of the calls that the local target is running, by handle and by request id.
 class ContextTable {
  public:
   /// Draws a handle, stores it in the context, and keeps the context until Remove().
@@ -20,10 +21,13 @@
 
   /// Null when the handle is malformed or its call has ended.
   std::shared_ptr<CallContext> Find(std::string_view handle) const;
+  /// By the id of the request that the call serves; null when none runs.
+  std::shared_ptr<CallContext> FindRequest(std::string_view request_id) const;
   std::size_t Size() const { return this->contexts.size(); }
 
  private:
   std::unordered_map<Id128, std::shared_ptr<CallContext>> contexts;
+  std::unordered_map<std::string, std::shared_ptr<CallContext>> by_request;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -349,6 +349,8 @@
     if (this->fixed_retries_left == 0) return false;
     --this->fixed_retries_left;
   } else {
+    const auto attempts = static_cast<std::uint32_t>(this->call.route->max_attempts);
+    if (attempts > 0 && this->retries + 1 >= attempts) return false;
     if (result.answer.head.final() || this->call.allotment->Exhausted()) return false;
     if (!this->services.budgets->Of(*this->call.route).TrySpend()) return false;
     if (!this->call.allotment->TrySpend()) return false;
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -301,6 +301,12 @@
                  "in a target's answer: it has not run the call [none]", &WireNames::not_run),
       HeaderSpec("caller-service-header", "FIREFLYRUN_CALLER_SERVICE_HEADER",
                  "service of the host where a call began [none]", &WireNames::caller_service),
+      {"child-separator", "FIREFLYRUN_CHILD_SEPARATOR", "TEXT",
+       "what follows a request's id in the ids of the calls made for it; empty: not told [none]",
+       [](std::string_view value, NodeSettings& settings) -> Problem {
+         settings.wire.child_separator = std::string(value);
+         return std::nullopt;
+       }},
       {"retry-after-fractions", "FIREFLYRUN_RETRY_AFTER_FRACTIONS", "on|off",
        "Retry-After with fractions of a second [off]",
        [](std::string_view value, NodeSettings& settings) {
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -132,7 +132,7 @@
   if (!good) event.Add("cause", CauseOfEnd(result));
   event.Add("outcome", OutcomeName(result.outcome));
   event.Add("status", result.Answered() ? result.status : RefusalStatus(result, wire));
-  event.Add("class", call.call_class.name).Add("took_ms", latency);
+  event.Add("class", call.call_class.name).Add("from", call.tenant).Add("took_ms", latency);
   event.Add("left_ms", call.deadline - SteadyClock::now());
   event.Add("once", call.ticket_source != TicketSource::kNone);
   event.Add("retries", result.retries).Add("moves", result.moves);
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -51,13 +51,21 @@
   return {std::chrono::duration_cast<Duration>(told), kFirstShareOfCold};
 }
 
-std::shared_ptr<CallContext> MakeContext(const InboundCall& inbound) {
+std::string RequestIdOf(const peer::pb::CallHead& head, const WireNames& wire) {
+  for (const auto& header : head.headers()) {
+    if (http::SameHeaderName(header.name(), wire.request_id)) return header.value();
+  }
+  return {};
+}
+
+std::shared_ptr<CallContext> MakeContext(const InboundCall& inbound, const WireNames& wire) {
   const auto& head = inbound.call.head;
   auto context = std::make_shared<CallContext>();
   context->root_id = Id128::FromBytes(head.root_id()).value_or(Id128());
   context->deadline = inbound.deadline;
   context->call_class = {head.call_class(), head.class_rank(), head.may_leave_region()};
   context->tenant = head.tenant();
+  if (!wire.child_separator.empty()) context->request_id = RequestIdOf(head, wire);
   context->depth = head.depth();
   context->at_most_once = inbound.ticket.has_value();
   context->allotment = std::make_shared<policy::RetryAllotment>(head.retry_allotment());
@@ -249,7 +257,7 @@
 }
 
 void TargetService::SendToTarget(const CallPointer& inbound) {
-  inbound->context = MakeContext(*inbound);
+  inbound->context = MakeContext(*inbound, this->options.wire);
   inbound->target_address = this->target->address;
   this->contexts.Add(inbound->context);
   auto request = BuildTargetRequest(inbound->call, *this->target, inbound->context->handle,
--- a/src/node/wire_names.h
+++ b/src/node/wire_names.h
@@ -18,6 +18,9 @@
   std::string target_id;               ///< In a target's answers about itself.
   std::string not_run;                 ///< In a target's answer: it has not run the call.
   std::string caller_service;          ///< The service on the host where the call began.
+  /// The id of a call that a target makes is that of the request it runs, this text, and more. Empty
+  /// where ids tell nothing.
+  std::string child_separator;
   bool retry_after_fractions = false;  ///< Retry-After in seconds with fractions.
 };
 
