--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -394,7 +394,7 @@
   if (inbound.context) level = std::min(level, inbound.context->tightest_level);
   head->mutable_level()->set_rank(level.rank);
   head->mutable_level()->set_hash(level.hash);
-  head->set_in_flight(this->admission.InUse(now) +
+  head->set_in_flight(this->admission.InFlight() +
                       static_cast<std::uint32_t>(this->admission.QueueLength()));
   head->set_limit(this->admission.Limit(now));
   head->set_retry_after_ms(
--- a/src/policy/admission_controller.cc
+++ b/src/policy/admission_controller.cc
@@ -16,13 +16,6 @@
 constexpr double kShortestServiceSeconds = 0.001;
 constexpr double kMedianStep = 1.1;
 constexpr double kEstimateHalfLifeSeconds = 1;
-/// Calls are only taken for overdue while so many lately ended without an answer: otherwise those
-/// that take long do take long.
-constexpr double kLostShareToGuess = 0.08;
-constexpr double kLostSmoothing = 0.02;
-/// A call in flight for longer is overdue.
-constexpr double kOverdueServiceTimes = 4;
-constexpr Duration kOverdueSlack = std::chrono::milliseconds(50);
 constexpr double kShortestRetryAfterSeconds = 0.1;
 constexpr double kLongestRetryAfterSeconds = 10;
 
@@ -76,7 +69,6 @@
   this->limit.OnSample(service_time, ok, in_flight_before, now);
   this->level.OnCompleted();
   this->last_completion = now;
-  this->lost_share += kLostSmoothing * ((ok ? 0 : 1) - this->lost_share);
   if (ok) this->NoteServiceTime(Seconds(service_time));
   this->DropExpired(now);
   this->StartQueued(now);
@@ -107,19 +99,6 @@
   this->RunActions();
 }
 
-std::uint32_t AdmissionController::InUse(SteadyTime now) const {
-  const auto total = static_cast<std::uint32_t>(this->in_flight.size());
-  const std::uint32_t most = this->limit.Limit(now);
-  if (total < most || this->median_service_seconds == 0) return total;
-  if (this->lost_share < kLostShareToGuess) return total;
-  const Duration usual = FromSeconds(kOverdueServiceTimes * this->median_service_seconds);
-  const SteadyTime started_before = now - usual - kOverdueSlack;
-  const auto overdue =
-      std::count_if(this->in_flight.begin(), this->in_flight.end(),
-                    [started_before](const auto& call) { return call.second < started_before; });
-  return total - std::min(static_cast<std::uint32_t>(overdue), most / 2);
-}
-
 Duration AdmissionController::NextTick() const {
   if (this->queue.Size() > 0) return kTickInterval;
   const bool at_rest =
@@ -162,12 +141,10 @@
 
 void AdmissionController::StartQueued(SteadyTime now) {
   const std::uint32_t most = this->limit.Limit(now);
-  std::uint32_t in_use = this->InUse(now);
-  while (in_use < most) {
+  while (this->in_flight.size() < most) {
     const auto entry = this->queue.PopBest(now);
     if (!entry) break;
-    this->in_flight.emplace(entry->id, now);
-    in_use += 1;
+    this->in_flight.insert(entry->id);
     this->actions.push_back({entry->id, RefusalReason::kNone});
   }
   this->NoteQueue();
--- a/src/policy/admission_controller.h
+++ b/src/policy/admission_controller.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "common/clock.h"
@@ -61,10 +61,6 @@
 
   PriorityKey Level() const { return this->level.Level(); }
   std::uint32_t InFlight() const { return static_cast<std::uint32_t>(this->in_flight.size()); }
-  /// Calls in flight that are believed to use the target: those long overdue have most likely ended
-  /// there, and only their answers are lost. At most half of the limit is taken for overdue, and
-  /// none while hardly any answer is lost.
-  std::uint32_t InUse(SteadyTime now) const;
   std::uint32_t Limit(SteadyTime now) const { return this->limit.Limit(now); }
   std::size_t QueueLength() const { return this->queue.Size(); }
   /// When a refused caller may reasonably try again, from now.
@@ -100,7 +96,7 @@
   ConcurrencyLimit limit;
   AdmissionLevel level;
   Queue queue;
-  std::unordered_map<Id128, SteadyTime> in_flight;  ///< By id, with the time of its start.
+  std::unordered_set<Id128> in_flight;
   std::deque<Action> actions;
   bool running_actions = false;
   bool leaving = false;
@@ -109,7 +105,6 @@
   double used_slots = 0;              ///< Calls in flight, summed over this interval's ticks.
   double allowed_slots = 0;           ///< The limit, likewise.
   std::uint32_t offered_count = 0;    ///< In this interval.
-  double lost_share = 0;              ///< Of calls, smoothed, that ended without an answer.
   double median_service_seconds = 0;  ///< Of successes; 0 before the first.
   SteadyTime last_completion;
 };
--- a/tests/policy/admission_controller_test.cc
+++ b/tests/policy/admission_controller_test.cc
@@ -274,35 +274,5 @@
   EXPECT_EQ(this->started.size(), 1000U);
 }
 
-TEST(AdmissionControllerTest, CallsLongOverdueLeaveHalfTheirSlotsToOthers) {
-  std::size_t started = 0;
-  AdmissionController controller(
-      {}, {[&](const Id128&) { started += 1; }, [](const Id128&, RefusalReason) {}}, AtSeconds(0));
-  controller.SetSlots(10, {Duration::zero(), 1}, AtSeconds(0));
-  const SteadyTime deadline = AtSeconds(10);
-  controller.Offer({Id128(1, 0), {0, 0}, deadline}, AtSeconds(0));
-  controller.Finished(Id128(1, 0), ToDuration(0.04), true, AtSeconds(0.04));
-  for (std::uint64_t id = 100; id < 110; ++id) {
-    controller.Offer({Id128(id, 0), {0, 0}, deadline}, AtSeconds(0.04));
-    controller.Finished(Id128(id, 0), ToDuration(0.01), false, AtSeconds(0.05));
-  }
-  started = 0;
-  // These ten end at the target, but their answers are lost.
-  for (std::uint64_t id = 2; id < 12; ++id) {
-    controller.Offer({Id128(id, 0), {0, 0}, deadline}, AtSeconds(0.05));
-  }
-  for (std::uint64_t id = 12; id < 30; ++id) {
-    controller.Offer({Id128(id, 0), {0, 0}, deadline}, AtSeconds(0.05));
-  }
-  EXPECT_EQ(started, 10U);
-  controller.Tick(AtSeconds(0.15));
-  EXPECT_EQ(started, 10U) << "not overdue as yet";
-  controller.Tick(AtSeconds(0.5));
-  EXPECT_EQ(started, 15U) << "half of the slots are free for others";
-  EXPECT_EQ(controller.InUse(AtSeconds(0.5)), 10U);
-  controller.Tick(AtSeconds(1));
-  EXPECT_EQ(started, 15U) << "never more than half of the limit beyond it";
-}
-
 }  // namespace
 }  // namespace fireflyrun::policy
