Tests of calls told by request ids

Cause: had no test. Between processes: while a target runs abc, abc.x ends at the parent's deadline and takes its class; zzz.x and a child of an ended parent are roots. In ContextTable: the end of an earlier call keeps the later one. Fail without the mend: with ParentById giving none (child's class, deadline: 8.4 s instead of under 4 s), with Remove erasing any call of the id.

--- /dev/null
+++ b/tests/integration/child_calls_test.cc
@@ -0,0 +1,101 @@
+#include <gtest/gtest.h>
+
+#include <future>
+#include <nlohmann/json.hpp>
+
+#include "tests/integration/fleet.h"
+#include "tests/integration/wait_until.h"
+
+namespace fireflyrun::integration {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr seconds kLimit{10};
+/// Far below that of the service which the child calls.
+constexpr milliseconds kParentDeadline{1500};
+constexpr milliseconds kChildDeadline{8000};
+const std::vector<std::string> kIdFlags = {"--request-id-header", "X-Request-Id",
+                                           "--child-separator", "."};
+
+json Service(const std::string& name, const std::string& priority) {
+  return {{"kind", "service"},
+          {"schema", 1},
+          {"name", name},
+          {"priority", priority},
+          {"retry_allowance", "none"},
+          {"deadline_ms", kChildDeadline.count()},
+          {"idempotent", true}};
+}
+
+json Priority(const std::string& name, int rank) {
+  return {{"kind", "priority"},
+          {"schema", 1},
+          {"name", name},
+          {"rank", rank},
+          {"may_leave_region", false}};
+}
+
+std::string Records() {
+  const json allowance = {{"kind", "retry_allowance"}, {"schema", 1}, {"name", "none"},
+                          {"retries_per_request", 0},  {"burst", 0},  {"success_ratio", 0}};
+  return json::array({Priority("critical", 0), Priority("status", 9), allowance,
+                      Service("desk", "critical"), Service("leaf", "status")})
+      .dump();
+}
+
+HttpAnswer CallAs(Fleet& fleet, const std::string& id, const std::string& path,
+                  std::vector<std::string> headers = {}) {
+  headers.push_back("X-Request-Id: " + id);
+  return fleet.Call("a1", "GET", path, headers);
+}
+
+/// The node's line of how the request ended; empty if none comes.
+std::string EndLine(Fleet& fleet, const std::string& id) {
+  std::string line;
+  WaitUntil(kLimit, [&] {
+    const std::string log = fleet.NodeProcess("a1").Output();
+    for (const std::string event : {"answered", "failed", "refused", "cancelled"}) {
+      const auto at = log.find("part=caller event=" + event + " request=" + id + " ");
+      if (at != std::string::npos) line = log.substr(at, log.find('\n', at) - at);
+    }
+    return !line.empty();
+  });
+  return line;
+}
+
+TEST(ChildCallsTest, CallsAreToldByTheRequestIdsOfWhatTheTargetRuns) {
+  Fleet fleet({{"a1", "east", "east-a", "desk", 20, 2, "", kIdFlags, {}},
+               {"a2", "east", "east-a", "leaf", 20, 2, "", kIdFlags, {}}},
+              Records());
+  ASSERT_TRUE(fleet.WaitReady());
+  fleet.SetTargetFault("a1", R"({"hang": true})");
+  const auto begun = Clock::now();
+  auto parent = std::async(std::launch::async, [&] {
+    return CallAs(fleet, "abc", "/desk/x",
+                  {"Firefly-Deadline-Ms: " + std::to_string(kParentDeadline.count())});
+  });
+  ASSERT_TRUE(WaitUntil(kLimit, [&] { return json::parse(fleet.Runs("a1"))["list"].size() == 1; }));
+
+  EXPECT_EQ(CallAs(fleet, "zzz.x", "/leaf/x").status, 200);
+  EXPECT_NE(EndLine(fleet, "zzz.x").find(" class=status "), std::string::npos);
+  EXPECT_EQ(CallAs(fleet, "abc.y", "/leaf/x").status, 200);
+  EXPECT_NE(EndLine(fleet, "abc.y").find(" class=critical "), std::string::npos);
+
+  fleet.SetTargetFault("a2", R"({"hang": true})");
+  EXPECT_GE(CallAs(fleet, "abc.x", "/leaf/x").status, 500);
+  EXPECT_LT(Clock::now() - begun, kChildDeadline / 2);
+  EXPECT_NE(EndLine(fleet, "abc.x").find(" class=critical "), std::string::npos);
+  EXPECT_GE(parent.get().status, 500);
+
+  // The parent has ended, so that its id tells nothing any more.
+  fleet.SetTargetFault("a2", R"({"hang": false})");
+  EXPECT_EQ(CallAs(fleet, "abc.z", "/leaf/x").status, 200);
+  EXPECT_NE(EndLine(fleet, "abc.z").find(" class=status "), std::string::npos);
+}
+
+}  // namespace
+}  // namespace fireflyrun::integration
--- /dev/null
+++ b/tests/node/context_table_test.cc
@@ -0,0 +1,50 @@
+#include "node/context_table.h"
+
+#include <gtest/gtest.h>
+
+#include "node/call_context.h"
+
+namespace fireflyrun::node {
+namespace {
+
+std::shared_ptr<CallContext> AddRequest(ContextTable& table, const std::string& request_id) {
+  auto context = std::make_shared<CallContext>();
+  context->request_id = request_id;
+  table.Add(context);
+  return context;
+}
+
+TEST(ContextTableTest, FindsTheRunningCallOfARequestUntilItEnds) {
+  ContextTable table;
+  const auto context = AddRequest(table, "abc");
+  EXPECT_EQ(table.FindRequest("abc"), context);
+  EXPECT_EQ(table.Find(context->handle.ToHex()), context);
+  EXPECT_EQ(table.FindRequest("ab"), nullptr);
+  EXPECT_EQ(table.FindRequest("abc.1"), nullptr);
+  table.Remove(context->handle);
+  EXPECT_EQ(table.FindRequest("abc"), nullptr);
+  EXPECT_EQ(table.Size(), 0U);
+}
+
+TEST(ContextTableTest, CallsWithoutAnIdAreFoundByHandleOnly) {
+  ContextTable table;
+  const auto one = AddRequest(table, "");
+  const auto other = AddRequest(table, "");
+  EXPECT_EQ(table.FindRequest(""), nullptr);
+  table.Remove(one->handle);
+  EXPECT_EQ(table.Find(other->handle.ToHex()), other);
+}
+
+TEST(ContextTableTest, TheEndOfAnEarlierCallOfARequestKeepsTheLater) {
+  ContextTable table;
+  const auto earlier = AddRequest(table, "abc");
+  const auto later = AddRequest(table, "abc");
+  EXPECT_EQ(table.FindRequest("abc"), later);
+  table.Remove(earlier->handle);
+  EXPECT_EQ(table.FindRequest("abc"), later);
+  table.Remove(earlier->handle);  // Unknown by now.
+  EXPECT_EQ(table.FindRequest("abc"), later);
+}
+
+}  // namespace
+}  // namespace fireflyrun::node
