Tests of a cold target's slots, of ticks and of targets that told a limit

Fail without the mends: with the warm-up told left out, with ticks always calm, with warmth by age alone (all three tried).

--- a/tests/policy/admission_controller_test.cc
+++ b/tests/policy/admission_controller_test.cc
@@ -274,5 +274,38 @@
   EXPECT_EQ(this->started.size(), 1000U);
 }
 
+TEST_F(AdmissionHooksTest, ATargetIsGivenSlotsByWhatItTellsOfItsColdTime) {
+  struct Case {
+    WarmUp warm_up;
+    std::size_t slots_at_once;
+  };
+  const std::vector<Case> cases = {
+      {{std::chrono::seconds(4), 0.5}, 10}, {{Duration::zero(), 0.5}, 20}, {{}, 2}};
+  for (const Case& one : cases) {
+    this->started.clear();
+    AdmissionController controller = this->Make(32);
+    controller.SetSlots(20, one.warm_up, AtSeconds(0));
+    for (std::uint64_t id = 1; id <= 20; ++id) controller.Offer(Request(id, 0, 99), AtSeconds(0));
+    EXPECT_EQ(this->started.size(), one.slots_at_once);
+    controller.Tick(AtSeconds(0) + one.warm_up.time);
+    EXPECT_EQ(this->started.size(), 20U);
+  }
+}
+
+TEST_F(AdmissionHooksTest, TicksAreDueSoonWhileCallsWaitAndNotAtAllAtRest) {
+  AdmissionController controller = this->Make(4);
+  controller.SetSlots(1, AtSeconds(0));
+  EXPECT_EQ(controller.NextTick(), Duration::zero());
+  controller.Offer(Request(1, 0, 9), AtSeconds(0));
+  EXPECT_EQ(controller.NextTick(), AdmissionController::kCalmTickInterval);
+  controller.Offer(Request(2, 0, 9), AtSeconds(0));
+  EXPECT_EQ(controller.NextTick(), AdmissionController::kTickInterval);
+  controller.Finished(Id128(0, 1), std::chrono::milliseconds(1), true, AtSeconds(0.001));
+  controller.Finished(Id128(0, 2), std::chrono::milliseconds(1), true, AtSeconds(0.002));
+  EXPECT_EQ(controller.NextTick(), AdmissionController::kCalmTickInterval) << "a window is open";
+  controller.Tick(AtSeconds(0.6));
+  EXPECT_EQ(controller.NextTick(), Duration::zero());
+}
+
 }  // namespace
 }  // namespace fireflyrun::policy
--- a/tests/policy/target_chooser_test.cc
+++ b/tests/policy/target_chooser_test.cc
@@ -143,6 +143,22 @@
   EXPECT_LT(sent["cold"], 5);
 }
 
+TEST_F(TargetChooserTest, ATargetThatToldItsLimitLatelyIsNotHeldForNew) {
+  this->candidates = {Make("a", "erie-a"), Make("cold", "erie-a")};
+  this->candidates[1].first_seen = AtSeconds(0);
+  this->ChooseMany(2);  // Makes both known.
+  for (const char* node : {"a", "cold"}) {
+    this->Answer(node, CallOutcome::kSucceeded, {.in_flight = 0, .limit = 10}, std::nullopt);
+  }
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 16; ++i) {
+    const std::string node = this->ChosenNode();
+    this->chooser.OnSent(node);
+    sent[node] += 1;
+  }
+  EXPECT_NEAR(sent["a"], sent["cold"], 2);
+}
+
 TEST_F(TargetChooserTest, SequentialCallsUseTargetsOfLikeSpeedAlike) {
   this->candidates = {Make("a", "erie-a"), Make("b", "erie-a")};
   this->ChooseMany(10);
