--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -189,6 +189,7 @@
   this->Finish(run, JsonResponse({{"target", this->Name()},
                                   {"service", this->options.service},
                                   {"echo", run->tag},
+                                  {"host", HeaderOr(run->request.headers, "Host")},
                                   {"path", run->request.target},
                                   {"body_bytes", body.size()},
                                   {"crc32", Crc32(body)},
