Name the class in the line of a cancelled call, too

child_calls_test failed in 4 of 11 runs: where the parent's end cancelled the child before its own deadline did, the child's line had no class.

--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -215,7 +215,8 @@
   } else {
     call.root_id = Id128::Random();
     // A handle of a call that has ended, or that never was, comes with no retries.
-    const auto retries = handle ? 0U : static_cast<std::uint32_t>(call.route->retry.retries_per_request);
+    const auto retries =
+        handle ? 0U : static_cast<std::uint32_t>(call.route->retry.retries_per_request);
     call.allotment = std::make_shared<policy::RetryAllotment>(retries);
   }
   call.request_id = RequestIdOf(request->headers, this->wire, call.root_id);
--- a/src/node/request_trace.cc
+++ b/src/node/request_trace.cc
@@ -145,6 +145,7 @@
   LogEvent event(LogLevel::kInfo, kPart, "cancelled", LogUrgency::kFailure);
   if (!event.Active()) return;
   event.Add("request", call.request_id).Add("service", call.route->service);
+  event.Add("class", call.call_class.name);
   event.Add("cause", "caller-gone").Add("left_ms", call.deadline - SteadyClock::now());
   if (this->sent.under_way) event.Add("under_way_ms", SteadyClock::now() - this->sent.at);
   this->AddTo(&event);
--- a/tests/integration/child_calls_test.cc
+++ b/tests/integration/child_calls_test.cc
@@ -88,7 +88,8 @@
   fleet.SetTargetFault("a2", R"({"hang": true})");
   EXPECT_GE(CallAs(fleet, "abc.x", "/leaf/x").status, 500);
   EXPECT_LT(Clock::now() - begun, kChildDeadline / 2);
-  EXPECT_NE(EndLine(fleet, "abc.x").find(" class=critical "), std::string::npos);
+  EXPECT_NE(EndLine(fleet, "abc.x").find(" class=critical "), std::string::npos)
+      << EndLine(fleet, "abc.x");
   EXPECT_GE(parent.get().status, 500);
 
   // The parent has ended, so that its id tells nothing any more.
