Tests of the slots that a node gives a target by its cold time

A target that tells a cold time gets half at once, one that tells 0 all, one that tells nothing a tenth; one that was found by a probe is warm.

--- a/tests/integration/route_records_test.cc
+++ b/tests/integration/route_records_test.cc
@@ -87,7 +87,7 @@
 
   std::map<std::string, int> counts;
   for (int i = 0; i < kCalls; ++i) ++counts[ServiceOf(fleet, "shop.example", "/p/x")];
-  EXPECT_NEAR(counts["blue"], kCalls / 4, kCalls / 8);
+  EXPECT_NEAR(counts["blue"], 0.25 * kCalls, 0.125 * kCalls);
   EXPECT_EQ(counts["blue"] + counts["green"], kCalls);
 
   EXPECT_EQ(CallHost(fleet, "nobody.example", "/x").status, 404);
--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -170,6 +170,29 @@
   EXPECT_EQ(this->questions.size(), 1U);
 }
 
+TEST_F(TargetWatcherTest, TheColdTimeThatATargetTellsBoundsTheSlotsItIsGivenAtOnce) {
+  const std::vector<std::pair<std::optional<double>, std::uint32_t>> cases = {
+      {100.0, 5U}, {0.0, 10U}, {std::nullopt, 1U}};
+  for (const auto& [cold_seconds, limit] : cases) {
+    auto word = Announcement("127.0.0.1:8001", TargetState::kServing);
+    word.target.cold_seconds = cold_seconds;
+    this->target.WithdrawTarget();
+    this->watcher.OnAnnouncement(word);
+    EXPECT_EQ(this->target.Admission().Limit(SteadyClock::now()), limit);
+  }
+}
+
+TEST_F(TargetWatcherTest, ATargetThatIsFoundByAskingIsWarm) {
+  this->NameTarget();
+  this->watcher.Check();
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kServing, "i-1"});
+  const auto slots = this->target.Target()->slots;
+  EXPECT_EQ(this->target.Admission().Limit(SteadyClock::now()), slots);
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  EXPECT_EQ(this->target.Admission().Limit(SteadyClock::now()), 10U);
+}
+
 TEST_F(TargetWatcherTest, ATargetThatDrainsIsAwaited) {
   this->NameTarget();
   this->watcher.Check();
