--- a/tests/platform/configuration_translator_test.cc
+++ b/tests/platform/configuration_translator_test.cc
@@ -80,6 +80,16 @@
               "max_body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000})"));
 }
 
+TEST(ConfigurationTranslatorTest, ANodeHoldsOneRepeatBesideItsShareOfTheRatio) {
+  TranslationDefaults defaults;
+  defaults.retry_success_ratio = 0.03;
+  const auto translated = TranslateConfiguration(GoodConfiguration().dump(), defaults);
+  ASSERT_TRUE(translated.has_value());
+  const Json allowance = Body(*translated, "retry_allowance/standard/v1");
+  EXPECT_EQ(allowance["burst"], 1);
+  EXPECT_EQ(allowance["success_ratio"], 0.03);
+}
+
 TEST(ConfigurationTranslatorTest, OnlySafeRoutesAreIdempotent) {
   for (const Json& kind : {Json("unsafe"), Json("upload"), Json("later-kind"), Json("Safe"),
                            Json(nullptr), Json("safe")}) {
