--- a/tests/integration/load_move_test.cc
+++ b/tests/integration/load_move_test.cc
@@ -58,6 +58,7 @@
   ASSERT_TRUE(fleet.WaitReady());
   std::atomic<bool> stopping = false;
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&, i] {
       for (int j = 0; !stopping; ++j) {
--- a/tests/integration/retry_records_test.cc
+++ b/tests/integration/retry_records_test.cc
@@ -98,6 +98,7 @@
   for (const bool failing : {true, false, true}) {
     SetFailing(failing);
     std::vector<std::thread> callers;
+    callers.reserve(kEntries.size());
     for (const std::string& node : kEntries) {
       callers.emplace_back([&, node] {
         for (int i = 0; i < kCallsOfPhase; ++i) {
