--- a/tests/integration/child_calls_test.cc
+++ b/tests/integration/child_calls_test.cc
@@ -59,7 +59,9 @@
   WaitUntil(kLimit, [&] {
     const std::string log = fleet.NodeProcess("a1").Output();
     for (const std::string event : {"answered", "failed", "refused", "cancelled"}) {
-      const auto at = log.find("part=caller event=" + event + " request=" + id + " ");
+      std::string start = "part=caller event=";
+      start.append(event).append(" request=").append(id).append(" ");
+      const auto at = log.find(start);
       if (at != std::string::npos) line = log.substr(at, log.find('\n', at) - at);
     }
     return !line.empty();
