--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -25,17 +25,10 @@
 
 AnswerReader& ReaderOf(http_parser* parser) { return *static_cast<AnswerReader*>(parser->data); }
 
-std::string_view TrimBlanks(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t";
-  const std::size_t first = text.find_first_not_of(kBlanks);
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
-}
-
 /// Takes the next element off a comma-separated list.
 std::string_view TakeElement(std::string_view& list) {
   const std::size_t comma = std::min(list.find(','), list.size());
-  const std::string_view element = TrimBlanks(list.substr(0, comma));
+  const std::string_view element = TrimSpace(list.substr(0, comma));
   list.remove_prefix(std::min(comma + 1, list.size()));
   return element;
 }
@@ -54,25 +47,6 @@
   return std::nullopt;
 }
 
-/// Removes the headers of one connection and of the framing, and those that `Connection` names.
-void RemoveHopHeaders(Headers& headers) {
-  std::string named;
-  for (const Header& header : headers) {
-    if (SameHeaderName(header.name, "Connection")) named.append(header.value).append(",");
-  }
-  std::erase_if(headers, [&](const Header& header) {
-    constexpr std::string_view kProxyPrefix = "Proxy-";
-    const std::string_view name = header.name;
-    if (IsConnectionHeader(name)) return true;
-    if (SameHeaderName(name.substr(0, kProxyPrefix.size()), kProxyPrefix)) return true;
-    std::string_view list = named;
-    while (!list.empty()) {
-      if (SameHeaderName(TakeElement(list), name)) return true;
-    }
-    return false;
-  });
-}
-
 }  // namespace
 
 AnswerReader::AnswerReader(const TargetRequest& answered_request) : request(answered_request) {
@@ -117,7 +91,7 @@
 }
 
 Response AnswerReader::TakeResponse() {
-  RemoveHopHeaders(this->response.headers);
+  StripConnectionHeaders(this->response.headers);
   return std::move(this->response);
 }
 
@@ -224,7 +198,7 @@
     if (!IsValidHeader(header)) {
       return this->Reject(ClientErrorKind::kBadAnswer, "a header of the answer is malformed");
     }
-    header.value.resize(TrimBlanks(header.value).size());  // The parser drops leading blanks.
+    header.value.resize(TrimSpace(header.value).size());  // The parser drops leading blanks.
   }
   this->skips_message = interim;
   if (interim) return true;
