Try a target that is idle and unheard also beside a warm idle one

In a failing run a0 sent 160 calls to a2 and none to a1 within four seconds, since a1's target announced itself 0.9 s later. Of two idle targets the one held for new always lost the comparison (1/limit against 1/(limit x warmth)), so at low load a new target got no call for its warm-up of 5 s; without a call nothing was heard of it that would have ended that. Ruled out: the failure detector (member-lost came after 4 s, as ever), a lost link (no call was routed to a1 at all). Change: an idle target of which nothing was heard lately gets one in four of the choices that it would lose; its first answer makes it a candidate like any other. TargetChooserTest.SequentialCallsTryANewTargetBesideAnIdleOne failed first.

--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -15,6 +15,8 @@
 constexpr double kMuchSlower = 2;
 /// ...but for one such choice in so many, which brings news of it.
 constexpr std::uint64_t kTrySlowerEvery = 16;
+/// An idle target of which nothing is known gets one in so many of the choices that it would lose.
+constexpr std::uint64_t kTryUnheardEvery = 4;
 
 bool TakesCalls(const Candidate& candidate) { return !candidate.leaving && candidate.slots > 0; }
 
@@ -157,11 +159,27 @@
   if (targets.size() > 1) {
     const std::size_t offset = 1 + this->hooks.random_below(targets.size() - 1);
     const Candidate* other = targets[(first + offset) % targets.size()];
-    if (this->IsBetter(*other, *chosen, now)) chosen = other;
+    if (this->ShallTry(*other, *chosen, now)) {
+      chosen = other;
+    } else if (!this->ShallTry(*chosen, *other, now) && this->IsBetter(*other, *chosen, now)) {
+      chosen = other;
+    }
   }
   return {chosen->node, chosen->incarnation, tier};
 }
 
+bool TargetChooser::ShallTry(const Candidate& one, const Candidate& other, SteadyTime now) {
+  // Held for new, it loses each comparison with a warm target that is idle, too; without a call it
+  // would stay unknown for its whole warm-up.
+  return this->IsIdleAndUnheard(one, now) && !this->IsIdleAndUnheard(other, now) &&
+         this->hooks.random_below(kTryUnheardEvery) == 0;
+}
+
+bool TargetChooser::IsIdleAndUnheard(const Candidate& candidate, SteadyTime now) {
+  const TargetLoad& load = this->KnownOf(candidate).load;
+  return !load.HeardLately(now) && load.InFlight(now) == 0;
+}
+
 bool TargetChooser::IsBetter(const Candidate& one, const Candidate& other, SteadyTime now) {
   const double one_score = this->Score(one, now);
   const double other_score = this->Score(other, now);
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -28,8 +28,9 @@
 /// zone, then own region, then beyond, for classes that may leave the region and within the byte
 /// budget. If all are saturated, the nearest tier that admits the key at all. Within a tier: a
 /// stable subset, and of two drawn at random the less loaded one (Mitzenmacher 2001). Targets seen
-/// first a short time ago count as more loaded than they are. Targets that fail are ejected, at
-/// most half of a subset and none if all of it fails.
+/// first a short time ago count as more loaded than they are, but one that is idle and unheard is
+/// tried now and then. Targets that fail are ejected, at most half of a subset and none if all of
+/// it fails.
 class TargetChooser {
  public:
   TargetChooser(TargetChooserOptions chooser_options, TargetChooserHooks chooser_hooks);
@@ -73,6 +74,8 @@
                                                SteadyTime now);
   TargetChoice PickLessLoaded(const std::vector<const Candidate*>& targets, TargetTier tier,
                               SteadyTime now);
+  bool ShallTry(const Candidate& one, const Candidate& other, SteadyTime now);
+  bool IsIdleAndUnheard(const Candidate& candidate, SteadyTime now);
   bool IsBetter(const Candidate& one, const Candidate& other, SteadyTime now);
   double Score(const Candidate& candidate, SteadyTime now);
   bool Saturated(const Candidate& candidate, SteadyTime now);
--- a/tests/policy/target_chooser_test.cc
+++ b/tests/policy/target_chooser_test.cc
@@ -159,6 +159,21 @@
   EXPECT_NEAR(sent["a"], sent["cold"], 2);
 }
 
+TEST_F(TargetChooserTest, SequentialCallsTryANewTargetBesideAnIdleOne) {
+  this->candidates = {Make("a", "erie-a"), Make("cold", "erie-a")};
+  this->candidates[1].first_seen = AtSeconds(0);
+  int tries = 0;
+  for (int i = 0; i < 40; ++i) {
+    const std::string node = this->ChosenNode();
+    if (node == "cold") tries += 1;
+    if (node == "a") {
+      this->Answer("a", CallOutcome::kSucceeded, {.in_flight = 0, .limit = 10}, std::nullopt);
+    }
+  }
+  EXPECT_GT(tries, 0);
+  EXPECT_LT(tries, 20);
+}
+
 TEST_F(TargetChooserTest, SequentialCallsUseTargetsOfLikeSpeedAlike) {
   this->candidates = {Make("a", "erie-a"), Make("b", "erie-a")};
   this->ChooseMany(10);
