Leave a zone whose only target fails

Cause: a service has one target a zone on the users' sites. Ruled out: the retry budget alone. Change: at most half of all targets that a call may go to are ejected, whatever their tier. A target that fails more than 15 in 100 counts as saturated for a second after each failure, while a sound one is left. TargetChooserTest.LeavesItsZoneForASoundTarget... failed first.

--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -40,20 +40,15 @@
   if (std::none_of(candidates.begin(), candidates.end(), TakesCalls)) {
     return tl::unexpected(RefusalReason::kNoTarget);
   }
-  const Pool zone = this->PoolOf(TargetTier::kZone, query, candidates, now);
-  if (!zone.unsaturated.empty()) {
-    return this->PickLessLoaded(zone.unsaturated, TargetTier::kZone, now);
-  }
-  const Pool region = this->PoolOf(TargetTier::kRegion, query, candidates, now);
-  if (!region.unsaturated.empty()) {
-    return this->PickLessLoaded(region.unsaturated, TargetTier::kRegion, now);
-  }
-  const Pool beyond = query.call_class.may_leave_region
-                          ? this->PoolOf(TargetTier::kBeyond, query, candidates, now)
-                          : Pool();
-  const bool room_beyond = !beyond.unsaturated.empty();
+  const Candidates eligible = this->EligibleFor(query, candidates, now);
+  const Pool zone = this->PoolOf(TargetTier::kZone, query, eligible, now);
+  if (!zone.roomy.empty()) return this->PickLessLoaded(zone.roomy, TargetTier::kZone, now);
+  const Pool region = this->PoolOf(TargetTier::kRegion, query, eligible, now);
+  if (!region.roomy.empty()) return this->PickLessLoaded(region.roomy, TargetTier::kRegion, now);
+  const Pool beyond = this->PoolOf(TargetTier::kBeyond, query, eligible, now);
+  const bool room_beyond = !beyond.roomy.empty();
   if (room_beyond && this->hooks.take_link_bytes(query.bytes, now)) {
-    return this->PickLessLoaded(beyond.unsaturated, TargetTier::kBeyond, now);
+    return this->PickLessLoaded(beyond.roomy, TargetTier::kBeyond, now);
   }
   if (!zone.admitting.empty()) return this->PickLessLoaded(zone.admitting, TargetTier::kZone, now);
   if (!region.admitting.empty()) {
@@ -103,57 +98,71 @@
   return candidate.zone == this->options.zone ? TargetTier::kZone : TargetTier::kRegion;
 }
 
-TargetChooser::Pool TargetChooser::PoolOf(TargetTier tier, const TargetQuery& query,
-                                          const std::vector<Candidate>& candidates,
-                                          SteadyTime now) {
-  std::vector<const Candidate*> all;
+TargetChooser::Candidates TargetChooser::EligibleFor(const TargetQuery& query,
+                                                     const std::vector<Candidate>& candidates,
+                                                     SteadyTime now) {
+  Candidates eligible;
   for (const Candidate& candidate : candidates) {
-    const bool eligible = candidate.reachable && TakesCalls(candidate);
-    if (eligible && this->TierOf(candidate) == tier) all.push_back(&candidate);
-  }
-  const auto excluded = [&](const Candidate* candidate) { return IsExcluded(query, *candidate); };
-  Pool pool;
-  pool.usable = this->WithoutEjected(
-      TargetSubset(all, query.service, this->options.node, this->options.subset_size), now);
-  std::erase_if(pool.usable, excluded);
-  if (pool.usable.empty()) {
-    pool.usable = this->WithoutEjected(std::move(all), now);
-    std::erase_if(pool.usable, excluded);
-  }
-  const std::string& scope = query.level_scope.empty() ? query.service : query.level_scope;
-  for (const Candidate* candidate : pool.usable) {
-    if (!this->levels.Admits(scope, candidate->node, query.key, now)) continue;
-    pool.admitting.push_back(candidate);
-    if (!this->Saturated(*candidate, now)) pool.unsaturated.push_back(candidate);
+    if (!candidate.reachable || !TakesCalls(candidate)) continue;
+    const bool is_beyond = this->TierOf(candidate) == TargetTier::kBeyond;
+    if (!is_beyond || query.call_class.may_leave_region) eligible.push_back(&candidate);
   }
-  return pool;
+  return this->WithoutEjected(std::move(eligible), now);
 }
 
-std::vector<const Candidate*> TargetChooser::WithoutEjected(std::vector<const Candidate*> subset,
-                                                            SteadyTime now) {
-  std::vector<const Candidate*> ejected;
-  for (const Candidate* candidate : subset) {
+TargetChooser::Candidates TargetChooser::WithoutEjected(Candidates all, SteadyTime now) {
+  Candidates ejected;
+  for (const Candidate* candidate : all) {
     if (this->KnownOf(*candidate).load.Ejected()) ejected.push_back(candidate);
   }
   // When every target fails, the cause is beyond them, and fewer targets would only add to the
   // load.
-  if (ejected.size() == subset.size()) return subset;
+  if (ejected.size() == all.size()) return all;
   const auto longer = [&](const Candidate* one, const Candidate* other) {
     return this->KnownOf(*one).load.EjectedUntil() > this->KnownOf(*other).load.EjectedUntil();
   };
   std::sort(ejected.begin(), ejected.end(), longer);
-  ejected.resize(std::min(ejected.size(), subset.size() / 2));
+  ejected.resize(std::min(ejected.size(), all.size() / 2));
   std::erase_if(ejected, [&](const Candidate* candidate) {
     return this->KnownOf(*candidate).load.ProbeDue(now);
   });
-  std::erase_if(subset, [&](const Candidate* candidate) {
+  std::erase_if(all, [&](const Candidate* candidate) {
     return std::find(ejected.begin(), ejected.end(), candidate) != ejected.end();
   });
-  return subset;
+  return all;
+}
+
+TargetChooser::Pool TargetChooser::PoolOf(TargetTier tier, const TargetQuery& query,
+                                          const Candidates& eligible, SteadyTime now) {
+  Candidates all;
+  for (const Candidate* candidate : eligible) {
+    if (this->TierOf(*candidate) == tier) all.push_back(candidate);
+  }
+  const auto excluded = [&](const Candidate* candidate) { return IsExcluded(query, *candidate); };
+  Pool pool;
+  pool.usable = TargetSubset(all, query.service, this->options.node, this->options.subset_size);
+  std::erase_if(pool.usable, excluded);
+  if (pool.usable.empty()) {
+    pool.usable = std::move(all);
+    std::erase_if(pool.usable, excluded);
+  }
+  const bool any_sound =
+      std::any_of(eligible.begin(), eligible.end(), [&](const Candidate* candidate) {
+        return !excluded(candidate) && !this->KnownOf(*candidate).load.FailsOften(now);
+      });
+  const std::string& scope = query.level_scope.empty() ? query.service : query.level_scope;
+  for (const Candidate* candidate : pool.usable) {
+    if (!this->levels.Admits(scope, candidate->node, query.key, now)) continue;
+    pool.admitting.push_back(candidate);
+    if (this->Saturated(*candidate, now)) continue;
+    if (any_sound && this->KnownOf(*candidate).load.FailsOften(now)) continue;
+    pool.roomy.push_back(candidate);
+  }
+  return pool;
 }
 
-TargetChoice TargetChooser::PickLessLoaded(const std::vector<const Candidate*>& targets,
-                                           TargetTier tier, SteadyTime now) {
+TargetChoice TargetChooser::PickLessLoaded(const Candidates& targets, TargetTier tier,
+                                           SteadyTime now) {
   const std::size_t first = this->hooks.random_below(targets.size());
   const Candidate* chosen = targets[first];
   if (targets.size() > 1) {
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -29,8 +29,9 @@
 /// budget. If all are saturated, the nearest tier that admits the key at all. Within a tier: a
 /// stable subset, and of two drawn at random the less loaded one (Mitzenmacher 2001). Targets seen
 /// first a short time ago count as more loaded than they are, but one that is idle and unheard is
-/// tried now and then. Targets that fail are ejected, at most half of a subset and none if all of
-/// it fails.
+/// tried now and then. Targets that fail are ejected, at most half of all that the call may go to,
+/// whatever their tier, and none if all fail. One that fails now and then counts as saturated for a
+/// second after each failure, while a sound one is left anywhere.
 class TargetChooser {
  public:
   TargetChooser(TargetChooserOptions chooser_options, TargetChooserHooks chooser_hooks);
@@ -60,20 +61,23 @@
     std::uint64_t incarnation = 0;
     TargetLoad load;
   };
+  using Candidates = std::vector<const Candidate*>;
+
   /// The targets of one tier that may get the call, from all to the best.
   struct Pool {
-    std::vector<const Candidate*> usable;
-    std::vector<const Candidate*> admitting;
-    std::vector<const Candidate*> unsaturated;
+    Candidates usable;
+    Candidates admitting;
+    Candidates roomy;  ///< Sound, or as good as any, and not saturated.
   };
 
   TargetTier TierOf(const Candidate& candidate) const;
-  Pool PoolOf(TargetTier tier, const TargetQuery& query, const std::vector<Candidate>& candidates,
+  /// Of the candidates, those in a tier that the call may use that are not ejected.
+  Candidates EligibleFor(const TargetQuery& query, const std::vector<Candidate>& candidates,
+                         SteadyTime now);
+  Candidates WithoutEjected(Candidates all, SteadyTime now);
+  Pool PoolOf(TargetTier tier, const TargetQuery& query, const Candidates& eligible,
               SteadyTime now);
-  std::vector<const Candidate*> WithoutEjected(std::vector<const Candidate*> subset,
-                                               SteadyTime now);
-  TargetChoice PickLessLoaded(const std::vector<const Candidate*>& targets, TargetTier tier,
-                              SteadyTime now);
+  TargetChoice PickLessLoaded(const Candidates& targets, TargetTier tier, SteadyTime now);
   bool ShallTry(const Candidate& one, const Candidate& other, SteadyTime now);
   bool IsIdleAndUnheard(const Candidate& candidate, SteadyTime now);
   bool IsBetter(const Candidate& one, const Candidate& other, SteadyTime now);
--- a/src/policy/target_load.cc
+++ b/src/policy/target_load.cc
@@ -11,6 +11,8 @@
 constexpr std::uint32_t kEjectAfterFailures = 5;
 constexpr std::uint32_t kReadmitAfterSuccesses = 5;
 constexpr double kEjectFailureShare = 0.5;
+constexpr double kOftenFailureShare = 0.15;
+constexpr Duration kPassedOverFor = std::chrono::seconds(1);
 constexpr std::uint32_t kMinObserved = 20;
 constexpr Duration kFirstEjection = std::chrono::seconds(1);
 constexpr std::uint32_t kMaxEjectionDoublings = 5;
@@ -64,7 +66,13 @@
   return this->ejected && now >= this->ejected_until && this->in_flight == 0;
 }
 
+bool TargetLoad::FailsOften(SteadyTime now) const {
+  const bool often = this->observed >= kMinObserved && this->failure_share > kOftenFailureShare;
+  return often && now - this->failed_at < kPassedOverFor;
+}
+
 void TargetLoad::OnFailure(SteadyTime now) {
+  this->failed_at = now;
   this->failure_share += kSmoothing * (1 - this->failure_share);
   this->observed += 1;
   this->consecutive_failures += 1;
--- a/src/policy/target_load.h
+++ b/src/policy/target_load.h
@@ -31,6 +31,9 @@
   bool ProbeDue(SteadyTime now) const;
   std::uint32_t ConsecutiveFailures() const { return this->consecutive_failures; }
   double FailureShare() const { return this->failure_share; }
+  /// Failed a moment ago and fails so much that a sound target is to be preferred, though not
+  /// enough for an ejection. Ends by itself, since only calls tell that the target is sound again.
+  bool FailsOften(SteadyTime now) const;
   SteadyTime EjectedUntil() const { return this->ejected_until; }
 
  private:
@@ -44,6 +47,7 @@
   SteadyTime heard_at;
   double latency_seconds = 0;
   double failure_share = 0;  ///< Smoothed over calls.
+  SteadyTime failed_at;
   std::uint32_t observed = 0;
   std::uint32_t consecutive_failures = 0;
   std::uint32_t consecutive_successes = 0;
--- a/tests/policy/target_chooser_test.cc
+++ b/tests/policy/target_chooser_test.cc
@@ -203,6 +203,40 @@
   EXPECT_EQ(this->ChooseMany(100, 1.1)["a"], 0);
 }
 
+TEST_F(TargetChooserTest, LeavesItsZoneForASoundTargetWhileItsOnlyOneThereIsEjected) {
+  this->ChosenNode();
+  this->Fail("a");
+  EXPECT_EQ(this->ChooseMany(100)["a"], 0);
+  EXPECT_EQ(this->ChosenNode(), "b");
+}
+
+TEST_F(TargetChooserTest, LeavesItsZoneForASoundTargetWhileItsOnlyOneThereFailsNowAndThen) {
+  this->ChosenNode();
+  for (int i = 0; i < 40; ++i) {
+    const bool fails = i % 3 == 0;
+    this->Answer("a", fails ? CallOutcome::kFailed : CallOutcome::kSucceeded, {}, std::nullopt);
+  }
+  EXPECT_EQ(this->ChooseMany(100)["b"], 100);
+  EXPECT_EQ(this->ChooseMany(100, 1.1)["a"], 100) << "only calls tell that it is sound again";
+  this->Answer("a", CallOutcome::kFailed, {}, std::nullopt, 1.1);
+  EXPECT_EQ(this->ChooseMany(100, 1.2)["b"], 100);
+  for (int i = 0; i < 40; ++i) {
+    this->Answer("a", CallOutcome::kSucceeded, {}, std::nullopt, 1.3);
+  }
+  EXPECT_EQ(this->ChooseMany(100, 1.4)["a"], 100);
+}
+
+TEST_F(TargetChooserTest, StaysInItsZoneWhenNoTargetIsSound) {
+  this->ChosenNode();
+  for (int i = 0; i < 40; ++i) {
+    const bool fails = i % 3 == 0;
+    for (const char* node : {"a", "b"}) {
+      this->Answer(node, fails ? CallOutcome::kFailed : CallOutcome::kSucceeded, {}, std::nullopt);
+    }
+  }
+  EXPECT_EQ(this->ChooseMany(100)["a"], 100);
+}
+
 TEST_F(TargetChooserTest, EjectsAtMostHalfAndNoneIfAllFail) {
   this->candidates.clear();
   for (const char* node : {"a", "b", "c", "d"}) this->candidates.push_back(Make(node, "erie-a"));
