Bound the retries of all nodes in any window, in policy

Cause: the bucket of each node carries tokens of any age over, and starts with one free retry; so nodes x levels pass the fleet's extra with more machines or levels (docs/DESIGN.md, "Levels": not solved). Change: WindowedRetryBudget (spends of a window paid by successes of the last window, half of ratio / levels each) and FreeRetryHolding (extra / levels whole retries, a third kept as margin, go to the first members in an order that is the same on all nodes, after 5 s and a window among them; none in doubt). Conclusion: the sum over nodes and levels holds in the simulated fleet.

--- /dev/null
+++ b/src/policy/free_retry_holding.cc
@@ -0,0 +1,19 @@
+#include "policy/free_retry_holding.h"
+
+namespace fireflyrun::policy {
+
+void FreeRetryHolding::OnSight(const FleetSight& sight, SteadyTime now) {
+  const bool in_doubt = !sight.met_all || 2 * sight.reachable <= sight.present;
+  if (in_doubt || sight.ahead >= this->bound.FreeHolders()) {
+    this->among_first_since.reset();
+  } else if (!this->among_first_since) {
+    this->among_first_since = now;
+  }
+}
+
+bool FreeRetryHolding::Holds(SteadyTime now) const {
+  const Duration wait = kNewsTime + this->bound.window;
+  return this->among_first_since && now - *this->among_first_since >= wait;
+}
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/src/policy/windowed_retry_budget.cc
@@ -0,0 +1,47 @@
+#include "policy/windowed_retry_budget.h"
+
+#include <algorithm>
+
+namespace fireflyrun::policy {
+namespace {
+
+/// Successes are forgotten by whole slices of the window, at their beginning, so a slice is never
+/// counted longer than its earliest success.
+constexpr int kSlices = 40;
+
+}  // namespace
+
+WindowedRetryBudget::WindowedRetryBudget(const FleetRetryBound& fleet_bound) : bound(fleet_bound) {}
+
+void WindowedRetryBudget::OnSuccess(SteadyTime now) {
+  this->Forget(now);
+  const bool in_last =
+      !this->slices.empty() && now - this->slices.back().begin < this->bound.window / kSlices;
+  if (!in_last) this->slices.push_back({now, 0});
+  ++this->slices.back().successes;
+  ++this->successes;
+}
+
+bool WindowedRetryBudget::TrySpend(bool holds_free, SteadyTime now) {
+  if (this->Available(holds_free, now) < 1) return false;
+  this->spent.push_back(now);
+  return true;
+}
+
+double WindowedRetryBudget::Available(bool holds_free, SteadyTime now) {
+  this->Forget(now);
+  const double earned = this->bound.EarnedBySuccess() * static_cast<double>(this->successes);
+  const double free = holds_free ? 1 : 0;
+  return std::max(0.0, earned + free - static_cast<double>(this->spent.size()));
+}
+
+void WindowedRetryBudget::Forget(SteadyTime now) {
+  const SteadyTime oldest = now - this->bound.window;
+  while (!this->slices.empty() && this->slices.front().begin <= oldest) {
+    this->successes -= this->slices.front().successes;
+    this->slices.pop_front();
+  }
+  while (!this->spent.empty() && this->spent.front() <= oldest) this->spent.pop_front();
+}
+
+}  // namespace fireflyrun::policy
--- /dev/null
+++ b/tests/policy/fleet_retry_test.cc
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <chrono>
+#include <cstdint>
+
+#include "tests/policy/simulated_fleet.h"
+
+namespace fireflyrun::policy {
+namespace {
+
+constexpr int kSteps = 600;
+const FleetRetryBound kBound{std::chrono::seconds(10), 0.2, 48, 5};
+
+FleetSight Sight(std::size_t ahead, std::size_t present, std::size_t reachable) {
+  return {ahead, present, reachable, true};
+}
+
+RC_GTEST_PROP(FleetRetryTest, RepeatsOfAllNodesAndLevelsStayWithinTheBoundInAnyWindow,
+              (std::uint32_t seed)) {
+  SimulatedFleet fleet(seed, kBound, 1 + seed % 80);
+  fleet.Run(kSteps, 60);
+  RC_ASSERT(fleet.WorstExcess() <= 0);
+}
+
+RC_GTEST_PROP(FleetRetryTest, WithoutExtraOnlyTheRatioIsSpent, (std::uint32_t seed)) {
+  FleetRetryBound bound = kBound;
+  bound.extra = 0;
+  bound.levels = 1 + static_cast<int>(seed % 2);
+  SimulatedFleet fleet(seed, bound, 1 + seed % 40);
+  fleet.Run(kSteps, 200);
+  RC_ASSERT(fleet.WorstExcess() <= 0);
+}
+
+RC_GTEST_PROP(FleetRetryTest, FreeRetriesOfAnyNumberOfNodesStayWithinTheExtra,
+              (std::uint32_t seed)) {
+  FleetRetryBound bound = kBound;
+  bound.ratio = 0;
+  bound.extra = seed % 24;
+  bound.levels = 1;
+  SimulatedFleet fleet(seed, bound, 20 + seed % 130);
+  fleet.Run(kSteps, 100);
+  RC_ASSERT(fleet.WorstExcess() <= 0);
+}
+
+TEST(FleetRetryTest, TwoNodesThatAreBusyAWindowApartSpendNoMoreThanOneInOneWindow) {
+  WindowedRetryBudget early(kBound);
+  WindowedRetryBudget late(kBound);
+  for (int i = 0; i < 1000; ++i) early.OnSuccess(AtSeconds(-0.1));
+  for (int i = 0; i < 1000; ++i) late.OnSuccess(AtSeconds(9.7));
+  int spent = 0;
+  while (early.TrySpend(false, AtSeconds(0))) ++spent;
+  while (late.TrySpend(false, AtSeconds(9.8))) ++spent;
+  EXPECT_EQ(spent, 1000 * kBound.ratio / kBound.levels);
+}
+
+TEST(FleetRetryTest, ALargeFleetHasAsManyFreeRetriesAsASmallOne) {
+  for (const std::size_t members : {16U, 300U, 2700U}) {
+    std::size_t held = 0;
+    for (std::size_t ahead = 0; ahead < members; ++ahead) {
+      FreeRetryHolding holding(kBound);
+      holding.OnSight(Sight(ahead, members, members), AtSeconds(0));
+      if (holding.Holds(AtSeconds(15))) ++held;
+    }
+    EXPECT_EQ(held, kBound.FreeHolders());
+  }
+  EXPECT_EQ(kBound.FreeRetries(), 9U);
+  EXPECT_EQ(kBound.FreeHolders(), 6U);
+}
+
+TEST(FleetRetryTest, AFreeRetryIsHeldAfterNewsTimeAndAWindowAmongTheFirst) {
+  FreeRetryHolding holding(kBound);
+  holding.OnSight(Sight(2, 16, 16), AtSeconds(0));
+  EXPECT_FALSE(holding.Holds(AtSeconds(14.9)));
+  EXPECT_TRUE(holding.Holds(AtSeconds(15)));
+  holding.OnSight(Sight(6, 16, 16), AtSeconds(16));
+  EXPECT_FALSE(holding.Holds(AtSeconds(16)));
+  holding.OnSight(Sight(5, 16, 16), AtSeconds(17));
+  EXPECT_FALSE(holding.Holds(AtSeconds(31.9)));
+  EXPECT_TRUE(holding.Holds(AtSeconds(32)));
+}
+
+TEST(FleetRetryTest, ANodeInDoubtHoldsNoFreeRetry) {
+  FreeRetryHolding holding(kBound);
+  holding.OnSight({0, 1, 1, false}, AtSeconds(0));
+  EXPECT_FALSE(holding.Holds(AtSeconds(20))) << "met nobody";
+  holding.OnSight(Sight(0, 16, 8), AtSeconds(20));
+  EXPECT_FALSE(holding.Holds(AtSeconds(40))) << "half of the fleet is out of reach";
+  holding.OnSight(Sight(0, 16, 9), AtSeconds(40));
+  EXPECT_TRUE(holding.Holds(AtSeconds(55)));
+}
+
+TEST(WindowedRetryBudgetTest, NothingOlderThanTheWindowCounts) {
+  WindowedRetryBudget budget(kBound);
+  for (int i = 0; i < 200; ++i) budget.OnSuccess(AtSeconds(i * 0.01));
+  EXPECT_NEAR(budget.Available(false, AtSeconds(2)), 4, 1e-9);
+  EXPECT_TRUE(budget.TrySpend(false, AtSeconds(2)));
+  EXPECT_TRUE(budget.TrySpend(true, AtSeconds(9)));
+  EXPECT_NEAR(budget.Available(true, AtSeconds(9)), 3, 1e-9);
+  EXPECT_FALSE(budget.TrySpend(false, AtSeconds(12)));
+  EXPECT_FALSE(budget.TrySpend(true, AtSeconds(12))) << "one was spent within the window";
+  EXPECT_TRUE(budget.TrySpend(true, AtSeconds(19)));
+}
+
+}  // namespace
+}  // namespace fireflyrun::policy
