--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -22,6 +22,7 @@
 #include "node/target_probe.h"
 #include "peer/link_pool.h"
 #include "peer/link_server.h"
+#include "policy/fleet_retry_bound.h"
 #include "records/configuration.h"
 
 namespace fireflyrun::node {
@@ -43,6 +44,10 @@
   return options;
 }
 
+policy::FleetRetryBound MakeRetryBound(const NodeSettings& settings) {
+  return {settings.retry_window, settings.retry_ratio, settings.retry_extra, settings.retry_levels};
+}
+
 policy::TargetChooserOptions MakeChooserOptions(const NodeSettings& settings) {
   policy::TargetChooserOptions options;
   options.node = settings.node;
@@ -60,6 +65,10 @@
       settings(node_settings),
       control(control_plane),
       metrics(node_metrics),
+      fleet_share(control_plane.Fleet(), MakeRetryBound(node_settings),
+                  [this] { return this->control.MetFleet(); }),
+      budgets(std::make_unique<RetryBudgets>(
+          MakeRetryBound(node_settings), [this] { return this->fleet_share.HoldsFreeRetry(); })),
       link_budget(node_settings.link_bytes_per_second,
                   node_settings.link_bytes_per_second * kLinkBurstSeconds, SteadyClock::now()),
       chooser(MakeChooserOptions(node_settings),
@@ -173,7 +182,7 @@
                   return address == nullptr ? 0.0 : static_cast<double>(address->slots);
                 });
   out->AddGauge("fireflyrun_retry_budget_left", "Retries held, over all services.",
-                [this] { return this->budgets.Available(); });
+                [this] { return this->budgets->Available(); });
   out->AddGauge("fireflyrun_calls_in_progress", "Calls that began at this node and have not ended.",
                 [this] { return static_cast<double>(this->dispatcher->InProgress()); });
   out->AddGauge("fireflyrun_tickets", "Tickets remembered.",
@@ -254,7 +263,7 @@
   services.directory = this->directory.get();
   services.chooser = &this->chooser;
   services.sender = this->sender.get();
-  services.budgets = &this->budgets;
+  services.budgets = this->budgets.get();
   services.fixed_retries = this->settings.decisions_off;
   services.count_repeat = [this](const OutboundCall& call, bool is_move) {
     this->metrics.CountRepeat(call, is_move);
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -14,6 +14,7 @@
 #include "node/caller_service.h"
 #include "node/context_table.h"
 #include "node/dispatch_services.h"
+#include "node/fleet_share.h"
 #include "node/node_settings.h"
 #include "node/part.h"
 #include "node/retry_budgets.h"
@@ -99,7 +100,8 @@
   ControlPlane& control;
   NodeMetrics& metrics;
   ContextTable contexts;
-  RetryBudgets budgets;
+  FleetShare fleet_share;
+  std::unique_ptr<RetryBudgets> budgets;
   policy::ByteBudget link_budget;
   policy::TargetChooser chooser;
   std::unique_ptr<TargetDirectory> directory;
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -244,17 +244,19 @@
 
 void ControlPlane::RefreshContacts() {
   const bool reunion_due = ++this->contact_rounds % kReunionPeriods == 0;
-  const bool look_for_others = this->membership->WantsWatch() && reunion_due;
+  const bool misses_some = this->membership->WantsWatch() || !this->KnowsAllOfRoster();
+  const bool look_for_others = misses_some && reunion_due;
   if (this->membership->HasJoined() && !look_for_others) return;
   store::ReadRoster(*this->store, this->settings.cluster, [this](auto entries) {
     if (!entries) return;
-    bool names_others = false;
+    std::vector<std::string> others;
     for (const auto& entry : *entries) {
       if (entry.node == this->settings.node) continue;
-      names_others = true;
+      others.push_back(entry.node);
       this->membership->AddContact(entry.control_address);
     }
-    this->seems_alone = !names_others;
+    this->seems_alone = others.empty();
+    this->roster_nodes = std::move(others);
   });
 }
 
@@ -269,6 +271,21 @@
   return this->membership->HasJoined() || this->seems_alone || waited;
 }
 
+bool ControlPlane::KnowsAllOfRoster() const {
+  if (!this->roster) return true;
+  if (!this->roster_nodes) return false;
+  const membership::View& view = this->membership->GetView();
+  return std::all_of(this->roster_nodes->begin(), this->roster_nodes->end(),
+                     [&view](const std::string& node) {
+                       const auto* state = view.Find(node);
+                       return state != nullptr && state->IsPresent();
+                     });
+}
+
+bool ControlPlane::MetFleet() const {
+  return (this->membership->HasJoined() || this->seems_alone) && this->KnowsAllOfRoster();
+}
+
 Part ControlPlane::RosterPart() {
   Part part;
   part.name = "roster";
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/timer_subscription.h"
@@ -58,6 +60,9 @@
   membership::Membership& Fleet() { return *this->membership; }
   /// True once another node was heard of, or there seems to be none.
   bool KnowsFleet() const;
+  /// True while no member can be there that this node hasn't heard of, as far as it can tell:
+  /// another node answered, or there is none, and all that the roster last named are members.
+  bool MetFleet() const;
   /// Gives up the roster's slot, without waiting for the store.
   void LeaveRoster();
   const RecordKeeper& Records() const { return *this->records; }
@@ -78,6 +83,7 @@
   Part RecordsPart();
   Part RosterPart();
   void RefreshContacts();
+  bool KnowsAllOfRoster() const;
 
   TimerService& timers;
   const NodeSettings& settings;
@@ -94,6 +100,8 @@
   TimerSubscription window_timer;
   TimerSubscription contact_timer;
   unsigned contact_rounds = 0;
+  /// Other nodes that the roster last named; nullopt until it was read.
+  std::optional<std::vector<std::string>> roster_nodes;
   bool seems_alone = false;  ///< No other node is named by the roster, or by the seeds without one.
   bool left_roster = false;
   SteadyTime started;
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -244,7 +244,7 @@
   if (result.outcome == Outcome::OUTCOME_ANSWERED) {
     this->ran = true;
     const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
-    if (!server_error) this->services.budgets->Of(*this->call.route).OnSuccess();
+    if (!server_error) this->services.budgets->OnSuccess(*this->call.route);
     const bool repeatable = this->call.ticket_source == TicketSource::kNone;
     if (server_error && repeatable && this->MayRetry(result)) {
       this->After(RetryDelay(this->retries), [this] { this->Step(); });
@@ -330,7 +330,7 @@
 void Dispatch::NoteNotRepeated(const AttemptResult& result) {
   this->trace.OnNotRepeated(
       this->call, result,
-      {this->moves, kMaxMoves, this->services.budgets->Of(*this->call.route).Available()});
+      {this->moves, kMaxMoves, this->services.budgets->Available(*this->call.route)});
 }
 
 bool Dispatch::MayMove(const AttemptResult& result) {
@@ -352,12 +352,11 @@
     const auto attempts = static_cast<std::uint32_t>(this->call.route->max_attempts);
     if (attempts > 0 && this->retries + 1 >= attempts) return false;
     if (result.answer.head.final() || this->call.allotment->Exhausted()) return false;
-    if (!this->services.budgets->Of(*this->call.route).TrySpend()) return false;
+    if (!this->services.budgets->TrySpend(*this->call.route)) return false;
     if (!this->call.allotment->TrySpend()) return false;
   }
   ++this->retries;
-  this->trace.OnRetried(this->call, result,
-                        this->services.budgets->Of(*this->call.route).Available());
+  this->trace.OnRetried(this->call, result, this->services.budgets->Available(*this->call.route));
   this->services.count_repeat(this->call, false);
   return true;
 }
--- /dev/null
+++ b/src/node/fleet_share.cc
@@ -0,0 +1,57 @@
+#include "node/fleet_share.h"
+
+#include <tuple>
+#include <utility>
+
+#include "membership/member_state.h"
+#include "membership/membership.h"
+#include "membership/view.h"
+#include "membership/view_change.h"
+
+namespace fireflyrun::node {
+namespace {
+
+/// The order of all members, the same on every node.
+bool Precedes(const membership::MemberState& one, const membership::MemberState& other) {
+  return std::tie(one.name_hash, one.member.node) < std::tie(other.name_hash, other.member.node);
+}
+
+}  // namespace
+
+FleetShare::FleetShare(membership::Membership& fleet, const policy::FleetRetryBound& bound,
+                       std::function<bool()> met_fleet)
+    : membership(fleet), met_all(std::move(met_fleet)), holding(bound) {
+  if (!bound.IsSet()) return;
+  this->subscription =
+      fleet.Subscribe([this](membership::ViewChange, const membership::MemberState&) {
+        this->holding.OnSight(this->Look(), SteadyClock::now());
+      });
+}
+
+FleetShare::~FleetShare() {
+  if (this->subscription) this->membership.Unsubscribe(*this->subscription);
+}
+
+bool FleetShare::HoldsFreeRetry() {
+  const SteadyTime now = SteadyClock::now();
+  // What the roster names changes without a change of the view.
+  this->holding.OnSight(this->Look(), now);
+  return this->holding.Holds(now);
+}
+
+policy::FleetSight FleetShare::Look() const {
+  const membership::View& view = this->membership.GetView();
+  const membership::MemberState* self = view.Find(view.Self().node);
+  policy::FleetSight sight{0, 0, 0, this->met_all()};
+  for (const std::string& zone : view.Zones()) {
+    for (const membership::MemberState* state : view.MembersOf(zone)) {
+      if (!state->IsPresent()) continue;
+      ++sight.present;
+      if (state->IsReachable()) ++sight.reachable;
+      if (state != self && Precedes(*state, *self)) ++sight.ahead;
+    }
+  }
+  return sight;
+}
+
+}  // namespace fireflyrun::node
--- /dev/null
+++ b/src/node/fleet_share.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+
+#include "common/clock.h"
+#include "policy/fleet_retry_bound.h"
+#include "policy/fleet_sight.h"
+#include "policy/free_retry_holding.h"
+
+namespace fireflyrun::membership {
+class Membership;
+}
+
+namespace fireflyrun::node {
+
+/// This node's share of what the fleet may repeat without having earned it: follows the view of the
+/// members.
+class FleetShare {
+ public:
+  /// `met_fleet`: see policy::FleetSight::met_all.
+  FleetShare(membership::Membership& fleet, const policy::FleetRetryBound& bound,
+             std::function<bool()> met_fleet);
+  ~FleetShare();
+  FleetShare(const FleetShare&) = delete;
+  FleetShare& operator=(const FleetShare&) = delete;
+
+  bool HoldsFreeRetry();
+
+ private:
+  policy::FleetSight Look() const;
+
+  membership::Membership& membership;
+  std::function<bool()> met_all;
+  policy::FreeRetryHolding holding;
+  std::optional<std::size_t> subscription;
+};
+
+}  // namespace fireflyrun::node
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -68,14 +68,16 @@
   return std::nullopt;
 }
 
-Problem StoreShare(std::string_view value, double* share) {
+/// With fractions if need be.
+Problem StoreDecimal(std::string_view value, double lowest, double highest, double* number) {
   double parsed = 0;
   const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), parsed);
   const bool whole = error == std::errc{} && end == value.data() + value.size();
-  if (!whole || !(parsed >= 0 && parsed <= 1)) {
-    return fmt::format("\"{}\" is out of range; allowed is a number of 0 to 1", value);
+  if (!whole || !(parsed >= lowest && parsed <= highest)) {
+    return fmt::format("\"{}\" is out of range; allowed is a number of {} to {}", value, lowest,
+                       highest);
   }
-  *share = parsed;
+  *number = parsed;
   return std::nullopt;
 }
 
@@ -258,9 +260,24 @@
          return StoreSeconds(value, 0.001, 10, &settings.queue_target);
        }},
       {"retry-ratio", "FIREFLYRUN_RETRY_RATIO", "SHARE",
-       "repeats that a service may get of its requests, where the site sets it, 0 to 1 [0.2]",
+       "repeats that a service may get of its requests, of all nodes, 0 to 1 [0.2]",
        [](std::string_view value, NodeSettings& settings) {
-         return StoreShare(value, &settings.retry_ratio);
+         return StoreDecimal(value, 0, 1, &settings.retry_ratio);
+       }},
+      {"retry-window", "FIREFLYRUN_RETRY_WINDOW", "SECONDS",
+       "time in which ratio and extra bound the repeats of all nodes; 0: not bound, 0 to 600 [0]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreSeconds(value, 0, 600, &settings.retry_window);
+       }},
+      {"retry-extra", "FIREFLYRUN_RETRY_EXTRA", "COUNT",
+       "repeats that a service may get beside the ratio, of all nodes, 0 to 100000 [0]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreDecimal(value, 0, 100'000, &settings.retry_extra);
+       }},
+      {"retry-levels", "FIREFLYRUN_RETRY_LEVELS", "COUNT",
+       "levels of calls that share ratio and extra, 1 to 20 [5]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreNumber(value, 1, 20, "", &settings.retry_levels);
        }},
       {"decisions-off", "FIREFLYRUN_DECISIONS_OFF", "on|off",
        "baseline for benchmarks: fixed retries per hop, no shedding, first in first out [off]",
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -39,7 +39,11 @@
   Duration stop_grace = Duration::zero();   ///< From a stop to the kill; zero: none comes.
   std::uint32_t link_bytes_per_second = 2'000;
   Duration queue_target = std::chrono::milliseconds(20);  ///< See policy/admission_options.h.
-  double retry_ratio = 0.2;  ///< Repeats that a service may get, of its requests, at most.
+  /// What all nodes together may repeat at one service, see policy::FleetRetryBound.
+  double retry_ratio = 0.2;
+  Duration retry_window = Duration::zero();
+  double retry_extra = 0;
+  int retry_levels = 5;
   bool decisions_off = false;
   WireNames wire;
   std::string target_service;  ///< Of this host's target; empty: as it announces itself.
--- a/src/node/retry_budgets.cc
+++ b/src/node/retry_budgets.cc
@@ -1,15 +1,48 @@
 #include "node/retry_budgets.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "common/clock.h"
+
 namespace fireflyrun::node {
 
-policy::RetryBudget& RetryBudgets::Of(const records::RoutePolicy& route) {
+RetryBudgets::RetryBudgets(const policy::FleetRetryBound& fleet_bound,
+                           std::function<bool()> free_retry_held)
+    : bound(fleet_bound), holds_free(std::move(free_retry_held)) {}
+
+void RetryBudgets::OnSuccess(const records::RoutePolicy& route) {
+  this->EntryOf(route).budget.OnSuccess();
+  if (this->bound.IsSet()) this->FleetBudgetOf(route.service).OnSuccess(SteadyClock::now());
+}
+
+bool RetryBudgets::TrySpend(const records::RoutePolicy& route) {
+  Entry& entry = this->EntryOf(route);
+  if (this->AvailableOf(entry) < 1) return false;
+  if (this->bound.IsSet()) {
+    this->FleetBudgetOf(route.service).TrySpend(this->holds_free(), SteadyClock::now());
+  }
+  return entry.budget.TrySpend();
+}
+
+double RetryBudgets::Available(const records::RoutePolicy& route) {
+  return this->AvailableOf(this->EntryOf(route));
+}
+
+double RetryBudgets::Available() {
+  double sum = 0;
+  for (const auto& [key, entry] : this->entries) sum += this->AvailableOf(entry);
+  return sum;
+}
+
+RetryBudgets::Entry& RetryBudgets::EntryOf(const records::RoutePolicy& route) {
   const records::RetryPolicy& policy = route.retry;
   const std::string name = route.service + '/' + policy.name;
   const auto found = this->entries.find(name);
   if (found == this->entries.end()) {
-    const Entry entry{policy.success_ratio, policy.burst,
+    const Entry entry{route.service, policy.success_ratio, policy.burst,
                       policy::RetryBudget(policy.success_ratio, policy.burst)};
-    return this->entries.emplace(name, entry).first->second.budget;
+    return this->entries.emplace(name, entry).first->second;
   }
   Entry& entry = found->second;
   if (entry.success_ratio != policy.success_ratio || entry.burst != policy.burst) {
@@ -17,13 +50,18 @@
     entry.burst = policy.burst;
     entry.budget.Reconfigure(policy.success_ratio, policy.burst);
   }
-  return entry.budget;
+  return entry;
 }
 
-double RetryBudgets::Available() const {
-  double sum = 0;
-  for (const auto& [key, entry] : this->entries) sum += entry.budget.Available();
-  return sum;
+policy::WindowedRetryBudget& RetryBudgets::FleetBudgetOf(const std::string& service) {
+  return this->fleet_budgets.try_emplace(service, this->bound).first->second;
+}
+
+double RetryBudgets::AvailableOf(const Entry& entry) {
+  const double held = entry.budget.Available();
+  if (!this->bound.IsSet() || held < 1) return held;
+  auto& fleet_budget = this->FleetBudgetOf(entry.service);
+  return std::min(held, fleet_budget.Available(this->holds_free(), SteadyClock::now()));
 }
 
 }  // namespace fireflyrun::node
--- a/src/node/retry_budgets.h
+++ b/src/node/retry_budgets.h
@@ -1,28 +1,47 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <unordered_map>
 
+#include "policy/fleet_retry_bound.h"
 #include "policy/retry_budget.h"
+#include "policy/windowed_retry_budget.h"
 #include "records/route_policy.h"
 
 namespace fireflyrun::node {
 
-/// One retry budget for each service and retry allowance record, kept over changes of the record.
+/// What the calls of this node may still repeat: one budget for each service and retry allowance
+/// record, kept over changes of the record, and beside it this node's part of what the fleet may
+/// repeat at the service, where the fleet is bound. A retry needs both.
 class RetryBudgets {
  public:
-  policy::RetryBudget& Of(const records::RoutePolicy& route);
+  /// `free_retry_held`: see policy::FreeRetryHolding.
+  RetryBudgets(const policy::FleetRetryBound& fleet_bound, std::function<bool()> free_retry_held);
+
+  void OnSuccess(const records::RoutePolicy& route);
+  /// Spends one retry; false if less than one is left.
+  bool TrySpend(const records::RoutePolicy& route);
+  double Available(const records::RoutePolicy& route);
   /// Over all of them.
-  double Available() const;
+  double Available();
 
  private:
   struct Entry {
+    std::string service;
     double success_ratio;
     int burst;
     policy::RetryBudget budget;
   };
 
+  Entry& EntryOf(const records::RoutePolicy& route);
+  policy::WindowedRetryBudget& FleetBudgetOf(const std::string& service);
+  double AvailableOf(const Entry& entry);
+
+  policy::FleetRetryBound bound;
+  std::function<bool()> holds_free;
   std::unordered_map<std::string, Entry> entries;
+  std::unordered_map<std::string, policy::WindowedRetryBudget> fleet_budgets;  ///< By service.
 };
 
 }  // namespace fireflyrun::node
--- /dev/null
+++ b/tests/node/retry_budgets_test.cc
@@ -0,0 +1,37 @@
+#include "node/retry_budgets.h"
+
+#include <gtest/gtest.h>
+
+namespace fireflyrun::node {
+namespace {
+
+records::RoutePolicy Route(const std::string& service, const std::string& allowance) {
+  records::RoutePolicy route;
+  route.service = service;
+  route.retry = {allowance, 3, 1, 100};
+  return route;
+}
+
+TEST(RetryBudgetsTest, WithoutABoundOfTheFleetTheRecordAloneHolds) {
+  RetryBudgets budgets({}, [] { return false; });
+  EXPECT_EQ(budgets.Available(Route("tills", "ample")), 100);
+  EXPECT_TRUE(budgets.TrySpend(Route("tills", "ample")));
+  EXPECT_EQ(budgets.Available(), 99);
+}
+
+TEST(RetryBudgetsTest, TheBoundOfTheFleetHoldsForAServiceWhateverItsAllowances) {
+  bool holds_free = false;
+  RetryBudgets budgets({std::chrono::seconds(60), 1, 0, 1}, [&] { return holds_free; });
+  EXPECT_FALSE(budgets.TrySpend(Route("tills", "ample")));
+  budgets.OnSuccess(Route("tills", "ample"));
+  budgets.OnSuccess(Route("tills", "other"));
+  EXPECT_FALSE(budgets.TrySpend(Route("scans", "ample")));
+  EXPECT_TRUE(budgets.TrySpend(Route("tills", "ample")));
+  EXPECT_FALSE(budgets.TrySpend(Route("tills", "other")));
+  holds_free = true;
+  EXPECT_TRUE(budgets.TrySpend(Route("tills", "other")));
+  EXPECT_TRUE(budgets.TrySpend(Route("scans", "ample")));
+}
+
+}  // namespace
+}  // namespace fireflyrun::node
