--- a/tests/node/node_setting_table_test.cc
+++ b/tests/node/node_setting_table_test.cc
@@ -69,6 +69,16 @@
   EXPECT_NE(text.find("--region: is required"), std::string::npos) << text;
 }
 
+TEST(NodeSettingTableTest, ReadsTheBoundOfTheFleetsRetries) {
+  const auto parsed = Parse({"--retry-window", "10", "--retry-extra", "48.0", "--retry-ratio",
+                             "1.5", "--retry-levels", "0"});
+  EXPECT_EQ(parsed.settings.retry_window, std::chrono::seconds(10));
+  EXPECT_EQ(parsed.settings.retry_extra, 48);
+  const std::string text = FormatFindings(parsed.findings);
+  EXPECT_NE(text.find("--retry-ratio: "), std::string::npos) << text;
+  EXPECT_NE(text.find("--retry-levels: "), std::string::npos) << text;
+}
+
 TEST(NodeSettingTableTest, TwoPortsMustDiffer) {
   auto arguments = Required();
   arguments.insert(arguments.end(), {"--caller-port", "7401"});
--- a/tests/policy/simulated_fleet.h
+++ b/tests/policy/simulated_fleet.h
@@ -207,7 +207,7 @@
     this->calls_a_step = this->Chance(30) ? 2 : this->Below(most_calls + 1);
     this->fail_percent = this->Chance(50) ? 100 : this->Below(2) * this->Below(60);
     const auto members = static_cast<std::uint32_t>(this->nodes.size());
-    this->busy_from = this->Below(2) * (members / 2);
+    this->busy_from = this->Chance(50) ? members / 2 : 0;
     this->busy_nodes = this->Chance(30) ? members : (members + 1) / 2;
   }
 
