Answer a call whose parent ends first with the true status and cause

Cause: when a call ended at its target's node, TargetService cancelled the calls that the target still made for it as if their caller had left. Dispatch::Cancel runs no handler, so the exchange was dropped unanswered: the target heard `500 no-response`, and the log said `event=cancelled cause=caller-gone`.

Ruled out: the caller server (a dropped exchange is answered 500 by design) and the child's own deadline, which is never later than the parent's and lost the race to the parent's end by a few milliseconds.

Change: a parent's end is told to its children with its reason (CallDispatcher::OnParentEnded). When the parent was answered, or its caller left, the child ends at once: `unknown` if an attempt was under way, by `parent-ended` or `parent-cancelled`. These are logged as `cancelled`, at info, so that `explain` doesn't take them for the cause of what is above them. The children end after the parent's answer was made, so they don't change it.

Tests: ChildCallsTest now wants 504, `unknown` and `cause=deadline`; two new EndedParentTest cases (parent answered, parent's caller left). All three failed before the change: status 500, cause caller-gone.

Not shown by a test: a call whose parent ends while it waits for a retry or for the store.

--- a/src/node/call_context.h
+++ b/src/node/call_context.h
@@ -11,6 +11,7 @@
 #include "policy/call_class.h"
 #include "policy/key_bindings.h"
 #include "policy/priority_key.h"
+#include "policy/refusal_reason.h"
 #include "policy/retry_allotment.h"
 
 namespace fireflyrun::node {
@@ -33,7 +34,8 @@
   policy::PriorityKey tightest_level = policy::kOpenLevel;  ///< Heard from the calls it made.
   bool child_failed = false;
   bool child_final = false;
-  std::map<std::uint64_t, std::function<void()>> child_cancels;  ///< Of the calls in progress.
+  /// Of the calls in progress: ends one, told why this call ended before it.
+  std::map<std::uint64_t, std::function<void(policy::RefusalReason)>> child_ends;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/call_dispatcher.cc
+++ b/src/node/call_dispatcher.cc
@@ -30,4 +30,12 @@
   if (!node.empty()) node.mapped()->Cancel();
 }
 
+void CallDispatcher::OnParentEnded(DispatchId id, policy::RefusalReason why) {
+  const auto found = this->dispatches.find(id);
+  if (found == this->dispatches.end()) return;
+  // Its end takes it out of the table.
+  const std::shared_ptr<Dispatch> dispatch = found->second;
+  dispatch->OnParentEnded(why);
+}
+
 }  // namespace fireflyrun::node
--- a/src/node/call_dispatcher.h
+++ b/src/node/call_dispatcher.h
@@ -9,6 +9,7 @@
 #include "node/call_result.h"
 #include "node/dispatch_services.h"
 #include "node/outbound_call.h"
+#include "policy/refusal_reason.h"
 
 namespace fireflyrun::node {
 
@@ -31,6 +32,10 @@
   /// The caller no longer wants the answer; what runs for it below is cancelled.
   void Cancel(DispatchId id);
 
+  /// The call that this one is made for has ended; its handler runs, at once or when the attempt
+  /// under way has told whether it ran.
+  void OnParentEnded(DispatchId id, policy::RefusalReason why);
+
   std::size_t InProgress() const { return this->dispatches.size(); }
 
  private:
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -343,13 +343,17 @@
   const auto child_id = std::make_shared<CallDispatcher::DispatchId>(0);
   const auto id = this->dispatcher.Start(
       std::move(call), [this, described, started, exchange, child_id](CallResult result) {
-        if (described->parent) described->parent->child_cancels.erase(*child_id);
+        if (described->parent) described->parent->child_ends.erase(*child_id);
         this->OnEnded(*described, std::move(result), started, *exchange);
       });
   *child_id = id;
-  if (parent) parent->child_cancels[id] = [this, id] { this->dispatcher.Cancel(id); };
+  if (parent) {
+    parent->child_ends[id] = [this, id](RefusalReason why) {
+      this->dispatcher.OnParentEnded(id, why);
+    };
+  }
   exchange->OnCallerGone([this, id, parent] {
-    if (parent) parent->child_cancels.erase(id);
+    if (parent) parent->child_ends.erase(id);
     this->dispatcher.Cancel(id);
   });
 }
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -77,6 +77,15 @@
   if (this->attempt_id) this->services.sender->Cancel(*this->attempt_id);
 }
 
+void Dispatch::OnParentEnded(RefusalReason why) {
+  if (why == RefusalReason::kDeadline && this->attempt_id) return;
+  if (this->attempt_id) {
+    this->may_have_run = true;
+    this->services.sender->Cancel(*this->attempt_id);
+  }
+  this->FinishRefused(why);
+}
+
 void Dispatch::Abandon() {
   this->ended = true;
   this->timer.Reset();
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -34,6 +34,10 @@
   /// Cancels the attempt under way; the handler will not run.
   void Cancel();
 
+  /// Ends the call with `why`. At a deadline, which is the attempt's too, an attempt under way
+  /// still tells whether it ran.
+  void OnParentEnded(policy::RefusalReason why);
+
   /// Drops everything without telling anybody, when the node is being destroyed.
   void Abandon();
 
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -66,7 +66,14 @@
   }
 };
 
+/// The call ended because of what it was made for, not the other way round.
+bool EndedFromAbove(const CallResult& result) {
+  return result.reason == RefusalReason::kParentEnded ||
+         result.reason == RefusalReason::kParentCancelled;
+}
+
 std::string_view EventOfEnd(const CallResult& result) {
+  if (EndedFromAbove(result)) return "cancelled";
   if (result.Answered()) return http::IsServerError(result.status) ? "failed" : "answered";
   return result.outcome == peer::pb::OUTCOME_NOT_RUN ? "refused" : "failed";
 }
@@ -82,7 +89,7 @@
 }
 
 LogLevel LevelOfEnd(const CallResult& result) {
-  if (result.outcome == peer::pb::OUTCOME_NOT_RUN) return LogLevel::kInfo;
+  if (result.outcome == peer::pb::OUTCOME_NOT_RUN || EndedFromAbove(result)) return LogLevel::kInfo;
   return result.Answered() && !http::IsServerError(result.status) ? LogLevel::kDebug
                                                                   : LogLevel::kWarning;
 }
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -365,7 +365,6 @@
 void TargetService::Answer(const CallPointer& inbound, peer::Answer answer) {
   this->calls.erase(inbound->id);
   if (inbound->ticket) this->running_tickets.erase(inbound->ticket->nonce);
-  this->EndContext(inbound);
   this->FillLoad(&answer.head, *inbound);
   const auto& context = inbound->context;
   const std::uint32_t lent = inbound->call.head.retry_allotment();
@@ -379,6 +378,8 @@
   const bool child_final = context && context->child_final;
   answer.head.set_final(failed && (all_spent || child_final));
   this->ReplyTo(inbound->call.head.call_id(), inbound->reply, unused, std::move(answer));
+  // Last, for what it did not wait for is no part of the answer.
+  this->EndContext(inbound, RefusalReason::kParentEnded);
 }
 
 void TargetService::ReplyTo(const std::string& call_id, const Reply& reply,
@@ -404,11 +405,12 @@
   head->set_queue_us(static_cast<std::uint32_t>(ToMicroseconds(queue_time).count()));
 }
 
-void TargetService::EndContext(const CallPointer& inbound) {
+void TargetService::EndContext(const CallPointer& inbound, RefusalReason why) {
   if (!inbound->context) return;
   this->contexts.Remove(inbound->context->handle);
-  const auto cancels = std::exchange(inbound->context->child_cancels, {});
-  for (const auto& [id, cancel] : cancels) cancel();
+  const bool expired = SteadyClock::now() >= inbound->deadline;
+  const auto ends = std::exchange(inbound->context->child_ends, {});
+  for (const auto& [id, end] : ends) end(expired ? RefusalReason::kDeadline : why);
 }
 
 void TargetService::OnCancel(const Id128& call_id) {
@@ -432,7 +434,7 @@
   if (inbound->ticket) return;
   this->calls.erase(call_id);
   this->client.Cancel(inbound->request);
-  this->EndContext(inbound);
+  this->EndContext(inbound, RefusalReason::kParentCancelled);
   this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
   this->admission.Abandoned(call_id, now);
 }
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -104,7 +104,9 @@
   void ReplyTo(const std::string& call_id, const Reply& reply, std::uint32_t unused_retries,
                peer::Answer answer);
   void FillLoad(peer::pb::AnswerHead* head, const InboundCall& inbound);
-  void EndContext(const CallPointer& inbound);
+  /// Ends the calls that the target still makes for this one with `why`, or with the deadline when
+  /// that has passed.
+  void EndContext(const CallPointer& inbound, policy::RefusalReason why);
   CallPointer Find(const Id128& id) const;
   TargetLogContext LogContext(const InboundCall& inbound) const;
 
--- a/src/policy/refusal_reason.h
+++ b/src/policy/refusal_reason.h
@@ -28,6 +28,8 @@
   kKeyLimit,          ///< The parent call holds as many key bindings as it may.
   kAdmissionLevel,    ///< The call's key is beyond the admission level.
   kCancelled,         ///< The caller went away.
+  kParentEnded,       ///< The call that this one was made for was answered without it.
+  kParentCancelled,   ///< The caller of the call that this one was made for went away.
   kTargetFailed,      ///< The target closed, broke or garbled the exchange.
   kTargetRefused,     ///< The target itself said that it has not run the call.
   kDownstreamFailed,  ///< The target failed because a call that it made did.
@@ -60,6 +62,8 @@
     std::pair{RefusalReason::kKeyLimit, std::string_view("key-limit")},
     std::pair{RefusalReason::kAdmissionLevel, std::string_view("admission-level")},
     std::pair{RefusalReason::kCancelled, std::string_view("cancelled")},
+    std::pair{RefusalReason::kParentEnded, std::string_view("parent-ended")},
+    std::pair{RefusalReason::kParentCancelled, std::string_view("parent-cancelled")},
     std::pair{RefusalReason::kTargetFailed, std::string_view("target-failed")},
     std::pair{RefusalReason::kTargetRefused, std::string_view("target-refused")},
     std::pair{RefusalReason::kDownstreamFailed, std::string_view("downstream-failed")},
--- a/tests/integration/child_calls_test.cc
+++ b/tests/integration/child_calls_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <future>
 #include <nlohmann/json.hpp>
 
@@ -88,8 +89,12 @@
   EXPECT_NE(EndLine(fleet, "abc.y").find(" class=critical "), std::string::npos);
 
   fleet.SetTargetFault("a2", R"({"hang": true})");
-  EXPECT_GE(CallAs(fleet, "abc.x", "/leaf/x").status, 500);
+  const auto expired = CallAs(fleet, "abc.x", "/leaf/x");
+  EXPECT_EQ(expired.status, 504) << expired.body;
+  EXPECT_EQ(expired.Header("firefly-outcome"), "unknown");
   EXPECT_LT(Clock::now() - begun, kChildDeadline / 2);
+  EXPECT_NE(EndLine(fleet, "abc.x").find(" cause=deadline "), std::string::npos)
+      << EndLine(fleet, "abc.x");
   EXPECT_NE(EndLine(fleet, "abc.x").find(" class=critical "), std::string::npos)
       << EndLine(fleet, "abc.x");
   EXPECT_GE(parent.get().status, 500);
@@ -100,5 +105,57 @@
   EXPECT_NE(EndLine(fleet, "abc.z").find(" class=status "), std::string::npos);
 }
 
+class EndedParentTest : public ::testing::Test {
+ protected:
+  EndedParentTest()
+      : fleet({{"a1", "east", "east-a", "desk", 20, 2, "", kIdFlags, {}},
+               {"a2", "east", "east-a", "leaf", 20, 2, "", kIdFlags, {}}},
+              Records()) {}
+
+  void SetUp() override {
+    ASSERT_TRUE(this->fleet.WaitReady());
+    this->fleet.SetTargetFault("a2", R"({"hang": true})");
+  }
+
+  bool RunsOn(const std::string& node) {
+    return WaitUntil(kLimit, [&] { return json::parse(this->fleet.Runs(node))["runs"] == 1; });
+  }
+  /// What the caller of a child that waits hears, once `end_parent` has ended its parent.
+  void ExpectChildEnds(const std::string& cause, const std::function<void()>& end_parent) {
+    ASSERT_TRUE(this->RunsOn("a1"));
+    const auto begun = Clock::now();
+    auto child =
+        std::async(std::launch::async, [this] { return CallAs(this->fleet, "abc.x", "/leaf/x"); });
+    ASSERT_TRUE(this->RunsOn("a2"));
+    end_parent();
+    const auto answer = child.get();
+    EXPECT_EQ(answer.status, 502) << answer.body;
+    EXPECT_EQ(answer.Header("firefly-outcome"), "unknown");
+    EXPECT_LT(Clock::now() - begun, kChildDeadline / 2);
+    const std::string line = EndLine(this->fleet, "abc.x");
+    EXPECT_NE(line.find("event=cancelled "), std::string::npos) << line;
+    EXPECT_NE(line.find(" cause=" + cause + " "), std::string::npos) << line;
+  }
+
+  Fleet fleet;
+};
+
+TEST_F(EndedParentTest, ChildWhoseParentIsAnsweredIsToldSo) {
+  this->fleet.SetTargetFault("a1", R"({"slow_factor": 500})");
+  auto parent =
+      std::async(std::launch::async, [this] { return CallAs(this->fleet, "abc", "/desk/x"); });
+  this->ExpectChildEnds("parent-ended", [&] { EXPECT_EQ(parent.get().status, 200); });
+}
+
+TEST_F(EndedParentTest, ChildWhoseParentsCallerLeavesIsToldSo) {
+  this->fleet.SetTargetFault("a1", R"({"hang": true})");
+  HttpCall call;
+  call.url = this->fleet.CallerUrl("a1") + "/desk/x";
+  call.headers = {"X-Request-Id: abc"};
+  call.timeout = kParentDeadline;
+  auto parent = std::async(std::launch::async, [&] { return MakeCall(call); });
+  this->ExpectChildEnds("parent-cancelled", [&] { EXPECT_EQ(parent.get().status, 0); });
+}
+
 }  // namespace
 }  // namespace fireflyrun::integration
