Apply max_connections of a service's record to its target

Cause: the field was parsed and checked, but nothing read it; the client to the target kept its built-in 1024 connections and the gate went by the slots alone.

Ruled out: limiting in the client only. Calls beyond the limit would wait there with the gate counting them as running, and end as expired.

Change: TargetService asks the records in force for its target's service at each announcement and each configuration. The client gets the limit, and the gate never lets more calls run than that, less one for the question after the target's health where the record gives a path, so that the question doesn't wait behind calls and find the target gone. Other calls wait in the gate's queue or are refused as not run. When the limit falls, idle connections beyond it close at once and those in use as their calls end (as SetMaxConnections did before).

Left: with max_connections 1 and a health_path, calls and the question share the one connection. A target's announced slots are still told to other nodes as they are; the limit reaches these with each answer.

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -116,6 +116,7 @@
     if (failed && this->target_watcher) this->target_watcher->OnFailure();
     count(inbound, reason);
   };
+  hooks.service_policy = [this](const std::string& service) { return this->PolicyOf(service); };
   return hooks;
 }
 
@@ -126,13 +127,17 @@
     this->target_probe->Send(address, path, std::move(handler));
   };
   hooks.health_path = [this](const std::string& service) -> std::optional<std::string> {
-    const auto configuration = this->control.Records().InForce();
-    const auto* policy = configuration ? configuration->FindService(service) : nullptr;
+    const auto* policy = this->PolicyOf(service);
     return policy == nullptr ? std::nullopt : policy->health_path;
   };
   return hooks;
 }
 
+const records::ServicePolicy* CallPlane::PolicyOf(const std::string& service) const {
+  const auto configuration = this->control.Records().InForce();
+  return configuration ? configuration->FindService(service) : nullptr;
+}
+
 void CallPlane::CreateLinks(std::uint64_t incarnation) {
   const auto link_options = MakeLinkOptions(this->settings, incarnation);
   this->links = std::make_unique<peer::LinkPool>(this->timers, link_options);
@@ -202,6 +207,7 @@
 std::uint32_t CallPlane::TicketWindow() { return this->target->TicketWindow(); }
 
 void CallPlane::OnConfiguration() {
+  this->target->OnConfiguration();
   // The first records tell where a target is asked; one that has long been there serves at once.
   this->target_watcher->Check();
 }
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -32,6 +32,9 @@
 class LinkPool;
 class LinkServer;
 }  // namespace fireflyrun::peer
+namespace fireflyrun::records {
+struct ServicePolicy;
+}
 
 namespace fireflyrun::node {
 
@@ -89,6 +92,8 @@
                 AttemptSender::AnswerHandler handler);
   /// The service on this host; empty while it isn't known.
   std::string OwnService() const;
+  /// What the records in force say about a service, to be used at once; null when they don't.
+  const records::ServicePolicy* PolicyOf(const std::string& service) const;
   bool IsInOtherRegion(const std::string& node) const;
   /// Takes the answer's bytes from the inter-region budget, too.
   AttemptSender::AnswerHandler ChargingLink(AttemptSender::AnswerHandler handler);
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -13,6 +13,7 @@
 #include "node/target_request.h"
 #include "node/ticket_codec.h"
 #include "policy/admission_request.h"
+#include "records/service_policy.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -51,6 +52,13 @@
   return {std::chrono::duration_cast<Duration>(told), kFirstShareOfCold};
 }
 
+/// Each call takes a connection, and the question for the target's health one that it must not wait
+/// for; a target that accepts just one gets both over that.
+std::uint32_t MostCalls(const records::ServicePolicy& policy) {
+  const auto connections = static_cast<std::uint32_t>(*policy.max_connections);
+  return connections > 1 && policy.health_path ? connections - 1 : connections;
+}
+
 std::string RequestIdOf(const peer::pb::CallHead& head, const WireNames& wire) {
   for (const auto& header : head.headers()) {
     if (http::SameHeaderName(header.name(), wire.request_id)) return header.value();
@@ -108,10 +116,24 @@
 }
 
 void TargetService::SetTarget(TargetAddress address) {
-  const bool slots_changed = !this->target || this->target->slots != address.slots;
   this->target = std::move(address);
-  if (!slots_changed) return;
-  this->admission.SetSlots(this->target->slots, WarmUpOf(*this->target), SteadyClock::now());
+  this->ApplyLimits();
+}
+
+void TargetService::OnConfiguration() {
+  if (this->target) this->ApplyLimits();
+}
+
+void TargetService::ApplyLimits() {
+  const auto* policy =
+      this->hooks.service_policy ? this->hooks.service_policy(this->target->service) : nullptr;
+  const bool limited = policy != nullptr && policy->max_connections.has_value();
+  const std::size_t connections = limited ? static_cast<std::size_t>(*policy->max_connections)
+                                          : http::TargetClientOptions().max_connections;
+  this->client.SetMaxConnections(connections);
+  const std::uint32_t slots =
+      limited ? std::min(this->target->slots, MostCalls(*policy)) : this->target->slots;
+  this->admission.SetSlots(slots, WarmUpOf(*this->target), SteadyClock::now());
 }
 
 void TargetService::WithdrawTarget() {
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -24,6 +24,10 @@
 class TimerService;
 }
 
+namespace fireflyrun::records {
+struct ServicePolicy;
+}
+
 namespace fireflyrun::node {
 
 class ContextTable;
@@ -50,6 +54,8 @@
     std::function<void(const InboundCall&, Duration queue_time)> on_admitted;
     std::function<void(const InboundCall&, policy::RefusalReason)> on_refused;
     std::function<void(const InboundCall&, Duration service_time)> on_answered;
+    /// What the records in force say about a service; null when they don't.
+    std::function<const records::ServicePolicy*(const std::string& service)> service_policy;
   };
 
   TargetService(TimerService& timer_service, http::TargetClient& http_client,
@@ -60,6 +66,8 @@
 
   /// Sets or changes the target; calls in flight go on.
   void SetTarget(TargetAddress address);
+  /// Follows the records in force.
+  void OnConfiguration();
   /// The target announced nothing for too long.
   void WithdrawTarget();
   /// No new call is taken; what runs finishes.
@@ -84,6 +92,8 @@
  private:
   using CallPointer = std::shared_ptr<InboundCall>;
 
+  /// Gives the target no more connections than its record says, nor calls than that or its slots.
+  void ApplyLimits();
   bool ClaimTicket(const CallPointer& inbound);
   void Join(const CallPointer& inbound);
   void Offer(const CallPointer& inbound);
