Keep every run of a request among a node's contexts

Cause: ContextTable kept one context for each request id. A second run of the same id took its place, and when that ended the first was no longer found, so its calls counted as roots.

Change: the runs of a request are kept in the order in which they came; the latest that still runs is found, as before.

--- a/src/node/context_table.h
+++ b/src/node/context_table.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "common/id128.h"
 
@@ -21,13 +22,14 @@
 
   /// Null when the handle is malformed or its call has ended.
   std::shared_ptr<CallContext> Find(std::string_view handle) const;
-  /// By the id of the request that the call serves; null when none runs.
+  /// By the id of the request that the call serves, the latest of several; null when none runs.
   std::shared_ptr<CallContext> FindRequest(std::string_view request_id) const;
   std::size_t Size() const { return this->contexts.size(); }
 
  private:
   std::unordered_map<Id128, std::shared_ptr<CallContext>> contexts;
-  std::unordered_map<std::string, std::shared_ptr<CallContext>> by_request;
+  /// A request that its caller repeats may run more than once at a time.
+  std::unordered_map<std::string, std::vector<std::shared_ptr<CallContext>>> by_request;
 };
 
 }  // namespace fireflyrun::node
--- a/tests/node/context_table_test.cc
+++ b/tests/node/context_table_test.cc
@@ -46,5 +46,18 @@
   EXPECT_EQ(table.FindRequest("abc"), later);
 }
 
+TEST(ContextTableTest, TheEndOfALaterCallOfARequestLeavesTheEarlier) {
+  ContextTable table;
+  const auto first = AddRequest(table, "abc");
+  const auto second = AddRequest(table, "abc");
+  const auto third = AddRequest(table, "abc");
+  table.Remove(second->handle);
+  EXPECT_EQ(table.FindRequest("abc"), third);
+  table.Remove(third->handle);
+  EXPECT_EQ(table.FindRequest("abc"), first);
+  table.Remove(first->handle);
+  EXPECT_EQ(table.FindRequest("abc"), nullptr);
+}
+
 }  // namespace
 }  // namespace fireflyrun::node
