Refuse a request at one place in the callers' service

Cause: TurnAway and Refuse each wrote the same log line and response, and worked out the outcome twice over.

Change: both go through one Refuse that is given the outcome. Behaviour is unchanged: stop, own_answer, child_calls, whole_path and route_records tests passed, with no test changed.

Left as it is: IssueTicket, whose log line and response differ in their detail.

--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -156,23 +156,21 @@
   // The local target finishes what it runs, by calls on new connections if need be.
   if (call.parent || !this->hooks.turns_away(first_on_connection)) return false;
   const bool has_key = call.ticket_source != TicketSource::kNone;
-  LogTurnedAway(call.headers, this->wire, this->hooks.configuration().get(),
-                RefusalReason::kLeaving, "this node is stopping",
-                has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN);
-  this->Respond(
-      RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
-                      has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN, this->wire),
-      exchange);
+  const auto outcome = has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN;
+  this->Refuse({RefusalReason::kLeaving, "this node is stopping"}, outcome, call.headers, exchange);
   return true;
 }
 
 void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
                            http::Exchange& exchange) const {
+  this->Refuse(refusal, OutcomeOfTurnedAway(refusal.reason, headers), headers, exchange);
+}
+
+void CallerService::Refuse(const Refusal& refusal, Outcome outcome, const http::Headers& headers,
+                           http::Exchange& exchange) const {
   LogTurnedAway(headers, this->wire, this->hooks.configuration().get(), refusal.reason,
-                refusal.detail, OutcomeOfTurnedAway(refusal.reason, headers));
-  this->Respond(RefusalResponse(refusal.reason, refusal.detail,
-                                OutcomeOfTurnedAway(refusal.reason, headers), this->wire),
-                exchange);
+                refusal.detail, outcome);
+  this->Respond(RefusalResponse(refusal.reason, refusal.detail, outcome, this->wire), exchange);
 }
 
 tl::expected<OutboundCall, CallerService::Refusal> CallerService::BuildServiceCall(
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -13,6 +13,7 @@
 #include "http/request.h"
 #include "node/outbound_call.h"
 #include "node/wire_names.h"
+#include "peer/peer.pb.h"
 #include "policy/refusal_reason.h"
 #include "policy/weighted_pick.h"
 
@@ -78,6 +79,8 @@
   /// Refuses a call that comes too late for a node that stops; true if it did.
   bool TurnAway(const OutboundCall& call, bool first_on_connection, http::Exchange& exchange) const;
   void Refuse(const Refusal& refusal, const http::Headers& headers, http::Exchange& exchange) const;
+  void Refuse(const Refusal& refusal, peer::pb::Outcome outcome, const http::Headers& headers,
+              http::Exchange& exchange) const;
   tl::expected<void, Refusal> SetDeadline(const http::Request& request, OutboundCall* call) const;
   tl::expected<void, Refusal> SetTicketSource(const http::Request& request,
                                               OutboundCall* call) const;
