--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -156,23 +156,21 @@
   // The local target finishes what it runs, by calls on new connections if need be.
   if (call.parent || !this->hooks.turns_away(first_on_connection)) return false;
   const bool has_key = call.ticket_source != TicketSource::kNone;
-  LogTurnedAway(call.headers, this->wire, this->hooks.configuration().get(),
-                RefusalReason::kLeaving, "this node is stopping",
-                has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN);
-  this->Respond(
-      RefusalResponse(RefusalReason::kLeaving, "this node is stopping",
-                      has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN, this->wire),
-      exchange);
+  const auto outcome = has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN;
+  this->Refuse({RefusalReason::kLeaving, "this node is stopping"}, outcome, call.headers, exchange);
   return true;
 }
 
 void CallerService::Refuse(const Refusal& refusal, const http::Headers& headers,
                            http::Exchange& exchange) const {
+  this->Refuse(refusal, OutcomeOfTurnedAway(refusal.reason, headers), headers, exchange);
+}
+
+void CallerService::Refuse(const Refusal& refusal, Outcome outcome, const http::Headers& headers,
+                           http::Exchange& exchange) const {
   LogTurnedAway(headers, this->wire, this->hooks.configuration().get(), refusal.reason,
-                refusal.detail, OutcomeOfTurnedAway(refusal.reason, headers));
-  this->Respond(RefusalResponse(refusal.reason, refusal.detail,
-                                OutcomeOfTurnedAway(refusal.reason, headers), this->wire),
-                exchange);
+                refusal.detail, outcome);
+  this->Respond(RefusalResponse(refusal.reason, refusal.detail, outcome, this->wire), exchange);
 }
 
 tl::expected<OutboundCall, CallerService::Refusal> CallerService::BuildServiceCall(
@@ -343,13 +341,17 @@
   const auto child_id = std::make_shared<CallDispatcher::DispatchId>(0);
   const auto id = this->dispatcher.Start(
       std::move(call), [this, described, started, exchange, child_id](CallResult result) {
-        if (described->parent) described->parent->child_cancels.erase(*child_id);
+        if (described->parent) described->parent->child_ends.erase(*child_id);
         this->OnEnded(*described, std::move(result), started, *exchange);
       });
   *child_id = id;
-  if (parent) parent->child_cancels[id] = [this, id] { this->dispatcher.Cancel(id); };
+  if (parent) {
+    parent->child_ends[id] = [this, id](RefusalReason why) {
+      this->dispatcher.OnParentEnded(id, why);
+    };
+  }
   exchange->OnCallerGone([this, id, parent] {
-    if (parent) parent->child_cancels.erase(id);
+    if (parent) parent->child_ends.erase(id);
     this->dispatcher.Cancel(id);
   });
 }
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -13,6 +13,7 @@
 #include "node/target_request.h"
 #include "node/ticket_codec.h"
 #include "policy/admission_request.h"
+#include "records/service_policy.h"
 
 namespace fireflyrun::node {
 namespace {
@@ -51,6 +52,13 @@
   return {std::chrono::duration_cast<Duration>(told), kFirstShareOfCold};
 }
 
+/// Each call takes a connection, and the question for the target's health one that it must not wait
+/// for; a target that accepts just one gets both over that.
+std::uint32_t MostCalls(const records::ServicePolicy& policy) {
+  const auto connections = static_cast<std::uint32_t>(*policy.max_connections);
+  return connections > 1 && policy.health_path ? connections - 1 : connections;
+}
+
 std::string RequestIdOf(const peer::pb::CallHead& head, const WireNames& wire) {
   for (const auto& header : head.headers()) {
     if (http::SameHeaderName(header.name(), wire.request_id)) return header.value();
@@ -108,10 +116,24 @@
 }
 
 void TargetService::SetTarget(TargetAddress address) {
-  const bool slots_changed = !this->target || this->target->slots != address.slots;
   this->target = std::move(address);
-  if (!slots_changed) return;
-  this->admission.SetSlots(this->target->slots, WarmUpOf(*this->target), SteadyClock::now());
+  this->ApplyLimits();
+}
+
+void TargetService::OnConfiguration() {
+  if (this->target) this->ApplyLimits();
+}
+
+void TargetService::ApplyLimits() {
+  const auto* policy =
+      this->hooks.service_policy ? this->hooks.service_policy(this->target->service) : nullptr;
+  const bool limited = policy != nullptr && policy->max_connections.has_value();
+  const std::size_t connections = limited ? static_cast<std::size_t>(*policy->max_connections)
+                                          : http::TargetClientOptions().max_connections;
+  this->client.SetMaxConnections(connections);
+  const std::uint32_t slots =
+      limited ? std::min(this->target->slots, MostCalls(*policy)) : this->target->slots;
+  this->admission.SetSlots(slots, WarmUpOf(*this->target), SteadyClock::now());
 }
 
 void TargetService::WithdrawTarget() {
@@ -365,7 +387,6 @@
 void TargetService::Answer(const CallPointer& inbound, peer::Answer answer) {
   this->calls.erase(inbound->id);
   if (inbound->ticket) this->running_tickets.erase(inbound->ticket->nonce);
-  this->EndContext(inbound);
   this->FillLoad(&answer.head, *inbound);
   const auto& context = inbound->context;
   const std::uint32_t lent = inbound->call.head.retry_allotment();
@@ -379,6 +400,8 @@
   const bool child_final = context && context->child_final;
   answer.head.set_final(failed && (all_spent || child_final));
   this->ReplyTo(inbound->call.head.call_id(), inbound->reply, unused, std::move(answer));
+  // Last, for what it did not wait for is no part of the answer.
+  this->EndContext(inbound, RefusalReason::kParentEnded);
 }
 
 void TargetService::ReplyTo(const std::string& call_id, const Reply& reply,
@@ -404,11 +427,12 @@
   head->set_queue_us(static_cast<std::uint32_t>(ToMicroseconds(queue_time).count()));
 }
 
-void TargetService::EndContext(const CallPointer& inbound) {
+void TargetService::EndContext(const CallPointer& inbound, RefusalReason why) {
   if (!inbound->context) return;
   this->contexts.Remove(inbound->context->handle);
-  const auto cancels = std::exchange(inbound->context->child_cancels, {});
-  for (const auto& [id, cancel] : cancels) cancel();
+  const bool expired = SteadyClock::now() >= inbound->deadline;
+  const auto ends = std::exchange(inbound->context->child_ends, {});
+  for (const auto& [id, end] : ends) end(expired ? RefusalReason::kDeadline : why);
 }
 
 void TargetService::OnCancel(const Id128& call_id) {
@@ -432,7 +456,7 @@
   if (inbound->ticket) return;
   this->calls.erase(call_id);
   this->client.Cancel(inbound->request);
-  this->EndContext(inbound);
+  this->EndContext(inbound, RefusalReason::kParentCancelled);
   this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
   this->admission.Abandoned(call_id, now);
 }
