--- a/src/common/timer_service.cc
+++ b/src/common/timer_service.cc
@@ -7,6 +7,12 @@
 
 namespace fireflyrun {
 
+namespace {
+
+constexpr std::chrono::seconds kMostSlotOffset(1);
+
+}  // namespace
+
 struct TimerService::Entry {
   Entry(asio::io_context& loop, Duration repeat, std::function<void()> hook)
       : timer(loop), period(repeat), callback(std::move(hook)) {}
@@ -17,7 +23,14 @@
   bool cancelled = false;
 };
 
-TimerService::TimerService(asio::io_context& event_loop) : loop(event_loop) {}
+TimerService::TimerService(asio::io_context& event_loop)
+    : loop(event_loop),
+      slot_offset(RandomBelow(static_cast<std::uint64_t>(Duration(kMostSlotOffset).count()))) {}
+
+Duration TimerService::UntilNextSlot(Duration period) const {
+  const Duration passed = SteadyClock::now().time_since_epoch() + this->slot_offset;
+  return period - passed % period;
+}
 
 TimerSubscription TimerService::After(Duration delay, std::function<void()> callback) {
   return this->Subscribe(delay, Duration::zero(), std::move(callback));
--- a/src/common/timer_service.h
+++ b/src/common/timer_service.h
@@ -28,6 +28,11 @@
   /// random, so that nodes started together do not act in step.
   [[nodiscard]] TimerSubscription Every(Duration period, std::function<void()> callback);
 
+  /// The time until the next of this service's points in time that lie `period` apart, over 0 and
+  /// at most `period`. Timers that wait for these points share wake-ups. Services have points of
+  /// their own, so that nodes started together do not act in step.
+  Duration UntilNextSlot(Duration period) const;
+
   asio::io_context& Loop() { return this->loop; }
 
  private:
@@ -38,6 +43,7 @@
   void Arm(const std::shared_ptr<Entry>& entry, Duration delay);
 
   asio::io_context& loop;
+  Duration slot_offset;
 };
 
 }  // namespace fireflyrun
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -95,7 +95,7 @@
   if (delay == Duration::zero() || (this->tick_due && delay >= this->tick_delay)) return;
   this->tick_due = true;
   this->tick_delay = delay;
-  this->tick_timer = this->timers.After(delay, [this] {
+  this->tick_timer = this->timers.After(this->timers.UntilNextSlot(delay), [this] {
     this->tick_due = false;
     this->admission.Tick(SteadyClock::now());
     this->admission_log.Note(this->admission);
--- a/src/peer/connection.cc
+++ b/src/peer/connection.cc
@@ -60,6 +60,19 @@
   this->queue.Push(std::move(outgoing));
 }
 
+void Connection::PushUnhurried(int field_number, const google::protobuf::MessageLite& message) {
+  AppendFrame(field_number, message, &this->unhurried);
+}
+
+void Connection::FlushAll() {
+  if (!this->unhurried.empty()) {
+    OutgoingMessage outgoing;
+    outgoing.frame = std::exchange(this->unhurried, {});
+    this->queue.Push(std::move(outgoing));
+  }
+  this->Flush();
+}
+
 void Connection::Flush() {
   if (!this->open || this->waiting_until_writable || this->dispatching) return;
   for (int writes = 0; writes < kWritesInARow; ++writes) {
@@ -79,6 +92,9 @@
       if (this->buffer.capacity() > kKeptBytes) this->buffer = std::string();
       return false;
     }
+    // At the end, so that the places of calls in the buffer stay as reported.
+    this->buffer.append(this->unhurried);
+    this->unhurried.clear();
   }
   asio::error_code error;
   const auto rest = asio::buffer(this->buffer) + this->buffer_written;
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -34,7 +34,12 @@
   void Push(OutgoingMessage message);
   /// Queues a message of one frame.
   void PushFrame(int field_number, const google::protobuf::MessageLite& message);
+  /// Queues a message of one frame that may wait for another write; FlushAll() sends it in any
+  /// case.
+  void PushUnhurried(int field_number, const google::protobuf::MessageLite& message);
   void Flush();
+  /// Flush(), also where only unhurried frames wait.
+  void FlushAll();
   /// Takes back the frames of a call that are not in the write buffer yet.
   FrameQueue::Removal Remove(const Id128& call_id) { return this->queue.Remove(call_id); }
   void Close();
@@ -62,6 +67,7 @@
   FrameQueue queue;
   FrameReader reader;
   ConnectionHooks hooks;
+  std::string unhurried;  ///< Frames that leave at the end of the next write.
   std::string buffer;
   std::size_t buffer_written = 0;
   std::uint64_t total_written = 0;
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -10,8 +10,8 @@
 namespace fireflyrun::peer {
 namespace {
 
-/// Acknowledgements wait so long for another frame to leave with.
-constexpr Duration kAcknowledgeDelay = std::chrono::milliseconds(5);
+/// A busy link's round trip is measured so often at least.
+constexpr Duration kMeasurePeriod = std::chrono::seconds(1);
 
 LinkError ErrorOf(LinkErrorKind kind, std::string message) { return {kind, std::move(message)}; }
 
@@ -56,6 +56,7 @@
 }
 
 void Link::Close() {
+  if (this->state == State::kOpen) this->connection->FlushAll();
   this->CloseConnection();
   this->tick_timer.Reset();
   this->state = State::kClosed;
@@ -194,6 +195,13 @@
   pb::Heartbeat heartbeat;
   heartbeat.set_sent_us(static_cast<std::uint64_t>(ToMicroseconds(now).count()));
   this->connection->PushFrame(pb::Frame::kHeartbeatFieldNumber, heartbeat);
+  this->last_heartbeat = SteadyClock::now();
+}
+
+/// What comes anyway shows that the far node can be heard.
+bool Link::HeartbeatDue(SteadyTime now) const {
+  const bool heard = now - this->LastHeard() < this->options.heartbeat_period / 2;
+  return !heard || now - this->last_heartbeat >= kMeasurePeriod;
 }
 
 void Link::PushQuery(const Id128& call_id) {
@@ -209,25 +217,27 @@
   this->connection->Flush();
 }
 
-/// Costs no write of its own while calls follow one another.
+/// Costs no write of its own while calls follow one another; the next tick sends what is left.
 void Link::Acknowledge(const Id128& call_id) {
   if (this->state != State::kOpen) return;
   pb::AnswerAck ack;
   ack.set_call_id(call_id.ToBytes());
-  this->connection->PushFrame(pb::Frame::kAnswerAckFieldNumber, ack);
-  if (this->acknowledge_pending) return;
-  this->acknowledge_pending = true;
-  this->acknowledge_timer = this->timers.After(kAcknowledgeDelay, [this] {
-    this->acknowledge_pending = false;
-    if (this->state == State::kOpen) this->connection->Flush();
-  });
+  this->connection->PushUnhurried(pb::Frame::kAnswerAckFieldNumber, ack);
+  if (!this->tick_running) this->StartTicking();
 }
 
 void Link::StartTicking() {
   this->tick_running = true;
   this->last_tick = SteadyClock::now();
-  this->tick_timer = this->timers.Every(this->options.heartbeat_period, [this] {
+  this->ArmTick();
+}
+
+/// The ticks of a node's links come together, so that they cost one wake-up and not one each.
+void Link::ArmTick() {
+  const Duration delay = this->timers.UntilNextSlot(this->options.heartbeat_period);
+  this->tick_timer = this->timers.After(delay, [this] {
     const auto self = this->shared_from_this();
+    this->ArmTick();
     this->Tick();
   });
 }
@@ -247,17 +257,25 @@
     ++this->counters->links_replaced;
     return this->OnConnectionLost("the link was silent");
   }
-  this->PushHeartbeat();
-  this->connection->Flush();
+  if (this->HeartbeatDue(now)) this->PushHeartbeat();
+  this->connection->FlushAll();
 }
 
+/// An idle link costs no ticks; one timer is left that closes it in the end.
 void Link::Rest() {
-  if (this->state != State::kOpen) {
-    this->tick_running = false;
-    this->tick_timer.Reset();
-    return;
-  }
-  if (SteadyClock::now() - this->last_used < this->options.idle_limit) return;
+  this->tick_running = false;
+  this->tick_timer.Reset();
+  if (this->state != State::kOpen) return;
+  this->connection->FlushAll();
+  const SteadyTime idle_end = this->last_used + this->options.idle_limit;
+  const Duration left = std::max(idle_end - SteadyClock::now(), Duration::zero());
+  this->tick_timer = this->timers.After(left, [this] { this->CloseIdle(); });
+}
+
+void Link::CloseIdle() {
+  const auto self = this->shared_from_this();
+  if (this->state != State::kOpen) return;
+  this->connection->FlushAll();
   this->CloseConnection();
   this->state = State::kClosed;
 }
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -56,6 +56,7 @@
   void OnGreeted(const pb::Hello& hello);
   void CloseConnection();
   void Rest();
+  void CloseIdle();
 
   void OnFrame(pb::Frame& frame);
   void OnAnswerHead(pb::AnswerHead& head);
@@ -72,6 +73,8 @@
   void Acknowledge(const Id128& call_id);
   void Tick();
   void StartTicking();
+  void ArmTick();
+  bool HeartbeatDue(SteadyTime now) const;
   SteadyTime LastHeard() const;
 
   void Finish(Calls::iterator call, Result result);
@@ -89,16 +92,15 @@
   std::shared_ptr<asio::ip::tcp::socket> connecting_socket;
   TimerSubscription connect_timer;
   TimerSubscription tick_timer;
-  TimerSubscription acknowledge_timer;
   Backoff backoff;
   Calls calls;
   SteadyTime last_heard;     ///< On earlier connections.
   SteadyTime waiting_since;  ///< Since then calls have been pending without a break.
   SteadyTime last_used;
   SteadyTime last_tick;
+  SteadyTime last_heartbeat;
   Duration round_trip{};
   bool tick_running = false;
-  bool acknowledge_pending = false;
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -120,8 +120,6 @@
 
 void Link::CloseConnection() {
   this->connect_timer.Reset();
-  this->acknowledge_timer.Reset();
-  this->acknowledge_pending = false;
   if (const auto socket = std::exchange(this->connecting_socket, nullptr)) {
     asio::error_code ignored;
     socket->close(ignored);
--- a/tests/common/timer_service_test.cc
+++ b/tests/common/timer_service_test.cc
@@ -39,5 +39,22 @@
   EXPECT_FALSE(called);
 }
 
+TEST(TimerServiceTest, SlotsLieAWholeNumberOfPeriodsApart) {
+  asio::io_context loop;
+  const TimerService timers(loop);
+  const Duration period = std::chrono::hours(1);
+  const SteadyTime before = SteadyClock::now();
+  const Duration left = timers.UntilNextSlot(period);
+  const Duration left_of_part = timers.UntilNextSlot(period / 4);
+  const Duration spent = SteadyClock::now() - before;
+  EXPECT_GT(left, Duration::zero());
+  EXPECT_LE(left, period);
+  EXPECT_GT(left_of_part, Duration::zero());
+  EXPECT_LE(left_of_part, period / 4);
+  const Duration apart = (left - left_of_part + period / 8) % (period / 4) - period / 8;
+  EXPECT_LE(apart, spent);
+  EXPECT_GE(apart, -spent);
+}
+
 }  // namespace
 }  // namespace fireflyrun
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -147,6 +147,41 @@
   EXPECT_TRUE(harness.Warm());
 }
 
+TEST(LinkTest, AnswersAreAcknowledgedWithoutAWriteOfTheirOwn) {
+  LinkOptions options = PeerHarness::ShortLimits();
+  options.heartbeat_period = std::chrono::hours(1);
+  PeerHarness harness(options);
+  std::vector<LinkServer::Reply> replies;
+  harness.on_call = [&](const Call&, LinkServer::Reply reply) {
+    replies.push_back(std::move(reply));
+  };
+  const auto first = harness.Send("first");
+  ASSERT_TRUE(harness.RunUntil([&] { return replies.size() == 1; }));
+  const auto bytes_out = harness.pool->Counters().bytes_out;
+  replies[0](Answer());
+  ASSERT_TRUE(harness.RunUntilDone(first));
+  EXPECT_EQ(harness.pool->Counters().bytes_out, bytes_out);
+  EXPECT_EQ(harness.server->RetainedAnswers(), 1U);
+  harness.Send("second");
+  const auto with_call = harness.pool->Counters().bytes_out;
+  ASSERT_TRUE(harness.RunUntil([&] { return replies.size() == 2; }));
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
+  EXPECT_EQ(harness.pool->Counters().bytes_out, with_call);
+}
+
+TEST(LinkTest, IdleLinkHasNoTicks) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.Warm());
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
+  bool over = false;
+  const Duration many_ticks = harness.options.heartbeat_period * 20;
+  const auto end = harness.timers.After(many_ticks, [&] { over = true; });
+  std::size_t turns = 0;
+  while (!over) turns += harness.loop.run_one_for(std::chrono::milliseconds(100));
+  EXPECT_LT(turns, 6U);  // The end above, and the called node's sweep.
+  EXPECT_EQ(harness.pool->OpenLinks(), 1U);
+}
+
 TEST(LinkTest, CloseEndsPendingCallsOnce) {
   PeerHarness harness;
   harness.on_call = [](const Call&, const LinkServer::Reply&) {};
