Wait for a target's answer without an early wake-up

Cause: asio goes on watching a socket for writing once it has waited for that, as an asynchronous connect does. Each async_wait for reading then re-arms both, and epoll_wait returns at once with EPOLLOUT: one wake-up for nothing with each answer of a target (strace of a node of the own fleet: epoll_ctl followed by epoll_wait = EPOLLOUT alone).

Ruled out: reading with async_read_some instead; it needs a buffer for each connection, and asio tries each read once in vain.

Change: after connecting, the descriptor is given to the socket anew, for which it is watched for reading only, until a write has to wait.

Test: TargetClientReuseTest.KeptConnectionDoesNotWakeTheLoop, failed on the code before (poll() ran a turn). http_test: 104 passed.

--- a/src/http/target_connection.cc
+++ b/src/http/target_connection.cc
@@ -32,11 +32,23 @@
   this->socket.set_option(UserTimeout(limit), ignored);
   this->socket.async_connect(this->address.Endpoint(),
                              [self = this->shared_from_this()](const asio::error_code& failure) {
-                               if (!self->closed) self->hooks->on_connected(*self, failure);
+                               if (self->closed) return;
+                               const auto error = failure ? failure : self->WatchAnew();
+                               self->hooks->on_connected(*self, error);
                              });
   return {};
 }
 
+/// Asio goes on watching a socket for writing once it has waited for that, as connecting does. Each
+/// wait for an answer then wakes the loop at once, as there is room to write.
+asio::error_code TargetConnection::WatchAnew() {
+  asio::error_code error;
+  const auto descriptor = this->socket.release(error);
+  if (!error) this->socket.assign(this->address.Endpoint().protocol(), descriptor, error);
+  if (!error) this->socket.non_blocking(true, error);
+  return error;
+}
+
 bool TargetConnection::IsQuiet() {
   char byte = 0;
   const auto peeked = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/http/target_connection.h
+++ b/src/http/target_connection.h
@@ -56,6 +56,8 @@
   SteadyTime usable_until;
 
  private:
+  asio::error_code WatchAnew();
+
   asio::ip::tcp::socket socket;
   TargetAddress& address;
   std::shared_ptr<const Hooks> hooks;
--- a/tests/http/target_client_reuse_test.cc
+++ b/tests/http/target_client_reuse_test.cc
@@ -50,6 +50,15 @@
   EXPECT_EQ(fixture.client->Counters().connections_reused, 2U);
 }
 
+TEST(TargetClientReuseTest, KeptConnectionDoesNotWakeTheLoop) {
+  TargetFixture fixture(Always(kWholeResponse));
+  ASSERT_TRUE(fixture.Fetch());
+  fixture.loop.restart();
+  fixture.loop.poll();
+  ASSERT_TRUE(fixture.Fetch());
+  EXPECT_EQ(fixture.loop.poll(), 0U);
+}
+
 TEST(TargetClientReuseTest, ConnectionsThatMayNotStayAreClosed) {
   const std::string head = kHead;
   for (const std::string& answer : {
