--- a/src/http/target_connection.cc
+++ b/src/http/target_connection.cc
@@ -33,8 +33,8 @@
   this->socket.async_connect(this->address.Endpoint(),
                              [self = this->shared_from_this()](const asio::error_code& failure) {
                                if (self->closed) return;
-                               const auto error = failure ? failure : self->WatchAnew();
-                               self->hooks->on_connected(*self, error);
+                               const auto outcome = failure ? failure : self->WatchAnew();
+                               self->hooks->on_connected(*self, outcome);
                              });
   return {};
 }
