--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -168,15 +168,16 @@
   if (targets.size() > 1) {
     const std::size_t offset = 1 + this->hooks.random_below(targets.size() - 1);
     const Candidate* other = targets[(first + offset) % targets.size()];
-    if (this->ShallTry(*other, *chosen, now)) {
-      chosen = other;
-    } else if (!this->ShallTry(*chosen, *other, now) && this->IsBetter(*other, *chosen, now)) {
-      chosen = other;
-    }
+    if (this->Prefers(*other, *chosen, now)) chosen = other;
   }
   return {chosen->node, chosen->incarnation, tier};
 }
 
+bool TargetChooser::Prefers(const Candidate& one, const Candidate& other, SteadyTime now) {
+  if (this->ShallTry(one, other, now)) return true;
+  return !this->ShallTry(other, one, now) && this->IsBetter(one, other, now);
+}
+
 bool TargetChooser::ShallTry(const Candidate& one, const Candidate& other, SteadyTime now) {
   // Held for new, it loses each comparison with a warm target that is idle, too; without a call it
   // would stay unknown for its whole warm-up.
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -78,6 +78,7 @@
   Pool PoolOf(TargetTier tier, const TargetQuery& query, const Candidates& eligible,
               SteadyTime now);
   TargetChoice PickLessLoaded(const Candidates& targets, TargetTier tier, SteadyTime now);
+  bool Prefers(const Candidate& one, const Candidate& other, SteadyTime now);
   bool ShallTry(const Candidate& one, const Candidate& other, SteadyTime now);
   bool IsIdleAndUnheard(const Candidate& candidate, SteadyTime now);
   bool IsBetter(const Candidate& one, const Candidate& other, SteadyTime now);
