Levels of targets that can take no call no longer open a service's level

What a call tells its parent is the loosest level of the targets known for its service. Two of the four were leaving, and what they had said was old, so it counted as open and hid what the other two said. Ruled out: levels not carried to the parent's rank; answers that tell no level. Change: only targets that the call may go to now count (permitted tier, reachable, not leaving, not ejected).

--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -409,19 +409,6 @@
   this->Finish(std::move(end));
 }
 
-policy::PriorityKey Dispatch::LoosestLevel() const {
-  const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
-  if (candidates.empty()) return policy::kOpenLevel;
-  const std::string scope = LevelKey(*this->call.route);
-  policy::PriorityKey loosest;
-  for (const auto& candidate : candidates) {
-    const auto level =
-        this->services.chooser->Levels().Level(scope, candidate.node, SteadyClock::now());
-    loosest = std::max(loosest, level);
-  }
-  return loosest;
-}
-
 Outcome Dispatch::TruthOf(Outcome last) const {
   if (this->ran) return Outcome::OUTCOME_RAN;
   if (this->may_have_run) return Outcome::OUTCOME_UNKNOWN;
@@ -431,7 +418,9 @@
 void Dispatch::Finish(CallResult result) {
   this->ended = true;
   this->timer.Reset();
-  result.level = this->LoosestLevel();
+  const auto& candidates = this->services.directory->CandidatesOf(this->call.route->service);
+  result.level =
+      this->services.chooser->LoosestLevel(this->MakeQuery(), candidates, SteadyClock::now());
   result.retries = this->retries;
   result.moves = this->moves;
   result.trace = this->trace;
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -70,8 +70,6 @@
   void FinishRefused(const AttemptResult& result);
   void FinishRefused(policy::RefusalReason reason);
   void Finish(CallResult result);
-  /// The level that a call of this kind must meet to be taken by any of the targets known here.
-  policy::PriorityKey LoosestLevel() const;
   peer::pb::Outcome TruthOf(peer::pb::Outcome last) const;
 
   DispatchServices services;
--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -93,6 +93,21 @@
   return known == this->known_targets.end() ? nullptr : &known->second.load;
 }
 
+PriorityKey TargetChooser::LoosestLevel(const TargetQuery& query,
+                                        const std::vector<Candidate>& candidates, SteadyTime now) {
+  const Candidates eligible = this->EligibleFor(query, candidates, now);
+  if (eligible.empty()) return kOpenLevel;
+  PriorityKey loosest;
+  for (const Candidate* candidate : eligible) {
+    loosest = std::max(loosest, this->levels.Level(ScopeOf(query), candidate->node, now));
+  }
+  return loosest;
+}
+
+const std::string& TargetChooser::ScopeOf(const TargetQuery& query) {
+  return query.level_scope.empty() ? query.service : query.level_scope;
+}
+
 TargetTier TargetChooser::TierOf(const Candidate& candidate) const {
   if (candidate.region != this->options.region) return TargetTier::kBeyond;
   return candidate.zone == this->options.zone ? TargetTier::kZone : TargetTier::kRegion;
@@ -150,9 +165,8 @@
       std::any_of(eligible.begin(), eligible.end(), [&](const Candidate* candidate) {
         return !excluded(candidate) && !this->KnownOf(*candidate).load.FailsOften(now);
       });
-  const std::string& scope = query.level_scope.empty() ? query.service : query.level_scope;
   for (const Candidate* candidate : pool.usable) {
-    if (!this->levels.Admits(scope, candidate->node, query.key, now)) continue;
+    if (!this->levels.Admits(ScopeOf(query), candidate->node, query.key, now)) continue;
     pool.admitting.push_back(candidate);
     if (this->Saturated(*candidate, now)) continue;
     if (any_sound && this->KnownOf(*candidate).load.FailsOften(now)) continue;
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -53,6 +53,10 @@
   void Forget(std::string_view node);
 
   const LevelTable& Levels() const { return this->levels; }
+  /// The level that a call must meet to be taken by any target that it may go to now; open when
+  /// there is none. What a target said before it left, or fell out of reach, counts no more.
+  PriorityKey LoosestLevel(const TargetQuery& query, const std::vector<Candidate>& candidates,
+                           SteadyTime now);
   /// Nullptr if the node was never a candidate, or is forgotten.
   const TargetLoad* LoadOf(std::string_view node) const;
 
@@ -70,6 +74,7 @@
     Candidates roomy;  ///< Sound, or as good as any, and not saturated.
   };
 
+  static const std::string& ScopeOf(const TargetQuery& query);
   TargetTier TierOf(const Candidate& candidate) const;
   /// Of the candidates, those in a tier that the call may use that are not ejected.
   Candidates EligibleFor(const TargetQuery& query, const std::vector<Candidate>& candidates,
--- a/tests/policy/target_chooser_test.cc
+++ b/tests/policy/target_chooser_test.cc
@@ -112,6 +112,32 @@
   EXPECT_EQ(this->ChosenNode(), "m");
 }
 
+TEST_F(TargetChooserTest, TheLoosestLevelIsThatOfTheTargetsThatMayTakeTheCall) {
+  const auto loosest = [&](double at = 0) {
+    return this->chooser.LoosestLevel(this->query, this->candidates, AtSeconds(at));
+  };
+  EXPECT_EQ(loosest(), kOpenLevel);
+  this->Choose();
+  this->Answer("a", CallOutcome::kRefused, {}, PriorityKey{0, 7});
+  // The other region's is not permitted, and nothing was heard of b.
+  EXPECT_EQ(loosest(), kOpenLevel);
+  this->candidates[1].leaving = true;
+  EXPECT_EQ(loosest(), (PriorityKey{0, 7}));
+  this->candidates[1].leaving = false;
+  this->candidates[1].reachable = false;
+  EXPECT_EQ(loosest(), (PriorityKey{0, 7}));
+  this->candidates[1].reachable = true;
+  this->Answer("b", CallOutcome::kRefused, {}, PriorityKey{1, 3});
+  EXPECT_EQ(loosest(), (PriorityKey{1, 3}));
+  this->Fail("b");
+  EXPECT_EQ(loosest(), (PriorityKey{0, 7}));
+  this->query.call_class.may_leave_region = true;
+  EXPECT_EQ(loosest(), kOpenLevel);
+  this->candidates = {this->candidates[1]};
+  this->candidates[0].leaving = true;
+  EXPECT_EQ(loosest(), kOpenLevel);
+}
+
 TEST_F(TargetChooserTest, SkipsExcludedNodes) {
   this->query.excluded = {"a", "b"};
   EXPECT_EQ(this->ChosenNode(), "unreachable");
