A target found by asking has the slots of the smallest of its service, not 8

Cause: a node that starts beside a living target finds it by a question, which tells no slots; the target's next announcement comes up to 1.5 s later. Change: it is given the fewest slots above 8 that other hosts' targets of its service announced, looked up again twice a second until it tells its own. Test: TargetWatcherTest.ATargetThatIsFoundByAskingHasTheSlotsOfTheSmallestOfItsService.

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -139,6 +139,13 @@
     const auto* policy = this->PolicyOf(service);
     return policy == nullptr ? std::nullopt : policy->health_path;
   };
+  hooks.slots_elsewhere = [this](const std::string& service) {
+    std::vector<std::uint32_t> slots;
+    for (const auto& candidate : this->directory->CandidatesOf(service)) {
+      if (candidate.node != this->settings.node) slots.push_back(candidate.slots);
+    }
+    return slots;
+  };
   return hooks;
 }
 
--- a/src/node/target_watcher.cc
+++ b/src/node/target_watcher.cc
@@ -22,7 +22,7 @@
 /// A target that fails calls is asked at most once in this time, and not if it answers others.
 constexpr Duration kDoubtPause = std::chrono::seconds(2);
 constexpr Duration kFreshAnswer = std::chrono::milliseconds(250);
-/// Of a target that was found by asking, until it tells its own.
+/// Of a target that was found by asking, until it or others of its service tell theirs.
 constexpr std::uint32_t kPresumedSlots = 8;
 
 }  // namespace
@@ -168,6 +168,7 @@
     this->look_pause = kFirstLookPause;
   }
   if (this->looking && !this->node_stopping) this->LookForTarget();
+  this->FollowPresumedSlots();
   this->CheckSilence();
 }
 
@@ -206,8 +207,8 @@
                      found.target.service == this->settings.target_service;
   if (!known) {
     // It ran before this node did, so it is taken for warm.
-    found.target = {this->settings.target_service, this->settings.target_address, kPresumedSlots,
-                    result.id, 0.0};
+    found.target = {this->settings.target_service, this->settings.target_address,
+                    this->PresumedSlots(), result.id, 0.0};
     found.state = TargetState::kServing;
     found.seq = 0;
   }
@@ -216,6 +217,25 @@
   this->Follow();
 }
 
+std::uint32_t TargetWatcher::PresumedSlots() const {
+  if (!this->hooks.slots_elsewhere) return kPresumedSlots;
+  std::uint32_t fewest = 0;
+  for (const std::uint32_t slots : this->hooks.slots_elsewhere(this->settings.target_service)) {
+    // Nodes that presume the least themselves are no news.
+    if (slots > kPresumedSlots && (fewest == 0 || slots < fewest)) fewest = slots;
+  }
+  return std::max(kPresumedSlots, fewest);
+}
+
+void TargetWatcher::FollowPresumedSlots() {
+  if (!this->presumed || !this->last_heard) return;
+  const std::uint32_t slots = this->PresumedSlots();
+  if (slots == this->latest.target.slots) return;
+  this->latest.target.slots = slots;
+  this->target.SetTarget(this->latest.target);
+  this->membership.AnnounceTarget(this->latest.target.service, slots);
+}
+
 void TargetWatcher::CheckSilence() {
   if (!this->last_heard) return;
   const SteadyTime last_sign = std::max(*this->last_heard, this->last_answer);
--- a/src/node/target_watcher.h
+++ b/src/node/target_watcher.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/finding.h"
@@ -36,6 +38,8 @@
     std::function<void(const std::string& address, const std::string& path, ProbeHandler)> probe;
     /// Where targets of the service are asked; nullopt while it isn't known.
     std::function<std::optional<std::string>(const std::string& service)> health_path;
+    /// The slots that other hosts' targets of the service announced. Empty: none is known.
+    std::function<std::vector<std::uint32_t>(const std::string& service)> slots_elsewhere;
   };
 
   TargetWatcher(TimerService& timer_service, membership::Membership& fleet,
@@ -77,6 +81,10 @@
   /// Asks for a target that the settings name and that hasn't been heard of.
   void LookForTarget();
   void OnFound(const ProbeResult& result);
+  /// Of a target that hasn't told its slots: as many as the smallest of its service that did.
+  std::uint32_t PresumedSlots() const;
+  /// What others tell may come later than the target's answer.
+  void FollowPresumedSlots();
   /// False when the target can't be asked.
   bool Ask(const std::string& service, const std::string& address,
            const Hooks::ProbeHandler& handler);
--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -54,6 +54,7 @@
       this->questions.push_back(std::move(handler));
     };
     hooks.health_path = [](const std::string&) { return std::optional<std::string>("/healthz"); };
+    hooks.slots_elsewhere = [this](const std::string&) { return this->slots_elsewhere; };
     return hooks;
   }
 
@@ -76,6 +77,7 @@
       timers, FleetOptions(), [](const std::string&, const std::string&) {}, {}};
   NodeSettings settings;
   std::vector<TargetWatcher::Hooks::ProbeHandler> questions;
+  std::vector<std::uint32_t> slots_elsewhere;
   Duration boot_time = Duration::zero();
   TargetWatcher watcher{
       timers,
@@ -193,6 +195,23 @@
   EXPECT_EQ(this->target.Admission().Limit(SteadyClock::now()), 10U);
 }
 
+TEST_F(TargetWatcherTest, ATargetThatIsFoundByAskingHasTheSlotsOfTheSmallestOfItsService) {
+  this->NameTarget();
+  this->slots_elsewhere = {8, 40, 25, 8};
+  this->watcher.Check();
+  ASSERT_EQ(this->questions.size(), 1U);
+  this->questions[0]({ProbeVerdict::kServing, "i-1"});
+  EXPECT_EQ(this->target.Target()->slots, 25U);
+  EXPECT_EQ(this->fleet.GetView().Self().slots, 25U);
+  this->slots_elsewhere = {40};
+  this->watcher.Check();
+  EXPECT_EQ(this->target.Admission().Limit(SteadyClock::now()), 40U);
+  EXPECT_EQ(this->fleet.GetView().Self().slots, 40U);
+  this->watcher.OnAnnouncement(Word("i-1", 100, 4));
+  this->watcher.Check();
+  EXPECT_EQ(this->target.Target()->slots, 10U);
+}
+
 TEST_F(TargetWatcherTest, ATargetThatDrainsIsAwaited) {
   this->NameTarget();
   this->watcher.Check();
