A stopping node's target goes on working until the callers' notice is nearly over

Cause: on SIGTERM a node told at once that its target leaves, but went on for the notice of 3 s. Change: the target leaves 0.7 s before the notice ends (tidings spread in 0.3 s there). What runs then is finished in the drain as before. Test: StoppingTargetTest.WorksForOthersUntilTheNoticeIsNearlyOver (failed with the program of before).

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -237,7 +237,9 @@
 void CallPlane::Leave() {
   this->leaving = true;
   this->left_at = SteadyClock::now();
-  this->target_watcher->LeaveForGood();
+  // Until the callers have left, the target may as well work for the other nodes.
+  this->target_leave_timer = this->timers.After(StopTimesOf(this->settings).target_stays,
+                                                [this] { this->target_watcher->LeaveForGood(); });
 }
 
 bool CallPlane::Busy() const {
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/finding.h"
+#include "common/timer_subscription.h"
 #include "node/attempt_sender.h"
 #include "node/caller_service.h"
 #include "node/context_table.h"
@@ -73,7 +74,8 @@
   /// Follows those of the node's settings that change while it runs.
   void OnSettingsChanged();
 
-  /// The local target takes no new call from now on, and callers are sent elsewhere.
+  /// Callers are sent elsewhere from now on; the local target takes no new call after
+  /// `StopTimes::target_stays`.
   void Leave();
   bool Leaving() const { return this->leaving; }
   bool Busy() const;
@@ -120,6 +122,7 @@
   std::unique_ptr<CallerService> caller_service;
   bool leaving = false;
   SteadyTime left_at;
+  TimerSubscription target_leave_timer;
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/node_drain.cc
+++ b/src/node/node_drain.cc
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr Duration kCheckPeriod = std::chrono::milliseconds(50);
-/// Requests that were on their way when the leaving was told arrive within this time.
-constexpr Duration kArrivalTime = std::chrono::milliseconds(1500);
 /// Between the parts of one caller's work.
 constexpr Duration kIdleTime = std::chrono::milliseconds(200);
 /// A caller that lost its link fetches its answer within this time, or is gone.
@@ -41,7 +39,8 @@
   const Duration needed = this->hooks.unclaimed() ? kUnclaimedTime : kIdleTime;
   const Duration waited = now - this->started;
   const bool given_up = waited >= times.drain_limit;
-  const bool drained = idle_time >= needed && waited >= std::max(times.notice, kArrivalTime);
+  const Duration arrived = std::max(times.notice, times.target_stays + kTargetFarewell);
+  const bool drained = idle_time >= needed && waited >= arrived;
   if (!busy && waited >= times.notice && !std::exchange(this->doors_closed, true)) {
     this->hooks.close_doors();
   }
--- a/tests/integration/stop_test.cc
+++ b/tests/integration/stop_test.cc
@@ -121,6 +121,22 @@
   EXPECT_LT(steady_clock::now() - start, kGrace + kMoment);
 }
 
+/// While its callers are given notice, a stopping node's target goes on working for other nodes.
+TEST(StoppingTargetTest, WorksForOthersUntilTheNoticeIsNearlyOver) {
+  HostLayout stopping{"t1", "east", "east-a", "deep", 20, 20};
+  stopping.node_flags = {"--stop-notice", "4"};
+  Fleet fleet({{"a1", "east", "east-a"}, stopping}, ChainRecords());
+  ASSERT_TRUE(fleet.WaitReady());
+  const auto answers = [&] { return fleet.Call("a1", "GET", "/deep/x").status == 200; };
+  ASSERT_TRUE(answers());
+  const auto start = steady_clock::now();
+  fleet.NodeProcess("t1").Signal(SIGTERM);
+  EXPECT_TRUE(HoldsFor(milliseconds(1'500), answers));
+  EXPECT_TRUE(WaitUntil(kLimit, [&] { return !answers(); }));
+  EXPECT_LT(steady_clock::now() - start, milliseconds(4'000));
+  EXPECT_EQ(fleet.NodeProcess("t1").WaitForExit(kLimit), 0);
+}
+
 /// A target that never ends its call doesn't hold the process beyond the kill.
 TEST_F(StopTest, GivesUpCallsThatOutlastTheStop) {
   for (const auto* target : {"a2", "a3"}) {
