Calls have the class of the request that they are made for

One of four targets of the deepest service is left from 32 s on. Change: a call whose parent is known has the parent's class as it is, no more the more urgent of the two. Then a call's key is its parent's, and a level is handed up as it was heard. Test: ChildCallsTest.ACallIsNoMoreUrgentThanTheRequestThatItIsMadeFor (failed with the program of before).

--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -35,18 +35,10 @@
   return !result.Answered() || http::IsServerError(result.status);
 }
 
-/// A level that was told about calls of one rank, for calls of another rank that make them.
-policy::PriorityKey LevelForParent(const policy::PriorityKey& level, std::uint32_t child_rank,
-                                   std::uint32_t parent_rank) {
-  if (level.rank > child_rank) return policy::kOpenLevel;
-  if (level.rank < child_rank) return {parent_rank, 0};
-  return {parent_rank, level.hash};
-}
-
 /// What the calls below tell about the call that they were made for.
-void NoteChild(const OutboundCall& call, const CallResult& result, CallContext* parent) {
-  const auto level = LevelForParent(result.level, call.call_class.rank, parent->call_class.rank);
-  parent->tightest_level = std::min(parent->tightest_level, level);
+void NoteChild(const CallResult& result, CallContext* parent) {
+  // Both have one key, so what holds for the call holds for its parent.
+  parent->tightest_level = std::min(parent->tightest_level, result.level);
   if (!IsServerError(result)) return;
   parent->child_failed = true;
   parent->child_final = parent->child_final || result.final;
@@ -247,8 +239,9 @@
   call->tenant = parent->tenant;
   call->depth = parent->depth + 1;
   call->allotment = parent->allotment;
-  // A whole request survives only if every call made for it does.
-  if (parent->call_class.rank < call->call_class.rank) call->call_class = parent->call_class;
+  // A whole request survives only if every call made for it does, and none of them may be favoured
+  // over another request that is more urgent than the whole.
+  call->call_class = parent->call_class;
 }
 
 tl::expected<void, CallerService::Refusal> CallerService::SetDeadline(const http::Request& request,
@@ -361,7 +354,7 @@
   const Duration latency = SteadyClock::now() - started;
   this->hooks.on_ended(call, result, latency);
   LogEnded(call, result, latency, this->wire);
-  if (call.parent) NoteChild(call, result, call.parent.get());
+  if (call.parent) NoteChild(result, call.parent.get());
   if (!result.Answered()) {
     this->Respond(RefusalResponse(result, this->wire), exchange);
     return;
--- a/tests/integration/child_calls_test.cc
+++ b/tests/integration/child_calls_test.cc
@@ -40,11 +40,11 @@
           {"may_leave_region", false}};
 }
 
-std::string Records() {
+std::string Records(const std::string& desk = "critical", const std::string& leaf = "status") {
   const json allowance = {{"kind", "retry_allowance"}, {"schema", 1}, {"name", "none"},
                           {"retries_per_request", 0},  {"burst", 0},  {"success_ratio", 0}};
   return json::array({Priority("critical", 0), Priority("status", 9), allowance,
-                      Service("desk", "critical"), Service("leaf", "status")})
+                      Service("desk", desk), Service("leaf", leaf)})
       .dump();
 }
 
@@ -105,6 +105,25 @@
   EXPECT_NE(EndLine(fleet, "abc.z").find(" class=status "), std::string::npos);
 }
 
+/// What is made for a request that is shed first is shed with it.
+TEST(ChildCallsTest, ACallIsNoMoreUrgentThanTheRequestThatItIsMadeFor) {
+  Fleet fleet({{"a1", "east", "east-a", "desk", 20, 2, "", kIdFlags, {}},
+               {"a2", "east", "east-a", "leaf", 20, 2, "", kIdFlags, {}}},
+              Records("status", "critical"));
+  ASSERT_TRUE(fleet.WaitReady());
+  fleet.SetTargetFault("a1", R"({"hang": true})");
+  auto parent = std::async(std::launch::async, [&] {
+    return CallAs(fleet, "abc", "/desk/x",
+                  {"Firefly-Deadline-Ms: " + std::to_string(kParentDeadline.count())});
+  });
+  ASSERT_TRUE(WaitUntil(kLimit, [&] { return json::parse(fleet.Runs("a1"))["list"].size() == 1; }));
+  EXPECT_EQ(CallAs(fleet, "abc.y", "/leaf/x").status, 200);
+  EXPECT_NE(EndLine(fleet, "abc.y").find(" class=status "), std::string::npos);
+  EXPECT_EQ(CallAs(fleet, "zzz.y", "/leaf/x").status, 200);
+  EXPECT_NE(EndLine(fleet, "zzz.y").find(" class=critical "), std::string::npos);
+  EXPECT_GE(parent.get().status, 500);
+}
+
 class EndedParentTest : public ::testing::Test {
  protected:
   EndedParentTest()
