A target's own refusals count as its failures

Ruled out: load (in flight 4, limit 6, slots 34); lost answers. Change: for the chooser such a refusal is a failure. Where all targets reject, none is ejected, as before.

--- a/src/node/attempt_sender.cc
+++ b/src/node/attempt_sender.cc
@@ -27,7 +27,6 @@
     case RefusalReason::kLeaving:
     case RefusalReason::kNoTarget:
     case RefusalReason::kTicketVoid:
-    case RefusalReason::kTargetRefused:
       return true;
     default:
       return false;
@@ -41,6 +40,8 @@
     const bool server_error = http::IsServerError(static_cast<int>(result.answer.head.status()));
     return server_error ? CallOutcome::kFailed : CallOutcome::kSucceeded;
   }
+  // Not so a target's own refusal: its node offers it no more than its slots, so it fails, whatever
+  // it says of its health.
   if (IsLoadRefusal(result.reason)) return CallOutcome::kRefused;
   return CallOutcome::kFailed;
 }
--- a/tests/integration/misleading_health_test.cc
+++ b/tests/integration/misleading_health_test.cc
@@ -20,10 +20,12 @@
  protected:
   MisleadingHealthTest()
       : fleet({{"a0", "east", "east-a", "", 0, 0, ""},
-               {"a1", "east", "east-a", "deep", 20, 2, ""},
-               {"a2", "east", "east-a", "deep", 20, 2, ""}},
+               {"a1", "east", "east-a", "deep", 20, 2, "", NotRunFlag()},
+               {"a2", "east", "east-a", "deep", 20, 2, "", NotRunFlag()}},
               ChainRecords()) {}
 
+  static std::vector<std::string> NotRunFlag() { return {"--not-run-header", "X-Not-Run"}; }
+
   void SetUp() override { ASSERT_TRUE(this->fleet.WaitReady()); }
 
   bool Answered() {
@@ -64,6 +66,14 @@
   EXPECT_LE(this->RunsOf("a1"), before + kCalls - kMinAnswered);
 }
 
+TEST_F(MisleadingHealthTest, CallsLeaveATargetThatRejectsPartOfThem) {
+  this->fleet.SetTargetFault("a1", R"({"reject_every": 2, "health": "up"})");
+  this->CountAnswered();
+  const int before = this->RunsOf("a1");
+  EXPECT_GE(this->CountAnswered(), kMinAnswered);
+  EXPECT_LE(this->RunsOf("a1"), before + kCalls - kMinAnswered);
+}
+
 TEST_F(MisleadingHealthTest, TargetThatWorksAndSaysItIsDownStillServes) {
   this->fleet.SetTargetFault("a1", R"({"health": "down"})");
   this->fleet.TargetProcess("a2").Kill();
--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20;
 constexpr std::chrono::seconds kCallTimeout(60);
 constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+constexpr std::string_view kNotRunHeader = "X-Not-Run";
 constexpr int kOk = 200;
 constexpr int kFirstErrorStatus = 300;
 constexpr int kBadRequest = 400;
@@ -103,6 +104,11 @@
     this->server.CloseConnection(request.connection_id);
     return;
   }
+  this->received += 1;
+  if (this->faults.reject_every > 0 && this->received % this->faults.reject_every == 0) {
+    exchange->Respond({kUnavailable, {{std::string(kNotRunHeader), "1"}}, ""});
+    return;
+  }
   auto run = std::make_shared<Run>();
   run->key = HeaderOr(request.headers, "Idempotency-Key");
   run->tag = HeaderOr(request.headers, "X-Request-Tag");
@@ -139,6 +145,7 @@
     changed.fail = given.value("fail", changed.fail);
     changed.hang = given.value("hang", changed.hang);
     changed.close_kept = given.value("close_kept", changed.close_kept);
+    changed.reject_every = given.value("reject_every", changed.reject_every);
     changed.health = given.value("health", changed.health);
     this->faults = changed;
   } catch (const nlohmann::json::exception& error) {
--- a/tests/standins/target_standin_service.h
+++ b/tests/standins/target_standin_service.h
@@ -57,6 +57,7 @@
   const TargetOptions& options;
   TimerService& timers;
   http::Client& client;
+  int received = 0;  ///< Requests of the service.
   TargetFaults faults;
   RunLog log;
   std::deque<RunPointer> queue;
