Whether any target is sound is asked once a choice, not once a tier

Cause: PoolOf went through all targets that the call may go to for each of up to three tiers to find whether one that doesn't fail often is left; the answer is the same. Change: Choose asks once and hands it on with the targets. Ruled out: that Choose looks beyond the region too early. A saturated target nearby comes after one with room beyond, so the tier beyond must be known as soon as neither near tier has room; for classes that may not leave the region it is empty. policy_test passes (133), no assertion changed; no figure of speed was taken.

--- a/src/policy/target_chooser.cc
+++ b/src/policy/target_chooser.cc
@@ -40,7 +40,8 @@
   if (std::none_of(candidates.begin(), candidates.end(), TakesCalls)) {
     return tl::unexpected(RefusalReason::kNoTarget);
   }
-  const Candidates eligible = this->EligibleFor(query, candidates, now);
+  const Candidates targets = this->EligibleFor(query, candidates, now);
+  const Eligible eligible{targets, this->AnySound(query, targets, now)};
   const Pool zone = this->PoolOf(TargetTier::kZone, query, eligible, now);
   if (!zone.roomy.empty()) return this->PickLessLoaded(zone.roomy, TargetTier::kZone, now);
   const Pool region = this->PoolOf(TargetTier::kRegion, query, eligible, now);
@@ -147,10 +148,16 @@
   return all;
 }
 
+bool TargetChooser::AnySound(const TargetQuery& query, const Candidates& targets, SteadyTime now) {
+  return std::any_of(targets.begin(), targets.end(), [&](const Candidate* candidate) {
+    return !IsExcluded(query, *candidate) && !this->KnownOf(*candidate).load.FailsOften(now);
+  });
+}
+
 TargetChooser::Pool TargetChooser::PoolOf(TargetTier tier, const TargetQuery& query,
-                                          const Candidates& eligible, SteadyTime now) {
+                                          const Eligible& eligible, SteadyTime now) {
   Candidates all;
-  for (const Candidate* candidate : eligible) {
+  for (const Candidate* candidate : eligible.targets) {
     if (this->TierOf(*candidate) == tier) all.push_back(candidate);
   }
   const auto excluded = [&](const Candidate* candidate) { return IsExcluded(query, *candidate); };
@@ -161,15 +168,11 @@
     pool.usable = std::move(all);
     std::erase_if(pool.usable, excluded);
   }
-  const bool any_sound =
-      std::any_of(eligible.begin(), eligible.end(), [&](const Candidate* candidate) {
-        return !excluded(candidate) && !this->KnownOf(*candidate).load.FailsOften(now);
-      });
   for (const Candidate* candidate : pool.usable) {
     if (!this->levels.Admits(ScopeOf(query), candidate->node, query.key, now)) continue;
     pool.admitting.push_back(candidate);
     if (this->Saturated(*candidate, now)) continue;
-    if (any_sound && this->KnownOf(*candidate).load.FailsOften(now)) continue;
+    if (eligible.any_sound && this->KnownOf(*candidate).load.FailsOften(now)) continue;
     pool.roomy.push_back(candidate);
   }
   return pool;
--- a/src/policy/target_chooser.h
+++ b/src/policy/target_chooser.h
@@ -67,6 +67,12 @@
   };
   using Candidates = std::vector<const Candidate*>;
 
+  /// The targets that a call may go to, whatever their tier.
+  struct Eligible {
+    Candidates targets;
+    bool any_sound;  ///< One that doesn't fail often is left.
+  };
+
   /// The targets of one tier that may get the call, from all to the best.
   struct Pool {
     Candidates usable;
@@ -80,8 +86,8 @@
   Candidates EligibleFor(const TargetQuery& query, const std::vector<Candidate>& candidates,
                          SteadyTime now);
   Candidates WithoutEjected(Candidates all, SteadyTime now);
-  Pool PoolOf(TargetTier tier, const TargetQuery& query, const Candidates& eligible,
-              SteadyTime now);
+  bool AnySound(const TargetQuery& query, const Candidates& targets, SteadyTime now);
+  Pool PoolOf(TargetTier tier, const TargetQuery& query, const Eligible& eligible, SteadyTime now);
   TargetChoice PickLessLoaded(const Candidates& targets, TargetTier tier, SteadyTime now);
   bool Prefers(const Candidate& one, const Candidate& other, SteadyTime now);
   bool ShallTry(const Candidate& one, const Candidate& other, SteadyTime now);
