--- /dev/null
+++ b/tests/node/control_plane_test.cc
@@ -0,0 +1,139 @@
+#include "node/control_plane.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "common/timer_service.h"
+#include "http/client.h"
+#include "membership/membership.h"
+#include "store/store.h"
+
+namespace fireflyrun::node {
+namespace {
+
+constexpr Duration kLimit = std::chrono::seconds(10);
+
+/// Keeps the questions for the whole roster until the test answers; tells nothing else.
+class RosterStore : public store::Store {
+ public:
+  static constexpr const char* kRoster = "/fireflyrun/test/roster/";
+
+  void List(std::string prefix, Handler<store::Listing> handler) override {
+    if (prefix == kRoster) this->questions.push_back(std::move(handler));
+  }
+  void Commit(store::Transaction, Handler<store::TransactionResult>) override {}
+  void GrantLease(std::chrono::seconds, Handler<store::LeaseId>) override {}
+  void KeepLeaseAlive(store::LeaseId, Handler<std::chrono::seconds>) override {}
+  void RevokeLease(store::LeaseId, Handler<store::LeaseId>) override {}
+  WatchId Watch(std::string, store::Revision, std::function<void(store::ChangeBatch)>,
+                std::function<void(store::StoreError)>) override {
+    return 1;
+  }
+  void CancelWatch(WatchId) override {}
+
+  /// Answers the oldest question with these entries.
+  void Answer(std::vector<store::KeyValue> entries) {
+    const auto handler = std::move(this->questions.at(0));
+    this->questions.erase(this->questions.begin());
+    handler(store::Listing{std::move(entries), 1});
+  }
+
+  std::vector<Handler<store::Listing>> questions;
+};
+
+class ControlPlaneTest : public testing::Test {
+ protected:
+  ControlPlaneTest() {
+    const int id = getpid();
+    this->settings.cluster = "test";
+    this->settings.node = "a1";
+    this->settings.region = "east";
+    this->settings.zone = "east-a";
+    this->settings.address =
+        "127.99." + std::to_string(id / 250 % 250) + "." + std::to_string(1 + id % 250);
+    this->other = this->settings;
+    this->other.node = "a2";
+    this->other.control_port = this->settings.control_port + 1;
+  }
+
+  std::unique_ptr<ControlPlane> Start(const NodeSettings& own) {
+    PlatformAdapter platform;
+    platform.make_store = [this](auto&, auto&, auto&) {
+      auto made = std::make_unique<RosterStore>();
+      this->store = made.get();
+      return made;
+    };
+    auto plane = std::make_unique<ControlPlane>(this->timers, this->client, own, 1, platform);
+    EXPECT_FALSE(plane->MetFleet());
+    EXPECT_TRUE(plane->AsPart([] { return 1U; }).start());
+    return plane;
+  }
+
+  bool RunUntil(const std::function<bool()>& condition) {
+    const SteadyTime end = SteadyClock::now() + kLimit;
+    while (!condition() && SteadyClock::now() < end) this->loop.run_one_until(end);
+    return condition();
+  }
+
+  static std::string ControlAddress(const NodeSettings& own) {
+    return own.address + ":" + std::to_string(own.control_port);
+  }
+
+  static store::KeyValue RosterEntry(const NodeSettings& own) {
+    return {RosterStore::kRoster + own.zone + "/" + own.node,
+            R"({"node": ")" + own.node + R"(", "control_address": ")" + ControlAddress(own) +
+                R"(", "admin_address": "127.0.0.1:1"})",
+            1};
+  }
+
+  asio::io_context loop;
+  TimerService timers{loop};
+  http::Client client{loop, 1};
+  NodeSettings settings;
+  NodeSettings other;
+  RosterStore* store = nullptr;  ///< Of the plane made last.
+};
+
+TEST_F(ControlPlaneTest, WithoutARosterANodeHasMetTheFleetOnceASeedAnsweredOrItIsTheOnlyOne) {
+  const auto alone = this->Start(this->settings);
+  EXPECT_TRUE(alone->MetFleet());
+  this->other.seeds = {ControlAddress(this->settings)};
+  const auto joining = this->Start(this->other);
+  EXPECT_FALSE(joining->MetFleet());
+  EXPECT_FALSE(joining->KnowsFleet());
+  EXPECT_TRUE(this->RunUntil([&] { return joining->MetFleet() && joining->KnowsFleet(); }));
+}
+
+TEST_F(ControlPlaneTest, WithARosterThatNamesNoOtherANodeIsAloneOnceItWasRead) {
+  this->settings.store_endpoints = {"127.0.0.1:1"};
+  const auto plane = this->Start(this->settings);
+  EXPECT_FALSE(plane->MetFleet()) << "not read yet";
+  this->store->Answer({RosterEntry(this->settings)});
+  EXPECT_TRUE(plane->MetFleet());
+}
+
+TEST_F(ControlPlaneTest, WithARosterANodeHasMetTheFleetOnceAllThatItNamesAreMembers) {
+  const auto plain = this->Start(this->other);
+  this->settings.store_endpoints = {"127.0.0.1:1"};
+  NodeSettings absent = this->settings;
+  absent.node = "a3";
+  absent.control_port = this->settings.control_port + 2;
+  const auto plane = this->Start(this->settings);
+  this->store->Answer({RosterEntry(this->other), RosterEntry(absent)});
+  ASSERT_TRUE(this->RunUntil([&] { return plane->Fleet().HasJoined(); }));
+  EXPECT_TRUE(plane->KnowsFleet());
+  EXPECT_FALSE(plane->MetFleet()) << "a3 was never heard of";
+  absent.seeds = {ControlAddress(this->other)};
+  absent.store_endpoints = {};
+  const auto late = this->Start(absent);
+  EXPECT_TRUE(this->RunUntil([&] { return plane->MetFleet(); }));
+}
+
+}  // namespace
+}  // namespace fireflyrun::node
