--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -35,21 +35,13 @@
   return !result.Answered() || http::IsServerError(result.status);
 }
 
-/// No target admitted the call for its key. A repeat of its parent makes it again with the same
-/// key, so it would spend a retry at each hop above on the same refusal.
-bool IsShed(const CallResult& result) {
-  if (result.outcome != Outcome::OUTCOME_NOT_RUN) return false;
-  return result.reason == RefusalReason::kAdmissionLevel ||
-         result.reason == RefusalReason::kOverload || result.reason == RefusalReason::kQueueFull;
-}
-
 /// What the calls below tell about the call that they were made for.
 void NoteChild(const CallResult& result, CallContext* parent) {
   // Both have one key, so what holds for the call holds for its parent.
   parent->tightest_level = std::min(parent->tightest_level, result.level);
   if (!IsServerError(result)) return;
   parent->child_failed = true;
-  parent->child_final = parent->child_final || result.final || IsShed(result);
+  parent->child_final = parent->child_final || result.final;
 }
 
 void CopyCallerHeaders(const http::Headers& headers, const WireNames& wire, http::Headers* out) {
--- a/src/policy/windowed_retry_budget.cc
+++ b/src/policy/windowed_retry_budget.cc
@@ -19,6 +19,7 @@
       !this->slices.empty() && now - this->slices.back().begin < this->bound.window / kSlices;
   if (!in_last) this->slices.push_back({now, 0});
   ++this->slices.back().successes;
+  ++this->successes;
 }
 
 bool WindowedRetryBudget::TrySpend(bool holds_free, SteadyTime now) {
@@ -29,31 +30,18 @@
 
 double WindowedRetryBudget::Available(bool holds_free, SteadyTime now) {
   this->Forget(now);
+  const double earned = this->bound.EarnedBySuccess() * static_cast<double>(this->successes);
   const double free = holds_free ? 1 : 0;
-  std::uint64_t paying = 0;
-  auto slice = this->slices.rbegin();
-  const auto pay_from = [&](SteadyTime begin) {
-    for (; slice != this->slices.rend() && slice->begin > begin; ++slice) {
-      paying += slice->successes;
-    }
-    return this->bound.EarnedBySuccess() * static_cast<double>(paying) + free;
-  };
-  double left = pay_from(now - this->bound.window);
-  std::size_t since = 0;
-  for (auto spend = this->spent.rbegin(); spend != this->spent.rend(); ++spend) {
-    ++since;
-    left = std::min(left, pay_from(*spend - this->bound.window) - static_cast<double>(since));
-  }
-  return std::max(0.0, left);
+  return std::max(0.0, earned + free - static_cast<double>(this->spent.size()));
 }
 
 void WindowedRetryBudget::Forget(SteadyTime now) {
-  const SteadyTime oldest_spend = now - this->bound.window;
-  while (!this->spent.empty() && this->spent.front() <= oldest_spend) this->spent.pop_front();
-  const SteadyTime oldest_success = oldest_spend - this->bound.window;
-  while (!this->slices.empty() && this->slices.front().begin <= oldest_success) {
+  const SteadyTime oldest = now - this->bound.window;
+  while (!this->slices.empty() && this->slices.front().begin <= oldest) {
+    this->successes -= this->slices.front().successes;
     this->slices.pop_front();
   }
+  while (!this->spent.empty() && this->spent.front() <= oldest) this->spent.pop_front();
 }
 
 }  // namespace fireflyrun::policy
--- a/src/policy/windowed_retry_budget.h
+++ b/src/policy/windowed_retry_budget.h
@@ -9,13 +9,12 @@
 
 namespace fireflyrun::policy {
 
-/// One node's part of what the fleet may repeat at one service. In each time of a window, it spends
-/// no more than its share of the successes that it saw in that time and in the window before;
-/// nothing older counts.
+/// One node's part of what the fleet may repeat at one service. What it spends in any window is
+/// bound to what it saw succeed in the window before the last spend; nothing older counts.
 ///
-/// The sum over all nodes stays within the bound, without a word between them: what they spend in a
-/// window of the fleet is paid by successes of that window and of the one before it, and half of
-/// the ratio goes to each of the two.
+/// The sum over all nodes stays within the bound, without a word between them: each node's last
+/// spend in a window of the fleet is paid by successes of that window and of the one before it, and
+/// half of the ratio goes to each of the two.
 class WindowedRetryBudget {
  public:
   explicit WindowedRetryBudget(const FleetRetryBound& fleet_bound);
@@ -35,8 +34,9 @@
   void Forget(SteadyTime now);
 
   FleetRetryBound bound;
-  std::deque<Slice> slices;      ///< Oldest first.
-  std::deque<SteadyTime> spent;  ///< Oldest first.
+  std::deque<Slice> slices;  ///< Oldest first.
+  std::uint64_t successes = 0;
+  std::deque<SteadyTime> spent;
 };
 
 }  // namespace fireflyrun::policy
