Metadata stand-in: several doors to one store, each with faults of its own

Cause: the store may turn away some machines while it serves the others; the stand-in had one port and one fault for all. Change: the model is shared, a stand-in can be one more door to it.

--- a/tests/standins/metadata_standin.cc
+++ b/tests/standins/metadata_standin.cc
@@ -51,7 +51,14 @@
 }  // namespace
 
 MetadataStandin::MetadataStandin(asio::io_context& event_loop, std::size_t items_of_page)
-    : loop(event_loop), model(items_of_page), acceptor(event_loop), tick_timer(event_loop) {
+    : MetadataStandin(event_loop, std::make_shared<MetadataModel>(items_of_page)) {}
+
+MetadataStandin::MetadataStandin(asio::io_context& event_loop,
+                                 std::shared_ptr<MetadataModel> shared_model)
+    : loop(event_loop),
+      model(std::move(shared_model)),
+      acceptor(event_loop),
+      tick_timer(event_loop) {
   this->Listen();
   this->Tick();
 }
@@ -92,7 +99,7 @@
   this->tick_timer.async_wait(
       [this, guard = std::weak_ptr<bool>(this->alive)](const asio::error_code& error) {
         if (guard.expired() || error) return;
-        this->model.ExpireLeases(SteadyClock::now());
+        this->model->ExpireLeases(SteadyClock::now());
         std::erase_if(this->connections, [](const auto& weak) { return weak.expired(); });
         this->ServeWaiters();
         this->Tick();
@@ -121,7 +128,7 @@
 }
 
 std::int64_t MetadataStandin::Put(const std::string& key, const std::string& value) {
-  const std::int64_t revision = this->model.Put(key, value);
+  const std::int64_t revision = this->model->Put(key, value);
   this->ServeWaiters();
   return revision;
 }
@@ -180,17 +187,17 @@
   const std::string call = request.method + " " + path;
   const SteadyTime now = SteadyClock::now();
   if (call == "GET /kv-range") {
-    return this->model.Range(Parameter(request.target, "prefix"),
-                             Parameter(request.target, "after"));
+    return this->model->Range(Parameter(request.target, "prefix"),
+                              Parameter(request.target, "after"));
   }
   if (call == "GET /kv-watch") {
-    return this->model.Changes(Parameter(request.target, "prefix"),
-                               std::stoll(Parameter(request.target, "after")));
+    return this->model->Changes(Parameter(request.target, "prefix"),
+                                std::stoll(Parameter(request.target, "after")));
   }
-  if (call == "POST /kv-txn") return this->model.Transact(Json::parse(request.body));
-  if (call == "POST /kv-lease") return this->model.GrantLease(Json::parse(request.body), now);
-  if (call.starts_with("POST /kv-keep/")) return this->model.RenewLease(LastNumber(path), now);
-  if (call.starts_with("DELETE /kv-lease-end/")) return this->model.EndLease(LastNumber(path));
+  if (call == "POST /kv-txn") return this->model->Transact(Json::parse(request.body));
+  if (call == "POST /kv-lease") return this->model->GrantLease(Json::parse(request.body), now);
+  if (call.starts_with("POST /kv-keep/")) return this->model->RenewLease(LastNumber(path), now);
+  if (call.starts_with("DELETE /kv-lease-end/")) return this->model->EndLease(LastNumber(path));
   return {404, {{"error", "no such call"}}};
 }
 
@@ -208,7 +215,7 @@
   std::erase_if(this->waiters, [this, now](const Waiter& waiter) {
     const auto open = waiter.connection.lock();
     if (!open || open->IsClosed()) return true;
-    const MetadataAnswer answer = this->model.Changes(waiter.prefix, waiter.after);
+    const MetadataAnswer answer = this->model->Changes(waiter.prefix, waiter.after);
     const bool is_due = answer.status != 200 || !answer.body["events"].empty() || waiter.end <= now;
     if (is_due) Answer(*open, answer);
     return is_due;
--- a/tests/standins/metadata_standin.h
+++ b/tests/standins/metadata_standin.h
@@ -37,13 +37,15 @@
 class MetadataStandin {
  public:
   MetadataStandin(asio::io_context& event_loop, std::size_t items_of_page);
+  /// One more door to a store, with faults of its own: what the machines that call it here see.
+  MetadataStandin(asio::io_context& event_loop, std::shared_ptr<MetadataModel> shared_model);
   ~MetadataStandin();
   MetadataStandin(const MetadataStandin&) = delete;
   MetadataStandin& operator=(const MetadataStandin&) = delete;
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(this->port); }
   void SetFault(MetadataFault new_fault);
-  MetadataModel& Model() { return this->model; }
+  MetadataModel& Model() { return *this->model; }
   /// Writes as the operator does, and tells the watches that wait.
   std::int64_t Put(const std::string& key, const std::string& value);
   /// Closes the connections of all watches that wait.
@@ -71,7 +73,7 @@
   void After(std::chrono::milliseconds delay, std::function<void()> action);
 
   asio::io_context& loop;
-  MetadataModel model;
+  std::shared_ptr<MetadataModel> model;
   MetadataFault fault;
   std::uint16_t port = 0;
   asio::ip::tcp::acceptor acceptor;
