--- /dev/null
+++ b/tests/platform/platform_fleet.cc
@@ -0,0 +1,186 @@
+#include "tests/platform/platform_fleet.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+#include <map>
+#include <stdexcept>
+
+namespace fireflyrun::platform {
+namespace {
+
+constexpr std::size_t kPageItems = 100;
+constexpr int kFirstHostOctet = 10;
+constexpr int kOctetValues = 250;
+constexpr int kFleetStep = 7919;  // Fleets of one process have other addresses each.
+constexpr const char* kConfigurationKey = "op/config";
+constexpr const char* kRouteHost = "Host: shop.example";
+
+std::string MakeFolder() {
+  std::string name = (std::filesystem::temp_directory_path() / "fireflyrun-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("cannot make a folder");
+  return name;
+}
+
+std::string MakeAddressPrefix() {
+  static int fleets = 0;
+  const int id = getpid() + kFleetStep * fleets++;
+  return "127." + std::to_string(1 + id / kOctetValues % kOctetValues) + "." +
+         std::to_string(id % kOctetValues) + ".";
+}
+
+void Replace(std::string& text, const std::string& from, const std::string& to) {
+  for (auto at = text.find(from); at != std::string::npos; at = text.find(from)) {
+    text.replace(at, from.size(), to);
+  }
+}
+
+}  // namespace
+
+PlatformFleet::PlatformFleet(std::vector<Host> layout)
+    : hosts(std::move(layout)),
+      folder(MakeFolder()),
+      ip_prefix(MakeAddressPrefix()),
+      model(std::make_shared<standins::MetadataModel>(kPageItems)) {
+  for (const Host& host : this->hosts) this->AddMember(host);
+  for (std::size_t host = 0; host < this->hosts.size(); ++host) this->StartNode(host);
+  this->thread = std::thread([this] { this->loop.run(); });
+}
+
+PlatformFleet::~PlatformFleet() {
+  for (Member& member : this->members) member.node->Kill();
+  this->loop.stop();
+  this->thread.join();
+  if (std::getenv("FIREFLYRUN_KEEP_LOGS") == nullptr) std::filesystem::remove_all(this->folder);
+}
+
+void PlatformFleet::AddMember(const Host& host) {
+  Member member;
+  member.ip = this->ip_prefix + std::to_string(kFirstHostOctet + this->members.size());
+  member.store = std::make_unique<standins::MetadataStandin>(this->loop, this->model);
+  member.target = std::make_unique<PlatformTarget>(
+      this->loop, this->timers, this->client,
+      PlatformTarget::Place{member.ip, host.service, "i-" + host.node}, this->behaviour,
+      this->runs);
+  member.target->AnnounceTo(member.ip + ":7401");
+  this->members.push_back(std::move(member));
+}
+
+std::string PlatformFleet::Settings(std::size_t host) const {
+  std::ifstream file(SETTINGS_TEMPLATE_PATH);
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  const Host& layout = this->hosts[host];
+  const Member& member = this->members[host];
+  const std::map<std::string, std::string> values = {
+      {"node", layout.node},         {"region", "east"},
+      {"zone", layout.zone},         {"ip", member.ip},
+      {"listen.outbound", "7400"},   {"listen.control", "7401"},
+      {"listen.readyAddr", "7404"},  {"portRange.0", "7402"},
+      {"portRange.1", "7403"},       {"platform.address", member.store->Address()},
+      {"service", layout.service},   {"appAddr", member.target->Address()},
+      {"bounds.graceS", "8"},        {"bounds.budgetRatio", "0.2"},
+      {"bounds.budgetWindowS", "3"}, {"bounds.budgetExtra", "30"}};
+  for (const auto& [name, value] : values) Replace(text, "{{" + name + "}}", value);
+  if (text.empty() || text.find("{{") != std::string::npos) {
+    throw std::runtime_error("the template asks for more than is known here: " + text);
+  }
+  return text;
+}
+
+void PlatformFleet::StartNode(std::size_t host) {
+  const std::string name =
+      this->folder + "/" + this->hosts[host].node + "-" + std::to_string(this->starts++);
+  std::ofstream(name + ".settings") << this->Settings(host);
+  this->members[host].node = std::make_unique<integration::Process>(
+      std::vector<std::string>{"/usr/bin/env", "FIREFLYRUN_BOOT=" + name + ".settings",
+                               FIREFLYRUN_PATH, "node"},
+      name);
+}
+
+void PlatformFleet::Do(const std::function<void()>& action) {
+  std::promise<void> done;
+  asio::post(this->loop, [&action, &done] {
+    action();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+void PlatformFleet::Configure(const nlohmann::json& configuration) {
+  this->Do([&] { this->model->Put(kConfigurationKey, configuration.dump()); });
+}
+
+void PlatformFleet::SetStoreFault(std::size_t host, standins::MetadataFaultMode mode) {
+  this->Do([&] {
+    this->members[host].store->SetFault({mode});
+    this->members[host].store->CutWatches();
+  });
+}
+
+void PlatformFleet::OnModel(const std::function<void(standins::MetadataModel&)>& action) {
+  this->Do([&] { action(*this->model); });
+}
+
+void PlatformFleet::CutWatches() {
+  this->Do([this] {
+    for (Member& member : this->members) member.store->CutWatches();
+  });
+}
+
+void PlatformFleet::SetBehaviour(const TargetBehaviour& new_behaviour) {
+  this->Do([&] { this->behaviour = new_behaviour; });
+}
+
+void PlatformFleet::ReplaceTarget(std::size_t host, const std::string& id) {
+  this->Do([&] { this->members[host].target->ReplaceBy(id); });
+}
+
+std::string PlatformFleet::TargetId(std::size_t host) {
+  std::string id;
+  this->Do([&] { id = this->members[host].target->Id(); });
+  return id;
+}
+
+TargetRuns PlatformFleet::Runs(const std::string& request_id) {
+  TargetRuns found;
+  this->Do([&] {
+    std::copy_if(this->runs.begin(), this->runs.end(), std::back_inserter(found),
+                 [&](const TargetRun& run) {
+                   const bool wanted = request_id.empty() || run.RequestId() == request_id;
+                   return run.has_run && wanted;
+                 });
+  });
+  return found;
+}
+
+std::size_t PlatformFleet::CountMisdirected() {
+  std::size_t count = 0;
+  this->Do([&] {
+    for (const TargetRun& run : this->runs) count += run.has_run ? 0 : 1;
+  });
+  return count;
+}
+
+integration::HttpAnswer PlatformFleet::Call(std::size_t host, const std::string& method,
+                                            const std::string& path,
+                                            std::vector<std::string> headers,
+                                            std::string body) const {
+  integration::HttpCall call;
+  call.method = method;
+  call.url = "http://" + this->members[host].ip + ":7400" + path;
+  call.headers = std::move(headers);
+  call.headers.emplace_back(kRouteHost);
+  call.body = std::move(body);
+  return MakeCall(call);
+}
+
+int PlatformFleet::Health(std::size_t host) const {
+  return integration::Get("http://" + this->members[host].ip + ":7404/health").status;
+}
+
+}  // namespace fireflyrun::platform
--- /dev/null
+++ b/tests/platform/platform_fleet.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "common/timer_service.h"
+#include "http/client.h"
+#include "tests/integration/http_call.h"
+#include "tests/integration/process.h"
+#include "tests/platform/platform_target.h"
+#include "tests/standins/metadata_standin.h"
+
+namespace fireflyrun::platform {
+
+/// Real nodes with the settings that the platform's template writes, each beside a target of ours
+/// and before a door of its own to one metadata store. Targets and store run on a thread here.
+class PlatformFleet {
+ public:
+  struct Host {
+    std::string node;
+    std::string zone;
+    std::string service;
+  };
+
+  explicit PlatformFleet(std::vector<Host> layout);
+  ~PlatformFleet();
+  PlatformFleet(const PlatformFleet&) = delete;
+  PlatformFleet& operator=(const PlatformFleet&) = delete;
+
+  const std::vector<Host>& Hosts() const { return this->hosts; }
+  void StartNode(std::size_t host);
+  void KillNode(std::size_t host) { this->members[host].node->Kill(); }
+
+  /// Writes the configuration as the operator does.
+  void Configure(const nlohmann::json& configuration);
+  /// Also ends the watches that wait at that door.
+  void SetStoreFault(std::size_t host, standins::MetadataFaultMode mode);
+  /// Changes the store's content or its readings.
+  void OnModel(const std::function<void(standins::MetadataModel&)>& action);
+  void CutWatches();
+
+  void SetBehaviour(const TargetBehaviour& new_behaviour);
+  void ReplaceTarget(std::size_t host, const std::string& id);
+  std::string TargetId(std::size_t host);
+  /// All that targets ran, in order; of one request if its id is given.
+  TargetRuns Runs(const std::string& request_id = "");
+  /// How many requests got 421.
+  std::size_t CountMisdirected();
+
+  /// A request through the node's caller port, for the routes' host.
+  integration::HttpAnswer Call(std::size_t host, const std::string& method, const std::string& path,
+                               std::vector<std::string> headers = {}, std::string body = "") const;
+  /// The status of the node's `GET /health`; 0 when it does not answer.
+  int Health(std::size_t host) const;
+  /// What the node has written to its log; for messages of failed tests.
+  std::string Log(std::size_t host) const { return this->members[host].node->Output(); }
+
+ private:
+  struct Member {
+    std::string ip;
+    std::unique_ptr<standins::MetadataStandin> store;
+    std::unique_ptr<PlatformTarget> target;
+    std::unique_ptr<integration::Process> node;
+  };
+
+  void AddMember(const Host& host);
+  std::string Settings(std::size_t host) const;
+  /// Runs on the thread of targets and store, and waits for the end.
+  void Do(const std::function<void()>& action);
+
+  std::vector<Host> hosts;
+  std::string folder;
+  std::string ip_prefix;
+  int starts = 0;
+  asio::io_context loop{1};
+  TimerService timers{this->loop};
+  http::Client client{this->loop, 8};
+  TargetBehaviour behaviour;
+  TargetRuns runs;
+  std::shared_ptr<standins::MetadataModel> model;
+  std::vector<Member> members;
+  asio::executor_work_guard<asio::io_context::executor_type> work{this->loop.get_executor()};
+  std::thread thread;
+};
+
+}  // namespace fireflyrun::platform
