Count and log where a caller's close finds its request

Callers see nothing of this commit; it changes no decision.

- fireflyrun_callers_gone_total{request="unread"|"in-progress"}: one look for the end of the input, without reading it, when a request is complete.
- fireflyrun_target_calls_cancelled_total{stage="queued"|"running"|"kept"}, and the stage in the line `cancelled`.
- fireflyrun_link_cancels_sent_total and _lost_total (the link was not open).

--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -1,10 +1,13 @@
 #include "http/call_connection.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
+#include <cerrno>
 #include <chrono>
 #include <utility>
 
@@ -144,7 +147,9 @@
   this->socket.close(ignored);
   this->core->Remove(*this);
   this->caller_gone = caller_left;
-  if (caller_left) this->PostHook();
+  if (!caller_left) return;
+  ++this->core->Counters().callers_gone_waiting;
+  this->PostHook();
 }
 
 void CallConnection::Read() {
@@ -160,6 +165,13 @@
       });
 }
 
+/// True when the end of the input is all that is left of it.
+bool CallConnection::CallerHasLeft() {
+  char byte = 0;
+  const auto peeked = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 std::size_t CallConnection::InputCapacity() const {
   const bool reads_body = this->phase == Phase::kReading && this->reader.HeadComplete();
   return reads_body ? kBodyInputBytes : kInputBytes;
@@ -249,6 +261,7 @@
 }
 
 void CallConnection::Dispatch() {
+  if (this->CallerHasLeft()) ++this->core->Counters().callers_gone_unread;
   this->phase = Phase::kHandling;
   this->deadline = SteadyTime::max();
   this->open_exchange = true;
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -103,6 +103,7 @@
   void Shut(bool caller_left);
   void SetDeadline(Duration time_limit);
   bool HasUnreadBytes() const;
+  bool CallerHasLeft();
   std::size_t InputCapacity() const;
   bool DropsInput() const;
 
--- a/src/http/call_server.cc
+++ b/src/http/call_server.cc
@@ -29,6 +29,8 @@
 
 std::size_t CallServer::OpenConnections() const { return this->core->OpenConnections(); }
 
+const CallServerCounters& CallServer::Counters() const { return this->core->Counters(); }
+
 void CallServer::Close() { this->core->Close(); }
 
 }  // namespace fireflyrun::http
--- a/src/http/call_server.h
+++ b/src/http/call_server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "http/call_server_counters.h"
 #include "http/call_server_options.h"
 #include "http/exchange.h"
 #include "http/request.h"
@@ -54,6 +55,7 @@
   /// Requests received whose responses are not yet written to the operating system.
   std::size_t OpenExchanges() const;
   std::size_t OpenConnections() const;
+  const CallServerCounters& Counters() const;
 
   /// Closes every connection; hooks for gone callers do not run. Call when OpenExchanges() is 0 for
   /// a graceful stop.
--- a/src/http/call_server_core.h
+++ b/src/http/call_server_core.h
@@ -42,6 +42,7 @@
   bool Draining() const { return this->draining; }
   void Handle(Request request, std::shared_ptr<Exchange> exchange);
   void EndExchange() { --this->open_exchanges; }
+  CallServerCounters& Counters() { return this->counters; }
   void MarkBusy(CallConnection& connection);
   void MarkIdle(CallConnection& connection);
   void MarkClosing(CallConnection& connection);
@@ -75,6 +76,7 @@
   Connections closing;  ///< Their last responses are sent; they do not count as open.
   std::uint64_t last_id = 0;
   std::size_t open_exchanges = 0;
+  CallServerCounters counters;
   std::uint16_t port = 0;
   bool draining = false;
   bool closed = false;
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -202,6 +202,22 @@
                 [this] { return static_cast<double>(this->target->Ledger().Entries()); });
   out->AddGauge("fireflyrun_open_links", "Links to other nodes.",
                 [this] { return static_cast<double>(this->links->OpenLinks()); });
+  this->AddCancelMetrics(out);
+}
+
+void CallPlane::AddCancelMetrics(NodeMetrics* out) const {
+  for (const auto& [stage, name] : kCancelStageNames.Entries()) {
+    out->AddCounter(
+        "fireflyrun_target_calls_cancelled_total",
+        "Calls whose callers left, by how far they had come at the target's node.",
+        [this, stage = stage] { return static_cast<double>(this->target->CancelledCalls(stage)); },
+        {{"stage", std::string(name)}});
+  }
+  out->AddCounter("fireflyrun_link_cancels_sent_total", "Cancels sent to other nodes.",
+                  [this] { return static_cast<double>(this->links->Counters().cancels); });
+  out->AddCounter("fireflyrun_link_cancels_lost_total",
+                  "Cancels not sent to other nodes, because the link was not open.",
+                  [this] { return static_cast<double>(this->links->Counters().cancels_lost); });
 }
 
 void CallPlane::OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange) {
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -85,6 +85,7 @@
   /// The metrics' hooks, extended to notify the target watcher.
   TargetService::Hooks TargetHooks();
   TargetWatcher::Hooks WatcherHooks();
+  void AddCancelMetrics(NodeMetrics* metrics) const;
   void CreateTarget(http::TargetClient& client, std::uint64_t incarnation);
   void CreateLinks(std::uint64_t incarnation);
   AttemptSender::Hooks SenderHooks();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -243,6 +243,17 @@
   this->metrics.AddGauge(
       "fireflyrun_open_connections", "Callers' connections that are open.",
       [this] { return static_cast<double>(this->caller_server.OpenConnections()); });
+  constexpr const char* kCallersGone = "fireflyrun_callers_gone_total";
+  constexpr const char* kCallersGoneHelp =
+      "Callers that left before they were answered, by what had become of their requests.";
+  this->metrics.AddCounter(
+      kCallersGone, kCallersGoneHelp,
+      [this] { return static_cast<double>(this->caller_server.Counters().callers_gone_unread); },
+      {{"request", "unread"}});
+  this->metrics.AddCounter(
+      kCallersGone, kCallersGoneHelp,
+      [this] { return static_cast<double>(this->caller_server.Counters().callers_gone_waiting); },
+      {{"request", "in-progress"}});
 }
 
 Component Node::Implementation::DrainComponent() {
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -193,9 +193,9 @@
   event.AddLoad(context);
 }
 
-void LogTargetCancelled(const TargetLogContext& context) {
+void LogTargetCancelled(const TargetLogContext& context, CancelStage stage) {
   TargetEvent event(LogLevel::kInfo, "cancelled", LogUrgency::kAttempt, context);
-  event.Add("cause", "caller-gone");
+  event.Add("cause", "caller-gone").Add("stage", kCancelStageNames.NameOf(stage));
   event.AddLoad(context);
 }
 
--- a/src/node/request_log.h
+++ b/src/node/request_log.h
@@ -8,6 +8,7 @@
 #include "common/id128.h"
 #include "http/client_error.h"
 #include "http/headers.h"
+#include "node/cancel_stage.h"
 #include "peer/peer.pb.h"
 #include "policy/priority_key.h"
 #include "policy/refusal_reason.h"
@@ -65,7 +66,7 @@
 void LogTargetRefused(const TargetLogContext& context, policy::RefusalReason reason);
 /// Logs that the exchange with the target failed.
 void LogTargetFailed(const TargetLogContext& context, const http::ClientError& error);
-/// Logs that the caller's node cancelled the call.
-void LogTargetCancelled(const TargetLogContext& context);
+/// Logs that nobody waits for the call any more, and how far it had come.
+void LogTargetCancelled(const TargetLogContext& context, CancelStage stage);
 
 }  // namespace fireflyrun::node
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -440,7 +440,11 @@
   if (!inbound) return;
   const SteadyTime now = SteadyClock::now();
   const bool queued = !inbound->context;
-  LogTargetCancelled(this->LogContext(*inbound));
+  const CancelStage stage = queued            ? CancelStage::kQueued
+                            : inbound->ticket ? CancelStage::kKept
+                                              : CancelStage::kRunning;
+  LogTargetCancelled(this->LogContext(*inbound), stage);
+  ++this->cancelled_calls[static_cast<std::size_t>(stage)];
   if (queued) {
     // Calls that joined this one still wait for it.
     if (!inbound->joined.empty() || !this->admission.Cancel(call_id)) return;
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +14,7 @@
 #include "common/timer_subscription.h"
 #include "http/target_client.h"
 #include "node/admission_log.h"
+#include "node/cancel_stage.h"
 #include "node/inbound_call.h"
 #include "node/target_address.h"
 #include "node/wire_names.h"
@@ -83,6 +86,9 @@
   policy::Ticket IssueOwnTicket();
 
   std::size_t OpenCalls() const { return this->calls.size(); }
+  std::uint64_t CancelledCalls(CancelStage stage) const {
+    return this->cancelled_calls[static_cast<std::size_t>(stage)];
+  }
   /// Calls that the target at `address` runs, and those waiting for it.
   std::size_t OpenCallsOf(const std::string& address) const;
   /// Null while there is none.
@@ -133,6 +139,7 @@
   bool leaving = false;
   std::unordered_map<Id128, CallPointer> calls;
   std::unordered_map<Id128, Id128> running_tickets;  ///< Ticket nonce to the id of its call.
+  std::array<std::uint64_t, kCancelStageNames.Entries().size()> cancelled_calls{};
   AdmissionLog admission_log;
   bool tick_due = false;
   Duration tick_delay = Duration::zero();
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -48,7 +48,11 @@
   if (call == this->calls.end()) return false;
   const bool waiting = call->second.phase == PendingCall::Phase::kWaiting;
   this->calls.erase(call);
-  if (waiting || this->state != State::kOpen) return true;
+  if (waiting) return true;
+  if (this->state != State::kOpen) {
+    ++this->counters->cancels_lost;
+    return true;
+  }
   const auto removal = this->connection->Remove(call_id);
   if (removal != FrameQueue::Removal::kNotStarted) this->PushCancel(call_id);
   this->connection->Flush();
@@ -217,6 +221,7 @@
   pb::Cancel cancel;
   cancel.set_call_id(call_id.ToBytes());
   this->connection->PushFrame(pb::Frame::kCancelFieldNumber, cancel);
+  ++this->counters->cancels;
   this->connection->Flush();
 }
 
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -237,6 +237,7 @@
   const auto call_id = Id128::FromBytes(cancel.call_id());
   if (!call_id) return this->CloseLink(link);
   this->DropPartial(link, *call_id);
+  ++this->counters->cancels;
   const bool open = this->calls.IsOpen(*call_id);
   this->calls.Acknowledge(*call_id, SteadyClock::now());
   if (open && this->on_cancel) this->on_cancel(*call_id);
