A request whose caller left before it was read is dropped

What callers saw: nothing, they had left; their work reached a target all the same. A request was handled as soon as its last byte was read, without a look at whether the caller had closed behind it. On a node whose event loop is late, callers give up after a second, and the node then sends their requests on, cancel close behind.

The connection now looks for the end of its input, without reading on, when a request is complete; where that is all that is left, the request is not handled and the connection is closed. A caller that sends more behind its request hasn't ended its input and is served as before.

CallServerTest.RequestOfACallerThatLeftBeforeItWasReadIsNotHandled, for a close and for a half close, failed with the look switched off (the handler ran for the caller that had left) and passes with it.

--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -261,7 +261,11 @@
 }
 
 void CallConnection::Dispatch() {
-  if (this->CallerHasLeft()) ++this->core->Counters().callers_gone_unread;
+  // A caller may have given up long before this process came to read its request.
+  if (this->CallerHasLeft()) {
+    ++this->core->Counters().callers_gone_unread;
+    return this->Close();
+  }
   this->phase = Phase::kHandling;
   this->deadline = SteadyTime::max();
   this->open_exchange = true;
--- a/src/http/call_server.h
+++ b/src/http/call_server.h
@@ -22,7 +22,7 @@
 /// an error, and it answers `Expect: 100-continue`.
 ///
 /// A request that is malformed, too large or too slow is answered 4xx with `Connection: close` and
-/// never reaches the handler.
+/// never reaches the handler, nor does one whose caller has left before it was read.
 class CallServer {
  public:
   using Handler = std::function<void(Request, std::shared_ptr<Exchange>)>;
--- a/tests/http/call_server_test.cc
+++ b/tests/http/call_server_test.cc
@@ -169,6 +169,24 @@
   }
 }
 
+TEST_F(CallServerTest, RequestOfACallerThatLeftBeforeItWasReadIsNotHandled) {
+  for (const bool half_close : {false, true}) {
+    const auto gone = RawConnection::Connect(this->loop, this->server->Port());
+    asio::write(gone->socket, asio::buffer(std::string_view(kGet)));
+    if (half_close) gone->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    if (!half_close) gone->Close();
+    const auto staying = this->ConnectAndSend(kGet);
+    ASSERT_TRUE(RunUntil(this->loop, [&] { return !this->requests.empty(); }));
+    this->RunFor(std::chrono::milliseconds(50));
+    EXPECT_EQ(this->requests.size(), 1U);
+    EXPECT_EQ(this->server->OpenExchanges(), 1U);
+    this->exchanges.clear();
+    this->requests.clear();
+    ASSERT_TRUE(this->WaitFor(staying, "HTTP/1.1 500 "));
+  }
+  EXPECT_EQ(this->server->Counters().callers_gone_unread, 2U);
+}
+
 TEST_F(CallServerTest, HookDoesNotRunAfterTheResponse) {
   const auto caller = this->ConnectAndSend(kGet);
   ASSERT_TRUE(this->WaitForRequests(1));
