A caller that leaves behind more than is read ahead is noticed

While a request is in progress, up to 8 KiB of what follows it are read, and with them the end of the input. Behind more than that nothing was read, so the close went unnoticed and the work went on to its deadline.

What is read ahead stays bounded.

CallServerTest.NoticesACallerThatLeavesBehindMoreThanIsReadAhead failed before (not noticed in 10 s).

--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -1,5 +1,6 @@
 #include "http/call_connection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -30,6 +31,8 @@
 /// Callers reuse a connection until shortly before the time that they were told.
 constexpr std::chrono::milliseconds kIdleMargin(250);
 constexpr std::chrono::milliseconds kUnreadBytesGrace(250);
+/// How often a caller of whom no more is read is asked after while its request is in progress.
+constexpr std::chrono::milliseconds kUnreadCallerPeriod(100);
 /// How long and how much is read and dropped after the last response: closing with unread bytes
 /// would reset the connection and could destroy the response on its way.
 constexpr std::chrono::seconds kClosingTime(5);
@@ -111,6 +114,7 @@
       this->deadline = now + kUnreadBytesGrace;
       return;
     case Phase::kHandling:
+      return this->WatchUnreadCaller();
     case Phase::kWriting:
     case Phase::kClosing:
     case Phase::kClosed:
@@ -154,9 +158,10 @@
 
 void CallConnection::Read() {
   if (this->read_pending || this->input_ended || this->phase == Phase::kClosed) return;
-  const bool reads_ahead =
-      this->continue_pending || this->phase == Phase::kHandling || this->phase == Phase::kWriting;
-  if (reads_ahead && this->input.Data().size() >= kReadAheadBytes) return;
+  if (this->ReadsNoFurther()) {
+    if (this->phase == Phase::kHandling) this->SetDeadline(kUnreadCallerPeriod);
+    return;
+  }
   this->read_pending = true;
   this->socket.async_read_some(
       this->input.Prepare(this->InputCapacity()),
@@ -165,6 +170,19 @@
       });
 }
 
+bool CallConnection::ReadsNoFurther() const {
+  const bool reads_ahead =
+      this->continue_pending || this->phase == Phase::kHandling || this->phase == Phase::kWriting;
+  return reads_ahead && this->input.Data().size() >= kReadAheadBytes;
+}
+
+/// The end of the input of a caller that has sent more than is read ahead is seen by asking only.
+void CallConnection::WatchUnreadCaller() {
+  pollfd state = {this->socket.native_handle(), POLLRDHUP, 0};
+  if (::poll(&state, 1, 0) > 0) return this->Close();
+  this->SetDeadline(kUnreadCallerPeriod);
+}
+
 /// True when the end of the input is all that is left of it.
 bool CallConnection::CallerHasLeft() {
   char byte = 0;
--- a/tests/http/call_server_test.cc
+++ b/tests/http/call_server_test.cc
@@ -187,6 +187,20 @@
   EXPECT_EQ(this->server->Counters().callers_gone_unread, 2U);
 }
 
+TEST_F(CallServerTest, NoticesACallerThatLeavesBehindMoreThanIsReadAhead) {
+  const auto caller = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitForRequests(1));
+  bool gone = false;
+  this->exchanges[0]->OnCallerGone([&] { gone = true; });
+  asio::write(caller->socket, asio::buffer(std::string(std::size_t{64} << 10, 'x')));
+  this->RunFor(std::chrono::milliseconds(50));
+  EXPECT_FALSE(gone);
+  caller->socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+  EXPECT_TRUE(RunUntil(this->loop, [&] { return gone; }));
+  EXPECT_EQ(this->server->OpenExchanges(), 0U);
+  EXPECT_EQ(this->server->Counters().callers_gone_waiting, 1U);
+}
+
 TEST_F(CallServerTest, HookDoesNotRunAfterTheResponse) {
   const auto caller = this->ConnectAndSend(kGet);
   ASSERT_TRUE(this->WaitForRequests(1));
