A cancel that overtakes a call to the own target is not lost

A call to the node's own target was posted to the event loop, its cancel took effect at once. Where both became due in one turn (a retry timer and the caller's close), the cancel ran first, found no call and was forgotten; the call then ran to its end for nobody.

The way to the own target is a class of its own now, LocalCalls, which knows the calls that are on their way: a cancel takes such a call off, and is passed on for those that have arrived. CallPlane shrinks by it.

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -1,6 +1,5 @@
 #include "node/call_plane.h"
 
-#include <asio/post.hpp>
 #include <utility>
 
 #include "common/random.h"
@@ -78,7 +77,8 @@
                  return this->link_budget.TryTake(bytes, now);
                },
                LogEjection}),
-      directory(std::make_unique<TargetDirectory>(control_plane.Fleet())) {
+      directory(std::make_unique<TargetDirectory>(control_plane.Fleet())),
+      local_calls(timer_service.Loop(), LocalCallHooks()) {
   this->ForgetDepartedTargets();
   this->CreateTarget(http_client, own_incarnation);
   this->CreateLinks(own_incarnation);
@@ -130,6 +130,15 @@
   return hooks;
 }
 
+LocalCalls::Hooks CallPlane::LocalCallHooks() {
+  LocalCalls::Hooks hooks;
+  hooks.on_call = [this](peer::Call call, LocalCalls::AnswerHandler handler) {
+    this->target->OnCall(std::move(call), std::move(handler));
+  };
+  hooks.on_cancel = [this](const Id128& call_id) { this->target->OnCancel(call_id); };
+  return hooks;
+}
+
 TargetWatcher::Hooks CallPlane::WatcherHooks() {
   TargetWatcher::Hooks hooks;
   hooks.probe = [this](const std::string& address, const std::string& path,
@@ -274,7 +283,7 @@
   };
   hooks.cancel = [this](const std::string& node, const Id128& call_id) {
     if (node == this->settings.node) {
-      this->target->OnCancel(call_id);
+      this->local_calls.Cancel(call_id);
     } else {
       this->links->Cancel(call_id);
     }
@@ -358,15 +367,7 @@
     this->links->Send(address, std::move(call), deadline + kOutcomeReportGrace, std::move(handler));
     return;
   }
-  // A call to the local target needs no link, but still runs on a later turn of the event loop.
-  asio::post(this->timers.Loop(),
-             [this, call = std::move(call), handler = std::move(handler)]() mutable {
-               this->target->OnCall(std::move(call), [this, handler](peer::Answer answer) {
-                 asio::post(this->timers.Loop(), [handler, answer = std::move(answer)]() mutable {
-                   handler(std::move(answer));
-                 });
-               });
-             });
+  this->local_calls.Send(std::move(call), std::move(handler));
 }
 
 std::optional<std::string> CallPlane::IssueTicket(const records::CallPolicy& route) {
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -17,6 +17,7 @@
 #include "node/context_table.h"
 #include "node/dispatch_services.h"
 #include "node/fleet_retry_share.h"
+#include "node/local_calls.h"
 #include "node/node_settings.h"
 #include "node/retry_budgets.h"
 #include "node/target_service.h"
@@ -84,6 +85,7 @@
  private:
   /// The metrics' hooks, extended to notify the target watcher.
   TargetService::Hooks TargetHooks();
+  LocalCalls::Hooks LocalCallHooks();
   TargetWatcher::Hooks WatcherHooks();
   void AddCancelMetrics(NodeMetrics* metrics) const;
   void CreateTarget(http::TargetClient& client, std::uint64_t incarnation);
@@ -115,6 +117,7 @@
   policy::TargetChooser chooser;
   std::unique_ptr<TargetDirectory> directory;
   std::unique_ptr<TargetService> target;
+  LocalCalls local_calls;
   std::unique_ptr<TargetProbe> target_probe;
   std::unique_ptr<TargetWatcher> target_watcher;
   std::unique_ptr<peer::LinkPool> links;
