A cancel is sent before the calls that wait for the link

On a link that is slow or full a cancel waited behind every call queued before it, while the target went on working for a caller that had left.

A cancel is queued first now.

--- a/src/peer/connection.cc
+++ b/src/peer/connection.cc
@@ -60,6 +60,12 @@
   this->queue.Push(std::move(outgoing));
 }
 
+void Connection::PushUrgent(int field_number, const google::protobuf::MessageLite& message) {
+  OutgoingMessage outgoing;
+  AppendFrame(field_number, message, &outgoing.frame);
+  this->queue.PushFirst(std::move(outgoing));
+}
+
 void Connection::PushDeferred(int field_number, const google::protobuf::MessageLite& message) {
   AppendFrame(field_number, message, &this->deferred);
 }
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -34,6 +34,8 @@
   void Push(OutgoingMessage message);
   /// Queues a message of one frame.
   void PushFrame(int field_number, const google::protobuf::MessageLite& message);
+  /// Queues a message of one frame before all others that are queued.
+  void PushUrgent(int field_number, const google::protobuf::MessageLite& message);
   /// Queues a message of one frame that is sent with the next write of other frames, or by
   /// FlushAll().
   void PushDeferred(int field_number, const google::protobuf::MessageLite& message);
--- a/src/peer/frame_queue.cc
+++ b/src/peer/frame_queue.cc
@@ -35,6 +35,10 @@
 
 void FrameQueue::Push(OutgoingMessage message) { this->new_messages.push_back(std::move(message)); }
 
+void FrameQueue::PushFirst(OutgoingMessage message) {
+  this->new_messages.push_front(std::move(message));
+}
+
 void FrameQueue::Fill(std::size_t size, std::string* out) {
   while (out->size() < size && !this->Empty()) {
     const bool new_message_turn = this->started_messages.empty() || this->new_message_allowance > 0;
--- a/src/peer/frame_queue.h
+++ b/src/peer/frame_queue.h
@@ -24,6 +24,8 @@
   FrameQueue(std::size_t chunk_size, CallEncodedHook on_call_encoded);
 
   void Push(OutgoingMessage message);
+  /// Queues a message before all others.
+  void PushFirst(OutgoingMessage message);
   /// Appends frames to `out` until it holds at least `size` bytes or the queue is empty.
   void Fill(std::size_t size, std::string* out);
   /// Removes the frames of a call that are not in the buffer yet.
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -220,7 +220,7 @@
 void Link::PushCancel(const Id128& call_id) {
   pb::Cancel cancel;
   cancel.set_call_id(call_id.ToBytes());
-  this->connection->PushFrame(pb::Frame::kCancelFieldNumber, cancel);
+  this->connection->PushUrgent(pb::Frame::kCancelFieldNumber, cancel);
   ++this->counters->cancels;
   this->connection->Flush();
 }
--- a/tests/peer/frame_queue_test.cc
+++ b/tests/peer/frame_queue_test.cc
@@ -46,6 +46,21 @@
   return frames;
 }
 
+TEST(FrameQueueTest, UrgentFrameOvertakesQueuedCalls) {
+  FrameQueue queue(kChunk, [](const Id128&, std::size_t) {});
+  for (std::uint64_t id = 1; id <= 3; ++id) queue.Push(CallOf({0, id}, "call"));
+  OutgoingMessage urgent;
+  pb::Cancel cancel;
+  cancel.set_call_id(Id128(0, 9).ToBytes());
+  AppendFrame(pb::Frame::kCancelFieldNumber, cancel, &urgent.frame);
+  queue.PushFirst(std::move(urgent));
+  std::string out;
+  queue.Fill(1, &out);
+  const auto frames = FramesIn(out);
+  ASSERT_EQ(frames.size(), 1U);
+  EXPECT_TRUE(frames[0].has_cancel());
+}
+
 TEST(FrameQueueTest, SmallCallIsSentBetweenChunksOfLongBodies) {
   std::vector<Id128> encoded;
   FrameQueue queue(kChunk, [&](const Id128& id, std::size_t) { encoded.push_back(id); });
