A cancel outlives the connection that carries it

What callers saw: nothing, they had left; their calls ran on at the target's node, at most to their deadlines. A link forgot a call with its cancel, and sent the cancel once: not at all while the link was being opened again, and on a connection gone silent it was lost with it. As the call was forgotten, nothing made the link look for silence any more.

A cancel of a call that may have arrived is kept until it is confirmed, the call's deadline has passed, or the remote node has been silent for the time after which its calls are given up. It is confirmed by the reply to a heartbeat that was sent after it, as a connection keeps the order of its frames: no new frame, and an older node confirms, too. While one is kept the link goes on with its heartbeats, so a silent connection is replaced, and the cancel is sent on the new one first. A pool that is closed cancels what it has pending, for the node that stops.

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -224,9 +224,9 @@
   }
   out->AddCounter("fireflyrun_link_cancels_sent_total", "Cancels sent to other nodes.",
                   [this] { return static_cast<double>(this->links->Counters().cancels); });
-  out->AddCounter("fireflyrun_link_cancels_lost_total",
-                  "Cancels not sent to other nodes, because the link was not open.",
-                  [this] { return static_cast<double>(this->links->Counters().cancels_lost); });
+  out->AddCounter("fireflyrun_link_cancels_repeated_total",
+                  "Cancels sent again, because their connection was lost.",
+                  [this] { return static_cast<double>(this->links->Counters().cancels_repeated); });
 }
 
 void CallPlane::OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange) {
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -10,9 +10,6 @@
 namespace fireflyrun::peer {
 namespace {
 
-/// Longest time between two round-trip measurements of a link with pending calls.
-constexpr Duration kMaxRoundTripAge = std::chrono::seconds(1);
-
 LinkError ErrorOf(LinkErrorKind kind, std::string message) { return {kind, std::move(message)}; }
 
 }  // namespace
@@ -33,6 +30,7 @@
   PendingCall& pending = this->calls[call_id];
   pending.call = std::make_unique<Call>(std::move(call));
   pending.sent_at = now;
+  pending.deadline = deadline;
   pending.handler = std::move(handler);
   pending.deadline_timer = this->timers.After(std::max(deadline - now, Duration::zero()),
                                               [this, call_id] { this->OnDeadline(call_id); });
@@ -47,23 +45,27 @@
   const auto call = this->calls.find(call_id);
   if (call == this->calls.end()) return false;
   const bool waiting = call->second.phase == PendingCall::Phase::kWaiting;
+  const SteadyTime deadline = call->second.deadline;
   this->calls.erase(call);
   if (waiting) return true;
-  if (this->state != State::kOpen) {
-    ++this->counters->cancels_lost;
-    return true;
+  const bool open = this->state == State::kOpen;
+  const auto removal = open ? this->connection->Remove(call_id) : FrameQueue::Removal::kNotFound;
+  // A call whose frames were not all sent cannot run, so its cancel need not outlive the
+  // connection.
+  if (removal == FrameQueue::Removal::kNotFound) {
+    this->cancels.Add(call_id, deadline, SteadyClock::now());
   }
-  const auto removal = this->connection->Remove(call_id);
-  if (removal != FrameQueue::Removal::kNotStarted) this->PushCancel(call_id);
-  this->connection->Flush();
+  if (open && removal != FrameQueue::Removal::kNotStarted) this->PushCancel(call_id);
+  if (!this->tick_running) this->StartTicking();
   return true;
 }
 
 void Link::Close() {
-  if (this->state == State::kOpen) this->connection->FlushAll();
+  if (this->state == State::kOpen) this->CancelAll();
   this->CloseConnection();
   this->tick_timer.Reset();
   this->state = State::kClosed;
+  this->cancels.Clear();
   for (auto& [call_id, pending] : std::exchange(this->calls, {})) {
     const bool sent = pending.phase == PendingCall::Phase::kHandedOver;
     const auto kind = sent ? LinkErrorKind::kUnknown : LinkErrorKind::kNotSent;
@@ -73,6 +75,15 @@
   }
 }
 
+void Link::CancelAll() {
+  for (const auto& [call_id, pending] : this->calls) {
+    if (pending.phase == PendingCall::Phase::kWaiting) continue;
+    const auto removal = this->connection->Remove(call_id);
+    if (removal != FrameQueue::Removal::kNotStarted) this->PushCancel(call_id);
+  }
+  this->connection->FlushAll();
+}
+
 void Link::Drop() {
   this->calls.clear();
   this->Close();
@@ -189,6 +200,7 @@
   constexpr int kOldWeight = 7;
   constexpr int kTotalWeight = 8;
   const auto sent_at = SteadyTime(std::chrono::microseconds(heartbeat.sent_us()));
+  this->cancels.Confirm(sent_at);
   const Duration sample = std::max(SteadyClock::now() - sent_at, Duration::zero());
   if (this->round_trip == Duration::zero()) {
     this->round_trip = sample;
@@ -208,7 +220,7 @@
 /// A heartbeat is unnecessary while other frames arrive, except to measure the round trip.
 bool Link::HeartbeatDue(SteadyTime now) const {
   const bool received_recently = now - this->LastReceived() < this->options.heartbeat_period / 2;
-  return !received_recently || now - this->last_heartbeat >= kMaxRoundTripAge;
+  return !received_recently || now - this->last_heartbeat >= this->options.max_heartbeat_interval;
 }
 
 void Link::PushQuery(const Id128& call_id) {
@@ -225,6 +237,13 @@
   this->connection->Flush();
 }
 
+void Link::SendCancelsAgain() {
+  for (const Id128& call_id : this->cancels.SendAgain(SteadyClock::now())) {
+    ++this->counters->cancels_repeated;
+    this->PushCancel(call_id);
+  }
+}
+
 /// The acknowledgement is sent with the next call, or by the next tick, to save a separate write.
 void Link::Acknowledge(const Id128& call_id) {
   if (this->state != State::kOpen) return;
@@ -253,13 +272,15 @@
 void Link::Tick() {
   const auto now = SteadyClock::now();
   const Duration since_tick = now - std::exchange(this->last_tick, now);
-  if (this->calls.empty()) return this->StopTicking();
+  this->cancels.DropExpired(now);
+  if (!this->NeedsConnection()) return this->StopTicking();
   // After a pause of this process, data that arrived meanwhile has not been read yet; the pause
   // must not count as silence of the remote node.
   if (since_tick > this->options.heartbeat_period * 2) this->pending_since = now;
   const Duration silence = now - std::max(this->LastReceived(), this->pending_since);
   if (this->state != State::kOpen) {
     if (silence < this->options.give_up_timeout) return;
+    this->cancels.Clear();
     return this->FinishAll(LinkErrorKind::kUnknown, "the remote node is unreachable");
   }
   if (silence >= this->options.silence_timeout) {
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -14,6 +14,7 @@
 #include "peer/backoff.h"
 #include "peer/connection.h"
 #include "peer/pending_call.h"
+#include "peer/unconfirmed_cancels.h"
 
 namespace fireflyrun::peer {
 
@@ -28,11 +29,13 @@
        std::shared_ptr<LinkCounters> link_counters, NumberSource number_source);
 
   void Send(const Id128& call_id, Call call, SteadyTime deadline, LinkPool::AnswerHandler handler);
-  /// Drops a call without running its handler; returns false if it is not pending here.
+  /// Drops a call without running its handler, and cancels it at the remote node if it may have
+  /// arrived there, also if the connection is lost meanwhile. Returns false if the call is not
+  /// pending here.
   bool Cancel(const Id128& call_id);
   /// Sets the address for the next connection.
   void SetAddress(const PeerAddress& new_address) { this->address = new_address; }
-  /// Closes the connection; handlers of pending calls run later on the loop.
+  /// Cancels the pending calls and closes the connection; their handlers run later on the loop.
   void Close();
   /// Closes the connection and drops the handlers.
   void Drop();
@@ -40,8 +43,9 @@
   const PeerAddress& Address() const { return this->address; }
   bool HasCall(const Id128& call_id) const { return this->calls.contains(call_id); }
   std::size_t PendingCalls() const { return this->calls.size(); }
+  std::size_t PendingCancels() const { return this->cancels.Size(); }
   bool IsOpen() const { return this->state == State::kOpen; }
-  bool IsUnused() const { return this->state == State::kClosed && this->calls.empty(); }
+  bool IsUnused() const { return this->state == State::kClosed && !this->NeedsConnection(); }
   Duration OneWayDelay() const { return this->round_trip / 2; }
 
  private:
@@ -55,6 +59,8 @@
   void OnConnectionLost(const std::string& reason);
   void OnHello(const pb::Hello& hello);
   void CloseConnection();
+  /// True while there is something that the remote node has to be told or asked.
+  bool NeedsConnection() const { return !this->calls.empty() || !this->cancels.Empty(); }
   void StopTicking();
   void CloseIdle();
 
@@ -70,6 +76,9 @@
   void PushHeartbeat();
   void PushQuery(const Id128& call_id);
   void PushCancel(const Id128& call_id);
+  void SendCancelsAgain();
+  /// Cancels all pending calls, just before the connection is closed.
+  void CancelAll();
   void Acknowledge(const Id128& call_id);
   void Tick();
   void StartTicking();
@@ -95,6 +104,7 @@
   TimerSubscription tick_timer;
   Backoff backoff;
   Calls calls;
+  UnconfirmedCancels cancels;
   SteadyTime last_received;  ///< Last receipt on earlier connections.
   SteadyTime pending_since;  ///< Calls are pending since; reset after a pause of this process.
   SteadyTime last_used;
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -80,12 +80,14 @@
     return this->OnConnectFailed("another node answers at the address");
   }
   if (hello.incarnation() != this->address.incarnation) {
+    this->cancels.Clear();
     this->OnConnectFailed("another incarnation answers at the address");
     return this->FinishAll(LinkErrorKind::kUnknown, "the remote node has restarted");
   }
   this->connect_timer.Reset();
   this->backoff.Reset();
   this->state = State::kOpen;
+  this->SendCancelsAgain();
   this->PushHeartbeat();
   for (auto& [call_id, pending] : this->calls) {
     if (pending.phase == PendingCall::Phase::kHandedOver) {
@@ -105,7 +107,7 @@
   this->state = State::kBackingOff;
   this->connect_timer = this->timers.After(this->backoff.Next(), [this] {
     this->state = State::kClosed;
-    if (!this->calls.empty()) this->Connect();
+    if (this->NeedsConnection()) this->Connect();
   });
   this->FinishAll(LinkErrorKind::kNotSent, reason);
 }
@@ -118,7 +120,7 @@
   // A partially received answer is sent again in full.
   for (auto& [call_id, pending] : this->calls) pending.answer.reset();
   this->FinishAll(LinkErrorKind::kNotSent, reason);
-  if (this->state == State::kClosed && !this->calls.empty()) this->Connect();
+  if (this->state == State::kClosed && this->NeedsConnection()) this->Connect();
 }
 
 void Link::CloseConnection() {
--- a/src/peer/link_counters.h
+++ b/src/peer/link_counters.h
@@ -13,9 +13,9 @@
   std::uint64_t calls = 0;                 ///< Sent, or passed to the hook.
   std::uint64_t late_answers_dropped = 0;  ///< Answers to calls that are no longer pending.
   std::uint64_t voided_ids = 0;
-  std::uint64_t calls_dropped = 0;  ///< Duplicate, voided, damaged or too long; not run.
-  std::uint64_t cancels = 0;        ///< Of calls that may have arrived: sent, or received.
-  std::uint64_t cancels_lost = 0;   ///< Not sent, as the link was not open.
+  std::uint64_t calls_dropped = 0;     ///< Duplicate, voided, damaged or too long; not run.
+  std::uint64_t cancels = 0;           ///< Of calls that may have arrived: sent, or received.
+  std::uint64_t cancels_repeated = 0;  ///< Sent again, as their connection was lost.
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_options.h
+++ b/src/peer/link_options.h
@@ -20,6 +20,8 @@
   std::size_t chunk_bytes = std::size_t{32} << 10;
   std::size_t retained_answer_bytes = std::size_t{8} << 20;
   Duration heartbeat_period = std::chrono::milliseconds(150);
+  /// A link with pending calls sends a heartbeat at least this often, whatever else it sends.
+  Duration max_heartbeat_interval = std::chrono::seconds(1);
   /// A connection on which nothing is received for this long is replaced.
   Duration silence_timeout = std::chrono::milliseconds(600);
   Duration connect_timeout = std::chrono::milliseconds(1000);
--- a/src/peer/link_pool.cc
+++ b/src/peer/link_pool.cc
@@ -36,6 +36,7 @@
   Duration OneWayDelay(const std::string& node) const;
   std::size_t OpenLinks() const;
   std::size_t PendingCalls() const;
+  std::size_t PendingCancels() const;
   const LinkCounters& Counters() const { return *this->counters; }
   void Close();
   void Drop();
@@ -134,6 +135,12 @@
   return pending;
 }
 
+std::size_t LinkPool::Implementation::PendingCancels() const {
+  std::size_t pending = 0;
+  for (const auto& [key, link] : this->links) pending += link->PendingCancels();
+  return pending;
+}
+
 void LinkPool::Implementation::Close() {
   this->closed = true;
   for (const auto& [key, link] : this->links) link->Close();
@@ -164,6 +171,8 @@
 
 std::size_t LinkPool::PendingCalls() const { return this->implementation->PendingCalls(); }
 
+std::size_t LinkPool::PendingCancels() const { return this->implementation->PendingCancels(); }
+
 const LinkCounters& LinkPool::Counters() const { return this->implementation->Counters(); }
 
 void LinkPool::Close() { this->implementation->Close(); }
--- a/src/peer/link_pool.h
+++ b/src/peer/link_pool.h
@@ -40,7 +40,8 @@
   /// call_id, or a head or body over its limit, results in kNotSent.
   void Send(const PeerAddress& peer, Call call, SteadyTime deadline, AnswerHandler handler);
 
-  /// Cancels a call: notifies the remote node and drops the handler without running it.
+  /// Cancels a call: drops the handler without running it, and notifies the remote node, if need be
+  /// on the next connection.
   void Cancel(const Id128& call_id);
 
   /// Half of the link's smoothed round-trip time; zero before the first measurement.
@@ -48,9 +49,11 @@
 
   std::size_t OpenLinks() const;
   std::size_t PendingCalls() const;
+  /// Cancels that the remote nodes haven't confirmed yet.
+  std::size_t PendingCancels() const;
   const LinkCounters& Counters() const;
-  /// Closes all links; the handlers of pending calls run later on the event loop. The destructor
-  /// drops handlers that are left without running them.
+  /// Cancels all pending calls and closes all links; the handlers run later on the event loop. The
+  /// destructor drops handlers that are left without running them.
   void Close();
 
  private:
--- a/src/peer/pending_call.h
+++ b/src/peer/pending_call.h
@@ -21,6 +21,7 @@
   Phase phase = Phase::kWaiting;
   std::unique_ptr<Call> call;
   SteadyTime sent_at;
+  SteadyTime deadline;
   LinkPool::AnswerHandler handler;
   TimerSubscription deadline_timer;
   std::unique_ptr<Answer> answer;  ///< Set once the answer's head is received.
--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -94,6 +94,66 @@
   EXPECT_TRUE(call->Answered("late"));
 }
 
+/// A call that the called node keeps open, and its reply.
+struct HeldCall {
+  explicit HeldCall(PeerHarness& harness) {
+    harness.on_call = [this](const Call&, LinkServer::Reply kept) {
+      this->reply = std::move(kept);
+    };
+    this->sent = harness.Send("x");
+    EXPECT_TRUE(harness.RunUntil([this] { return this->reply != nullptr; }));
+  }
+
+  std::shared_ptr<SentCall> sent;
+  LinkServer::Reply reply;
+};
+
+TEST(LinkFaultsTest, CancelLostWithASilentConnectionIsRepeatedOnTheNext) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness);
+  harness.proxy->SilenceExisting();
+  harness.pool->Cancel(held.sent->id);
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+  EXPECT_EQ(harness.pool->Counters().cancels_repeated, 1U);
+}
+
+TEST(LinkFaultsTest, CancelWhileTheLinkIsOpenedAgainReachesTheRemoteNode) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness);
+  harness.proxy->ResetExisting();
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->OpenLinks() == 0; }));
+  harness.pool->Cancel(held.sent->id);
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+}
+
+TEST(LinkFaultsTest, CancelThatArrivedIsNotRepeated) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness);
+  harness.pool->Cancel(held.sent->id);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->PendingCancels() == 0; }));
+  harness.proxy->ResetExisting();
+  harness.on_call = nullptr;
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->OpenLinks() == 0; }));
+  ASSERT_TRUE(harness.WarmUp());
+  EXPECT_EQ(harness.pool->Counters().cancels_repeated, 0U);
+  EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+}
+
+TEST(LinkFaultsTest, CancelOfANodeThatIsCutOffIsNotKeptForEver) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness);
+  harness.proxy->SetCut(true);
+  harness.pool->Cancel(held.sent->id);
+  EXPECT_EQ(harness.pool->PendingCancels(), 1U);
+  EXPECT_TRUE(harness.RunUntil([&] { return harness.pool->PendingCancels() == 0; }));
+}
+
 TEST(LinkFaultsTest, LossToServerEndsAsNeverArrivedAndLateCopyIsNotRun) {
   PeerHarness harness;
   ASSERT_TRUE(harness.WarmUp());
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -73,6 +73,17 @@
   EXPECT_EQ(call->results, 0);
 }
 
+TEST(LinkTest, ClosedPoolCancelsItsCalls) {
+  PeerHarness harness;
+  LinkServer::Reply kept;
+  harness.on_call = [&](const Call&, LinkServer::Reply reply) { kept = std::move(reply); };
+  const auto call = harness.Send("x");
+  ASSERT_TRUE(harness.RunUntil([&] { return kept != nullptr; }));
+  harness.pool->Close();
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{call->id});
+}
+
 TEST(LinkTest, DeadlineEndsTheCallAndItsLateAnswerIsNotRetained) {
   PeerHarness harness;
   LinkServer::Reply kept;
