A call whose cancel arrives with it is not run

A node whose event loop is late reads a call and its cancel at once. It handled them in order: the request was written to the target, and the connection then reset.

Calls are passed on after all that was read with them has been looked at, so a cancel among it takes its call off. The answers that are given meanwhile are still written together.

LinkServerTest.CallAndCancelThatArriveTogetherNeverReachTheHooks failed with calls passed on at once.

--- a/src/peer/call_table.cc
+++ b/src/peer/call_table.cc
@@ -42,6 +42,14 @@
   return result;
 }
 
+void CallTable::EndUnanswered(const Id128& call_id, SteadyTime now) {
+  const auto found = this->records.find(call_id);
+  if (found == this->records.end() || found->second.answer) return;
+  const bool may_be_queried = found->second.answer_needed;
+  this->Forget(found, may_be_queried ? SeenCallState::kForgotten : SeenCallState::kAcknowledged,
+               now);
+}
+
 void CallTable::Acknowledge(const Id128& call_id, SteadyTime now) {
   const auto found = this->records.find(call_id);
   if (found == this->records.end()) return;
--- a/src/peer/call_table.h
+++ b/src/peer/call_table.h
@@ -37,6 +37,8 @@
              SteadyTime now);
   /// Closes an open call and retains its answer; ignores other ids.
   FinishResult Finish(const Id128& call_id, Answer answer, SteadyTime now);
+  /// Ends an open call that will not be answered; ignores other ids.
+  void EndUnanswered(const Id128& call_id, SteadyTime now);
   /// Records that the caller has the answer or no longer needs it.
   void Acknowledge(const Id128& call_id, SteadyTime now);
   /// Returns the state of a call; voids an id that never arrived.
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -1,7 +1,8 @@
 #include "peer/link_server_implementation.h"
 
+#include <algorithm>
 #include <asio/ip/address.hpp>
-#include <vector>
+#include <asio/post.hpp>
 
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
@@ -138,6 +139,14 @@
   });
 }
 
+void LinkServer::Implementation::CancelOpenCall(const Id128& call_id) {
+  const bool waits = std::erase_if(this->arrivals, [&](const Arrival& arrival) {
+                       return arrival.call_id == call_id;
+                     }) > 0;
+  if (waits) return this->calls.EndUnanswered(call_id, SteadyClock::now());
+  if (this->on_cancel) this->on_cancel(call_id);
+}
+
 void LinkServer::Implementation::OnFrame(const Link& link, pb::Frame& frame) {
   if (frame.has_hello()) return this->OnHello(link, frame.hello());
   if (!link->caller) return this->CloseLink(link);
@@ -240,7 +249,7 @@
   ++this->counters->cancels;
   const bool open = this->calls.IsOpen(*call_id);
   this->calls.Acknowledge(*call_id, SteadyClock::now());
-  if (open && this->on_cancel) this->on_cancel(*call_id);
+  if (open) this->CancelOpenCall(*call_id);
 }
 
 void LinkServer::Implementation::OnAnswerAck(const pb::AnswerAck& ack) {
@@ -272,11 +281,26 @@
     return;
   }
   ++this->counters->calls;
-  this->on_call(std::move(call), [weak = this->weak_from_this(), call_id](Answer answer) {
-    if (const auto self = weak.lock()) self->Finish(call_id, std::move(answer));
+  this->arrivals.push_back({call_id, std::move(call)});
+  if (this->arrivals.size() > 1) return;
+  asio::post(this->timers.Loop(), [weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) self->DeliverArrivals();
   });
 }
 
+void LinkServer::Implementation::DeliverArrivals() {
+  if (this->closed) return;
+  this->delivering = true;
+  for (Arrival& arrival : std::exchange(this->arrivals, {})) {
+    const Id128 call_id = arrival.call_id;
+    this->on_call(std::move(arrival.call), [weak = this->weak_from_this(), call_id](Answer answer) {
+      if (const auto self = weak.lock()) self->Finish(call_id, std::move(answer));
+    });
+  }
+  this->delivering = false;
+  for (const auto& connection : std::exchange(this->unflushed, {})) connection->Flush();
+}
+
 void LinkServer::Implementation::Refuse(const Link& link, const Id128& call_id,
                                         std::string_view reason) {
   const auto now = SteadyClock::now();
@@ -305,7 +329,16 @@
   message.call_id = call_id;
   message.answer = std::move(result.answer);
   connection->Push(std::move(message));
-  connection->Flush();
+  this->Flush(connection);
+}
+
+/// Answers that are given while calls are passed on are written together after it.
+void LinkServer::Implementation::Flush(const std::shared_ptr<Connection>& connection) {
+  if (this->delivering) {
+    this->unflushed.insert(connection);
+  } else {
+    connection->Flush();
+  }
 }
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "common/timer_service.h"
 #include "common/timer_subscription.h"
@@ -36,12 +37,18 @@
  private:
   using Link = std::shared_ptr<InboundLink>;
   using CallerKey = std::pair<std::string, std::uint64_t>;
+  struct Arrival {
+    Id128 call_id;
+    Call call;
+  };
 
   void Accept();
   void Open(asio::ip::tcp::socket socket);
   void CloseLink(Link link);
   void Sweep();
 
+  void CancelOpenCall(const Id128& call_id);
+
   void OnFrame(const Link& link, pb::Frame& frame);
   void OnHello(const Link& link, const pb::Hello& hello);
   void OnCallHead(const Link& link, pb::CallHead& head);
@@ -52,8 +59,11 @@
 
   void DropPartial(const Link& link, const Id128& call_id);
   void Run(const Link& link, const Id128& call_id, Call call, SteadyTime deadline);
+  /// Passes the calls on that have arrived and were not cancelled by what arrived with them.
+  void DeliverArrivals();
   void Refuse(const Link& link, const Id128& call_id, std::string_view reason);
   void Finish(const Id128& call_id, Answer answer);
+  void Flush(const std::shared_ptr<Connection>& connection);
 
   TimerService& timers;
   LinkOptions options;
@@ -65,6 +75,10 @@
   std::set<Link> links;
   std::map<CallerKey, std::shared_ptr<InboundCaller>> callers;
   CallTable calls;
+  std::vector<Arrival> arrivals;
+  bool delivering = false;
+  /// Connections with answers that were given while calls were passed on.
+  std::set<std::shared_ptr<Connection>> unflushed;
   TimerSubscription sweep_timer;
   TimerSubscription accept_timer;
   bool closed = false;
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -53,6 +53,20 @@
   EXPECT_TRUE(harness.ran.empty());
 }
 
+TEST(LinkServerTest, CallAndCancelThatArriveTogetherNeverReachTheHooks) {
+  PeerHarness harness;
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  ASSERT_TRUE(link.Await(pb::Frame::kHello));
+  link.SendCall(kCall, "", 0);
+  link.SendCancel(kCall);
+  link.SendCall(kOtherCall, "", 0);
+  ASSERT_TRUE(link.Await(pb::Frame::kAnswerHead));
+  EXPECT_EQ(harness.ran, std::vector{kOtherCall});
+  EXPECT_TRUE(harness.cancelled.empty());
+  EXPECT_EQ(harness.server->OpenCalls(), 0U);
+}
+
 TEST(LinkServerTest, DamagedBodyIsRefusedAndNotRun) {
   PeerHarness harness;
   RawLink link(harness, harness.server->Port());
--- a/tests/peer/raw_link.cc
+++ b/tests/peer/raw_link.cc
@@ -11,6 +11,7 @@
 RawLink::RawLink(PeerHarness& peer_harness, std::uint16_t port)
     : harness(peer_harness), socket(peer_harness.loop) {
   this->socket.connect({asio::ip::address_v4::loopback(), port});
+  this->socket.set_option(asio::ip::tcp::no_delay(true));
   this->socket.non_blocking(true);
 }
 
@@ -60,6 +61,12 @@
   this->Send(pb::Frame::kStateQueryFieldNumber, query);
 }
 
+void RawLink::SendCancel(const Id128& call_id) {
+  pb::Cancel cancel;
+  cancel.set_call_id(call_id.ToBytes());
+  this->Send(pb::Frame::kCancelFieldNumber, cancel);
+}
+
 std::optional<pb::Frame> RawLink::Await(pb::Frame::BodyCase body_case) {
   std::optional<pb::Frame> found;
   this->harness.RunUntil([&] {
--- a/tests/peer/raw_link.h
+++ b/tests/peer/raw_link.h
@@ -22,6 +22,7 @@
   void SendHello(const std::string& node, std::uint64_t incarnation, std::uint64_t link_number);
   void SendCall(const Id128& call_id, const std::string& body, std::uint32_t crc32);
   void SendQuery(const Id128& call_id);
+  void SendCancel(const Id128& call_id);
   /// Runs the event loop until a frame with this body is received; drops other frames. Returns
   /// nothing if the stream ends.
   std::optional<pb::Frame> Await(pb::Frame::BodyCase body_case);
