Calls end with the node of their caller

When the node at which a caller's request had arrived was killed, cut off or frozen, its calls ran on at the targets' nodes, at most to their deadlines; a queued one even started. A node cut off was noticed after 120 s. The caller's own side of the link gives its calls up after two seconds of silence, so nobody was left to take the answers.

The called node now comes to the same conclusion: without a connection for that time, or with one that has been silent for it and one heartbeat more, a caller's open calls are cancelled (queued ones dropped, idempotent ones ended, others run on as before). A new incarnation's Hello ends what earlier ones of the same node left at once, the answers kept for them included. Time in which this process itself did not run counts for nothing. Answers to a caller that may come back are kept as before, so one that was only paused still gets its at-most-once answer.

--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -227,6 +227,9 @@
   out->AddCounter("fireflyrun_link_cancels_repeated_total",
                   "Cancels sent again, because their connection was lost.",
                   [this] { return static_cast<double>(this->links->Counters().cancels_repeated); });
+  out->AddCounter(
+      "fireflyrun_orphaned_calls_total", "Calls whose callers' nodes were gone before them.",
+      [this] { return static_cast<double>(this->link_server->Counters().calls_orphaned); });
 }
 
 void CallPlane::OnRequest(http::Request request, const std::shared_ptr<http::Exchange>& exchange) {
--- a/src/peer/call_table.cc
+++ b/src/peer/call_table.cc
@@ -50,6 +50,32 @@
                now);
 }
 
+void CallTable::DropAnswer(const Id128& call_id, SteadyTime now) {
+  const auto found = this->records.find(call_id);
+  if (found == this->records.end() || !found->second.answer) return;
+  this->Forget(found, SeenCallState::kForgotten, now);
+}
+
+void CallTable::DropAnswersOf(const InboundCaller& caller, SteadyTime now) {
+  for (auto next = this->retained.begin(); next != this->retained.end();) {
+    const auto record = this->records.find(*next++);
+    if (record->second.caller.get() == &caller) {
+      this->Forget(record, SeenCallState::kAcknowledged, now);
+    }
+  }
+}
+
+std::vector<Id128> CallTable::MarkOrphans(
+    const std::function<bool(const InboundCaller& caller)>& is_gone) {
+  std::vector<Id128> ids;
+  for (auto& [call_id, record] : this->records) {
+    if (record.answer || record.orphaned || !is_gone(*record.caller)) continue;
+    record.orphaned = true;
+    ids.push_back(call_id);
+  }
+  return ids;
+}
+
 void CallTable::Acknowledge(const Id128& call_id, SteadyTime now) {
   const auto found = this->records.find(call_id);
   if (found == this->records.end()) return;
--- a/src/peer/call_table.h
+++ b/src/peer/call_table.h
@@ -2,9 +2,11 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <unordered_map>
+#include <vector>
 
 #include "common/clock.h"
 #include "common/id128.h"
@@ -39,6 +41,12 @@
   FinishResult Finish(const Id128& call_id, Answer answer, SteadyTime now);
   /// Ends an open call that will not be answered; ignores other ids.
   void EndUnanswered(const Id128& call_id, SteadyTime now);
+  /// Drops the retained answer of a call, if it has one.
+  void DropAnswer(const Id128& call_id, SteadyTime now);
+  /// Drops the retained answers of a caller that cannot query them any more.
+  void DropAnswersOf(const InboundCaller& caller, SteadyTime now);
+  /// Marks the open calls of the callers that are gone as orphaned; returns those newly marked.
+  std::vector<Id128> MarkOrphans(const std::function<bool(const InboundCaller& caller)>& is_gone);
   /// Records that the caller has the answer or no longer needs it.
   void Acknowledge(const Id128& call_id, SteadyTime now);
   /// Returns the state of a call; voids an id that never arrived.
@@ -58,6 +66,7 @@
     std::shared_ptr<InboundCaller> caller;
     SteadyTime needed_until;
     bool answer_needed = true;
+    bool orphaned = false;
     std::shared_ptr<const Answer> answer;  ///< Null while the call is in progress.
     std::size_t answer_bytes = 0;
     std::uint64_t sent_on = 0;  ///< Number of the link on which the answer was last sent.
--- a/src/peer/inbound_caller.h
+++ b/src/peer/inbound_caller.h
@@ -14,6 +14,7 @@
   std::uint64_t newest_link = 0;  ///< Highest link number received in a Hello.
   std::weak_ptr<Connection> connection;
   SteadyTime last_hello;
+  SteadyTime lost_at;  ///< When the latest connection ended; valid while there is none.
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_counters.h
+++ b/src/peer/link_counters.h
@@ -16,6 +16,7 @@
   std::uint64_t calls_dropped = 0;     ///< Duplicate, voided, damaged or too long; not run.
   std::uint64_t cancels = 0;           ///< Of calls that may have arrived: sent, or received.
   std::uint64_t cancels_repeated = 0;  ///< Sent again, as their connection was lost.
+  std::uint64_t calls_orphaned = 0;    ///< Open when their caller's node was gone.
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -13,6 +13,8 @@
 
 constexpr std::size_t kMaxSeenIds = std::size_t{1} << 18;
 constexpr Duration kSweepPeriod = std::chrono::seconds(1);
+/// A sweep that is later than this shows that the process has paused, and read nothing meanwhile.
+constexpr Duration kMaxSweepDelay = kSweepPeriod * 3 / 2;
 /// Delay after a failed accept(), for example for lack of file descriptors.
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(100);
 /// How long a caller's newest link number is kept after its last Hello; longer than any connection
@@ -58,6 +60,8 @@
   if (!error) this->acceptor.listen(asio::socket_base::max_listen_connections, error);
   if (error) return tl::make_unexpected("can't listen for peers: " + error.message());
   this->port = this->acceptor.local_endpoint().port();
+  this->running_since = SteadyClock::now();
+  this->last_sweep = this->running_since;
   this->sweep_timer = this->timers.Every(kSweepPeriod, [this] { this->Sweep(); });
   this->Accept();
   return {};
@@ -119,6 +123,7 @@
 
 void LinkServer::Implementation::CloseLink(Link link) {
   link->hello_timer.Reset();
+  if (link->caller) link->caller->lost_at = SteadyClock::now();
   link->connection->Close();
   link->partial_calls.clear();
   this->links.erase(link);
@@ -126,7 +131,9 @@
 
 void LinkServer::Implementation::Sweep() {
   const auto now = SteadyClock::now();
+  if (now - std::exchange(this->last_sweep, now) > kMaxSweepDelay) this->running_since = now;
   this->calls.DropExpired(now);
+  this->CancelOrphanedCalls(now);
   std::vector<Link> silent;
   for (const Link& link : this->links) {
     const Duration silence = now - link->connection->LastReceived();
@@ -139,6 +146,29 @@
   });
 }
 
+void LinkServer::Implementation::CancelOrphanedCalls(SteadyTime now) {
+  this->CancelAll(this->calls.MarkOrphans(
+      [&](const InboundCaller& caller) { return this->HasGivenUp(caller, now); }));
+}
+
+bool LinkServer::Implementation::HasGivenUp(const InboundCaller& caller, SteadyTime now) const {
+  const auto connection = caller.connection.lock();
+  if (!connection || !connection->IsOpen()) {
+    return now - std::max(caller.lost_at, this->running_since) >= this->options.give_up_timeout;
+  }
+  const Duration silence = now - std::max(connection->LastReceived(), this->running_since);
+  return silence >= this->options.give_up_timeout + this->options.max_heartbeat_interval;
+}
+
+void LinkServer::Implementation::CancelAll(const std::vector<Id128>& orphans) {
+  for (const Id128& call_id : orphans) {
+    ++this->counters->calls_orphaned;
+    this->CancelOpenCall(call_id);
+    // The cancel may have ended the call; nobody asks for that answer.
+    this->calls.DropAnswer(call_id, SteadyClock::now());
+  }
+}
+
 void LinkServer::Implementation::CancelOpenCall(const Id128& call_id) {
   const bool waits = std::erase_if(this->arrivals, [&](const Arrival& arrival) {
                        return arrival.call_id == call_id;
@@ -147,6 +177,18 @@
   if (this->on_cancel) this->on_cancel(call_id);
 }
 
+/// A node runs once at a time, so whatever an earlier run of it waited for is needed by nobody.
+void LinkServer::Implementation::EndEarlierIncarnations(const pb::Hello& hello) {
+  const auto begin = this->callers.lower_bound(CallerKey(hello.node(), 0));
+  const auto end = this->callers.lower_bound(CallerKey(hello.node(), hello.incarnation()));
+  for (auto earlier = begin; earlier != end; ++earlier) {
+    const InboundCaller* const ended = earlier->second.get();
+    this->CancelAll(
+        this->calls.MarkOrphans([ended](const InboundCaller& caller) { return &caller == ended; }));
+    this->calls.DropAnswersOf(*ended, SteadyClock::now());
+  }
+}
+
 void LinkServer::Implementation::OnFrame(const Link& link, pb::Frame& frame) {
   if (frame.has_hello()) return this->OnHello(link, frame.hello());
   if (!link->caller) return this->CloseLink(link);
@@ -187,6 +229,7 @@
   caller->newest_link = hello.link_number();
   caller->connection = link->connection;
   caller->last_hello = SteadyClock::now();
+  this->EndEarlierIncarnations(hello);
   // Sent only after the caller's Hello, so that the caller considers the link open only if both
   // directions work.
   pb::Hello reply;
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -47,7 +47,13 @@
   void CloseLink(Link link);
   void Sweep();
 
+  /// Cancels the calls of callers that have given them up without a word.
+  void CancelOrphanedCalls(SteadyTime now);
+  /// True if the caller's own side of the link has given its calls up by now.
+  bool HasGivenUp(const InboundCaller& caller, SteadyTime now) const;
+  void EndEarlierIncarnations(const pb::Hello& hello);
   void CancelOpenCall(const Id128& call_id);
+  void CancelAll(const std::vector<Id128>& orphans);
 
   void OnFrame(const Link& link, pb::Frame& frame);
   void OnHello(const Link& link, const pb::Hello& hello);
@@ -79,6 +85,8 @@
   bool delivering = false;
   /// Connections with answers that were given while calls were passed on.
   std::set<std::shared_ptr<Connection>> unflushed;
+  SteadyTime last_sweep;
+  SteadyTime running_since;  ///< Since this process last paused, or since its start.
   TimerSubscription sweep_timer;
   TimerSubscription accept_timer;
   bool closed = false;
--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -116,6 +116,7 @@
   harness.pool->Cancel(held.sent->id);
   ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
   EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+  EXPECT_EQ(harness.server->Counters().calls_orphaned, 0U);
   EXPECT_EQ(harness.pool->Counters().cancels_repeated, 1U);
 }
 
@@ -128,6 +129,7 @@
   harness.pool->Cancel(held.sent->id);
   ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
   EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+  EXPECT_EQ(harness.server->Counters().calls_orphaned, 0U);
 }
 
 TEST(LinkFaultsTest, CancelThatArrivedIsNotRepeated) {
@@ -154,6 +156,35 @@
   EXPECT_TRUE(harness.RunUntil([&] { return harness.pool->PendingCancels() == 0; }));
 }
 
+TEST(LinkFaultsTest, CallsOfACallerWhoseNodeEndedAreCancelled) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness);
+  const SteadyTime ended = SteadyClock::now();
+  harness.proxy->ResetExisting();
+  harness.proxy->SetCut(true);
+  harness.pool.reset();
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+  EXPECT_GE(SteadyClock::now() - ended, harness.options.give_up_timeout);
+  EXPECT_EQ(harness.server->Counters().calls_orphaned, 1U);
+  held.reply(Answer{});
+  EXPECT_EQ(harness.server->OpenCalls(), 0U);
+}
+
+TEST(LinkFaultsTest, CallsOfACallerThatIsCutOffAreCancelled) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness);
+  for (const auto direction : {Direction::kToServer, Direction::kToClient}) {
+    harness.proxy->SetFaults(direction, Scope::kAll, {.hold = true});
+  }
+  ASSERT_TRUE(harness.RunUntilDone(held.sent));
+  EXPECT_EQ(held.sent->Error(), LinkErrorKind::kUnknown);
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+}
+
 TEST(LinkFaultsTest, LossToServerEndsAsNeverArrivedAndLateCopyIsNotRun) {
   PeerHarness harness;
   ASSERT_TRUE(harness.WarmUp());
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -67,6 +67,23 @@
   EXPECT_EQ(harness.server->OpenCalls(), 0U);
 }
 
+TEST(LinkServerTest, RestartedCallerEndsTheCallsOfItsEarlierIncarnation) {
+  PeerHarness harness;
+  harness.on_call = [](const Call&, const LinkServer::Reply&) {};
+  RawLink earlier(harness, harness.server->Port());
+  earlier.SendHello("c", 1, 1);
+  earlier.SendCall(kCall, "", 0);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.server->OpenCalls() == 1; }));
+  RawLink other(harness, harness.server->Port());
+  other.SendHello("d", 2, 1);
+  ASSERT_TRUE(other.Await(pb::Frame::kHello));
+  EXPECT_TRUE(harness.cancelled.empty());
+  RawLink later(harness, harness.server->Port());
+  later.SendHello("c", 2, 1);
+  ASSERT_TRUE(later.Await(pb::Frame::kHello));
+  EXPECT_EQ(harness.cancelled, std::vector{kCall});
+}
+
 TEST(LinkServerTest, DamagedBodyIsRefusedAndNotRun) {
   PeerHarness harness;
   RawLink link(harness, harness.server->Port());
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -82,6 +82,7 @@
   harness.pool->Close();
   ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
   EXPECT_EQ(harness.cancelled, std::vector{call->id});
+  EXPECT_EQ(harness.server->Counters().calls_orphaned, 0U);
 }
 
 TEST(LinkTest, DeadlineEndsTheCallAndItsLateAnswerIsNotRetained) {
