A cancelled call leaves no record behind

The table of calls that have arrived over links marked a cancelled call as not needed and waited for its answer; the target's side dropped it without one. Each cancelled call left its record there for as long as the process ran, and counted as open.

A call that ends with its cancel is answered like any other that ends: as not run while it was queued, with the ticket voided before, otherwise as unknown. A slot that was given to a call which is cancelled in that moment no longer counts as a failure of the target.

TargetServiceTest.QueuedCallWhoseCallerLeavesIsAnsweredAndNeverRuns and .RunningIdempotentCallWhoseCallerLeavesIsAnsweredAndEnded failed before (no answer); LinkServerTest.CallThatEndsWithItsCancelLeavesNoState shows that nothing is left by it.

--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -264,7 +264,7 @@
 void TargetService::StartCall(const Id128& id) {
   const auto inbound = this->Find(id);
   if (!inbound) {
-    this->admission.Finished(id, Duration::zero(), false, SteadyClock::now());
+    this->admission.Abandoned(id, SteadyClock::now());
     return;
   }
   inbound->started = SteadyClock::now();
@@ -372,6 +372,10 @@
 void TargetService::Refuse(const CallPointer& inbound, RefusalReason reason) {
   LogTargetRefused(this->LogContext(*inbound), reason);
   this->hooks.on_refused(*inbound, reason);
+  this->AnswerNotRun(inbound, reason);
+}
+
+void TargetService::AnswerNotRun(const CallPointer& inbound, RefusalReason reason) {
   auto answer = RefusalAnswer(Outcome::OUTCOME_NOT_RUN, reason);
   if (inbound->ticket) {
     // The ticket is voided before "not run" is reported, so the refusal stays true.
@@ -437,32 +441,31 @@
 
 void TargetService::OnCancel(const Id128& call_id) {
   const auto inbound = this->Find(call_id);
-  if (!inbound) return;
-  const SteadyTime now = SteadyClock::now();
-  const bool queued = !inbound->context;
-  const CancelStage stage = queued            ? CancelStage::kQueued
-                            : inbound->ticket ? CancelStage::kKept
-                                              : CancelStage::kRunning;
-  LogTargetCancelled(this->LogContext(*inbound), stage);
+  // Calls that joined this one still wait for it.
+  if (!inbound || (!inbound->context && !inbound->joined.empty())) return;
+  const CancelStage stage = this->Drop(inbound);
   ++this->cancelled_calls[static_cast<std::size_t>(stage)];
-  if (queued) {
-    // Calls that joined this one still wait for it.
-    if (!inbound->joined.empty() || !this->admission.Cancel(call_id)) return;
-    if (inbound->ticket) {
-      this->ledger.Void(*inbound->ticket, now);
-      this->running_tickets.erase(inbound->ticket->nonce);
-    }
-    this->calls.erase(call_id);
-    this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
-    return;
+}
+
+CancelStage TargetService::Drop(const CallPointer& inbound) {
+  const auto end = [&](CancelStage stage) {
+    LogTargetCancelled(this->LogContext(*inbound), stage);
+    if (stage != CancelStage::kKept) this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
+    return stage;
+  };
+  if (!inbound->context) {
+    this->admission.Cancel(inbound->id);
+    this->AnswerNotRun(inbound, RefusalReason::kCancelled);
+    return end(CancelStage::kQueued);
   }
   // The answer of an at-most-once call is kept for later requests with its ticket.
-  if (inbound->ticket) return;
-  this->calls.erase(call_id);
+  if (inbound->ticket) return end(CancelStage::kKept);
   this->client.Cancel(inbound->request);
   this->EndContext(inbound, RefusalReason::kParentCancelled);
-  this->hooks.on_refused(*inbound, RefusalReason::kCancelled);
-  this->admission.Abandoned(call_id, now);
+  this->Answer(inbound, RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kCancelled));
+  const CancelStage stage = end(CancelStage::kRunning);
+  this->admission.Abandoned(inbound->id, SteadyClock::now());
+  return stage;
 }
 
 TargetLogContext TargetService::LogContext(const InboundCall& inbound) const {
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -76,10 +76,11 @@
   /// While leaving, takes no new calls; running calls finish.
   void SetLeaving(bool is_leaving);
 
-  /// Takes one call; `reply` is used exactly once, unless the call is cancelled.
+  /// Takes one call; `reply` is used exactly once, unless the call is cancelled after it joined
+  /// another with the same ticket.
   void OnCall(peer::Call call, Reply reply);
-  /// Handles the loss of a caller: drops a queued call, and ends an idempotent one at the target
-  /// too.
+  /// Handles the loss of a caller. A call that nobody waits for any more is dropped unless it has
+  /// been sent to the target; if it has, it is ended there too where it is idempotent.
   void OnCancel(const Id128& call_id);
 
   std::uint32_t TicketWindow();
@@ -117,6 +118,10 @@
   void OnTargetAnswer(const CallPointer& inbound, http::Response response);
   void OnTargetError(const CallPointer& inbound, const http::ClientError& error);
   void Refuse(const CallPointer& inbound, policy::RefusalReason reason);
+  /// Voids the ticket, if there is one, and answers that the call has not run.
+  void AnswerNotRun(const CallPointer& inbound, policy::RefusalReason reason);
+  /// Ends a call that nobody waits for, as far as it may be ended.
+  CancelStage Drop(const CallPointer& inbound);
   /// Answers the call and all calls joined to it, and removes it.
   void Answer(const CallPointer& inbound, peer::Answer answer);
   void ReplyTo(const std::string& call_id, const Reply& reply, std::uint32_t unused_retries,
--- a/src/peer/link_server.h
+++ b/src/peer/link_server.h
@@ -27,6 +27,8 @@
   /// Sends the answer to one call; further invocations have no effect.
   using Reply = std::function<void(Answer)>;
   using CallHook = std::function<void(Call, Reply)>;
+  /// The caller no longer needs the answer to a call that was passed to the CallHook. Its Reply is
+  /// still to be used once.
   using CancelHook = std::function<void(const Id128& call_id)>;
 
   LinkServer(TimerService& timers, LinkOptions options, CallHook on_call, CancelHook on_cancel);
--- /dev/null
+++ b/tests/node/target_service_test.cc
@@ -0,0 +1,122 @@
+#include "node/target_service.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "common/timer_service.h"
+#include "node/call_context.h"
+#include "node/context_table.h"
+#include "node/ticket_codec.h"
+#include "tests/http/test_support.h"
+
+namespace fireflyrun::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kService = "calendar";
+
+/// The target's side of a node, with a target that doesn't answer.
+class TargetServiceTest : public ::testing::Test {
+ protected:
+  TargetServiceTest() { this->Announce(1); }
+
+  static TargetService::Hooks NoHooks() {
+    TargetService::Hooks hooks;
+    hooks.on_admitted = [](const InboundCall&, Duration) {};
+    hooks.on_refused = [](const InboundCall&, policy::RefusalReason) {};
+    hooks.on_answered = [](const InboundCall&, Duration) {};
+    return hooks;
+  }
+
+  void Announce(std::uint32_t slots) {
+    this->service.SetTarget(
+        {kService, "127.0.0.1:" + std::to_string(this->target.Port()), slots, {}, 0.0});
+  }
+
+  /// A call under `ticket`, or an idempotent one.
+  Id128 Call(const std::optional<policy::Ticket>& ticket = std::nullopt) {
+    const Id128 id(0, ++this->last_id);
+    peer::Call call;
+    auto& head = call.head;
+    head.set_call_id(id.ToBytes());
+    head.set_root_id(id.ToBytes());
+    head.set_deadline_us(20'000'000);
+    head.set_service(kService);
+    head.set_method("GET");
+    head.set_target("/");
+    head.set_at_most_once(ticket.has_value());
+    if (ticket) *head.mutable_ticket() = ToMessage(*ticket);
+    this->service.OnCall(std::move(call), [this, id](const peer::Answer& answer) {
+      this->answers[id].push_back(answer.head.outcome());
+    });
+    return id;
+  }
+
+  policy::Ticket NewTicket() { return this->service.IssueOwnTicket(); }
+
+  bool RunUntilReached(int requests) {
+    return http::RunUntil(this->loop, [&] { return this->target.requests == requests; });
+  }
+  /// True if no further request reaches the target for a while.
+  bool NothingReachesTheTarget() {
+    const int before = this->target.requests;
+    this->loop.restart();
+    this->loop.run_for(milliseconds(100));
+    return this->target.requests == before;
+  }
+
+  std::string answer;  ///< What the target writes after each request.
+  asio::io_context loop;
+  TimerService timers{loop};
+  http::RawServer target{loop, [this](http::RawConnection& connection, int) {
+                           if (!this->answer.empty()) connection.Write(this->answer);
+                         }};
+  http::TargetClient client{timers, {}};
+  ContextTable contexts;
+  TargetService service{timers, client, contexts, {"n1", 1, 1024, false, {}}, NoHooks()};
+  std::uint64_t last_id = 0;
+  std::map<Id128, std::vector<peer::pb::Outcome>> answers;
+};
+
+const std::vector kNotRunOnce = {peer::pb::OUTCOME_NOT_RUN};
+
+TEST_F(TargetServiceTest, QueuedCallWhoseCallerLeavesIsAnsweredAndNeverRuns) {
+  const Id128 running = this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  const Id128 queued = this->Call();
+  const Id128 queued_once = this->Call(this->NewTicket());
+  this->service.OnCancel(queued);
+  this->service.OnCancel(queued_once);
+  EXPECT_EQ(this->answers[queued], kNotRunOnce);
+  EXPECT_EQ(this->answers[queued_once], kNotRunOnce);
+  EXPECT_EQ(this->service.CancelledCalls(CancelStage::kQueued), 2U);
+  this->service.OnCancel(running);
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  EXPECT_EQ(this->service.OpenCalls(), 0U);
+}
+
+TEST_F(TargetServiceTest, RunningIdempotentCallWhoseCallerLeavesIsAnsweredAndEnded) {
+  const Id128 call = this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  this->service.OnCancel(call);
+  EXPECT_EQ(this->answers[call], std::vector{peer::pb::OUTCOME_UNKNOWN});
+  EXPECT_EQ(this->service.CancelledCalls(CancelStage::kRunning), 1U);
+  EXPECT_EQ(this->service.OpenCalls(), 0U);
+  EXPECT_EQ(this->service.Admission().InFlight(), 0U);
+  EXPECT_EQ(this->contexts.Size(), 0U);
+}
+
+TEST_F(TargetServiceTest, CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft) {
+  const Id128 call = this->Call(this->NewTicket());
+  ASSERT_TRUE(this->RunUntilReached(1));
+  this->service.OnCancel(call);
+  EXPECT_TRUE(this->answers[call].empty());
+  EXPECT_EQ(this->service.CancelledCalls(CancelStage::kKept), 1U);
+  EXPECT_EQ(this->service.OpenCalls(), 1U);
+}
+
+}  // namespace
+}  // namespace fireflyrun::node
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -67,6 +67,25 @@
   EXPECT_EQ(harness.server->OpenCalls(), 0U);
 }
 
+TEST(LinkServerTest, CallThatEndsWithItsCancelLeavesNoState) {
+  PeerHarness harness;
+  LinkServer::Reply kept;
+  harness.on_call = [&](const Call&, LinkServer::Reply reply) { kept = std::move(reply); };
+  harness.on_cancel = [&] { kept(Answer{}); };
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  link.SendCall(kCall, "", 0);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.server->OpenCalls() == 1; }));
+  link.SendCancel(kCall);
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.server->OpenCalls(), 0U);
+  EXPECT_EQ(harness.server->RetainedAnswers(), 0U);
+  link.SendCall(kCall, "", 0);
+  link.SendQuery(kCall);
+  ASSERT_TRUE(link.Await(pb::Frame::kStateReport));
+  EXPECT_EQ(harness.ran, std::vector{kCall});
+}
+
 TEST(LinkServerTest, RestartedCallerEndsTheCallsOfItsEarlierIncarnation) {
   PeerHarness harness;
   harness.on_call = [](const Call&, const LinkServer::Reply&) {};
--- a/tests/peer/peer_harness.cc
+++ b/tests/peer/peer_harness.cc
@@ -44,7 +44,10 @@
         answer.body = std::move(call.body);
         reply(std::move(answer));
       },
-      [this](const Id128& call_id) { this->cancelled.push_back(call_id); });
+      [this](const Id128& call_id) {
+        this->cancelled.push_back(call_id);
+        if (this->on_cancel) this->on_cancel();
+      });
   const auto started = this->server->Start();
   if (!started) throw std::runtime_error(started.error());
 }
--- a/tests/peer/peer_harness.h
+++ b/tests/peer/peer_harness.h
@@ -58,6 +58,8 @@
   LinkServer::CallHook on_call;
   std::vector<Id128> ran;
   std::vector<Id128> cancelled;
+  /// What the called node does when a call is cancelled, beside noting it.
+  std::function<void()> on_cancel;
   std::unique_ptr<LinkServer> server;
   std::unique_ptr<standins::FaultProxy> proxy;
   std::unique_ptr<LinkPool> pool;
