A queued call that was sent twice is dropped with its last caller

A ticket is sent again when its link is lost, and the second call joins the first. A cancel of the first was dropped while another was joined, and a cancel of the joined one was not looked at. So once both had left, nobody waited, and the call still left the queue and ran.

A call is dropped when the last of those that wait for it has left, in whichever order they leave.

TargetServiceTest.QueuedCallThatWasSentTwiceNeverRunsOnceBothCallersHaveLeft failed before (it reached the target); .CallThatWasSentTwiceRunsForTheCallerThatStays holds the other side.

--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -36,6 +36,7 @@
   std::string target_address;            ///< Set with the context.
   http::TargetClient::RequestId request = 0;
   std::vector<JoinedCall> joined;
+  bool caller_gone = false;  ///< Only the joined calls still wait for the answer.
 };
 
 }  // namespace fireflyrun::node
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -240,6 +240,7 @@
                   inbound->call.head.retry_allotment(), std::move(answer));
     return;
   }
+  this->joined_calls[inbound->id] = first->id;
   first->joined.push_back({inbound->call.head.call_id(), inbound->call.head.retry_allotment(),
                            std::move(inbound->reply)});
 }
@@ -396,6 +397,7 @@
   const std::uint32_t granted_retries = inbound->call.head.retry_allotment();
   const std::uint32_t unused = context ? context->allotment->Remaining() : granted_retries;
   for (const auto& joined : inbound->joined) {
+    this->joined_calls.erase(Id128::FromBytes(joined.call_id).value_or(Id128()));
     this->ReplyTo(joined.call_id, joined.reply, joined.granted_retries, answer);
   }
   const bool all_retries_spent = granted_retries > 0 && unused == 0;
@@ -439,10 +441,23 @@
   for (const auto& [id, end] : callbacks) end(expired ? RefusalReason::kDeadline : why);
 }
 
+TargetService::CallPointer TargetService::RemoveCaller(const Id128& call_id) {
+  if (const auto inbound = this->Find(call_id)) {
+    inbound->caller_gone = true;
+    return inbound;
+  }
+  const auto joined = this->joined_calls.extract(call_id);
+  const auto inbound = joined.empty() ? nullptr : this->Find(joined.mapped());
+  if (!inbound) return nullptr;
+  std::erase_if(inbound->joined, [bytes = call_id.ToBytes()](const InboundCall::JoinedCall& call) {
+    return call.call_id == bytes;
+  });
+  return inbound;
+}
+
 void TargetService::OnCancel(const Id128& call_id) {
-  const auto inbound = this->Find(call_id);
-  // Calls that joined this one still wait for it.
-  if (!inbound || (!inbound->context && !inbound->joined.empty())) return;
+  const auto inbound = this->RemoveCaller(call_id);
+  if (!inbound || !inbound->caller_gone || !inbound->joined.empty()) return;
   const CancelStage stage = this->Drop(inbound);
   ++this->cancelled_calls[static_cast<std::size_t>(stage)];
 }
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -120,6 +120,8 @@
   void Refuse(const CallPointer& inbound, policy::RefusalReason reason);
   /// Voids the ticket, if there is one, and answers that the call has not run.
   void AnswerNotRun(const CallPointer& inbound, policy::RefusalReason reason);
+  /// Removes one of those that wait for a call; returns the call.
+  CallPointer RemoveCaller(const Id128& call_id);
   /// Ends a call that nobody waits for, as far as it may be ended.
   CancelStage Drop(const CallPointer& inbound);
   /// Answers the call and all calls joined to it, and removes it.
@@ -144,6 +146,7 @@
   bool leaving = false;
   std::unordered_map<Id128, CallPointer> calls;
   std::unordered_map<Id128, Id128> running_tickets;  ///< Ticket nonce to the id of its call.
+  std::unordered_map<Id128, Id128> joined_calls;     ///< Their ids to those of the calls joined.
   std::array<std::uint64_t, kCancelStageNames.Entries().size()> cancelled_calls{};
   AdmissionLog admission_log;
   bool tick_due = false;
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -109,6 +109,35 @@
   EXPECT_EQ(this->contexts.Size(), 0U);
 }
 
+TEST_F(TargetServiceTest, QueuedCallThatWasSentTwiceNeverRunsOnceBothCallersHaveLeft) {
+  const Id128 running = this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  for (const bool first_leaves_first : {true, false}) {
+    const policy::Ticket ticket = this->NewTicket();
+    const Id128 first = this->Call(ticket);
+    const Id128 again = this->Call(ticket);
+    this->service.OnCancel(first_leaves_first ? first : again);
+    EXPECT_EQ(this->service.OpenCalls(), 2U) << "the other still waits";
+    this->service.OnCancel(first_leaves_first ? again : first);
+    EXPECT_EQ(this->service.OpenCalls(), 1U);
+    EXPECT_EQ(this->answers[first], kNotRunOnce);
+    EXPECT_TRUE(this->answers[again].empty());
+  }
+  this->service.OnCancel(running);
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+}
+
+TEST_F(TargetServiceTest, CallThatWasSentTwiceRunsForTheCallerThatStays) {
+  const Id128 running = this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  const policy::Ticket ticket = this->NewTicket();
+  const Id128 first = this->Call(ticket);
+  this->Call(ticket);
+  this->service.OnCancel(first);
+  this->service.OnCancel(running);
+  EXPECT_TRUE(this->RunUntilReached(2));
+}
+
 TEST_F(TargetServiceTest, CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft) {
   const Id128 call = this->Call(this->NewTicket());
   ASSERT_TRUE(this->RunUntilReached(1));
