A call that has not been sent yet is not sent once its caller has left

A call that must run at most once was never cancelled after it had left the queue, as it may run and its answer is kept. That included the time in which it waited for a connection to the target: all connections in use, or one being opened whose first packet the target's full queue had dropped. The filing of a caller that had left a second ago then reached the target.

While no byte of it was written the call has not run. It is taken off the target client, its ticket withdrawn and voided, and it is answered as not run; from the first byte on it runs on as before.

TargetServiceTest.CallThatRunsOnceIsNotSentIfItsCallerLeavesWhileItWaitsForAConnection failed before (it reached the target); .CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft holds the other side.

--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -31,6 +31,7 @@
 
   RequestId Send(TargetRequest request, Handler handler);
   void Cancel(RequestId id);
+  bool CancelUnsent(RequestId id);
   void SetMaxConnections(std::size_t max_connections);
 
   TargetClientCounters counters;
@@ -124,6 +125,13 @@
   if (ended->address != nullptr) this->StartWaiting(*ended->address);
 }
 
+bool TargetClient::Implementation::CancelUnsent(RequestId id) {
+  const auto found = this->exchanges.find(id);
+  if (found == this->exchanges.end() || !found->second->NothingWritten()) return false;
+  this->Cancel(id);
+  return true;
+}
+
 void TargetClient::Implementation::SetMaxConnections(std::size_t max_connections) {
   this->options.max_connections = max_connections;
   for (auto& [text, address] : this->addresses) {
@@ -398,6 +406,8 @@
 
 void TargetClient::Cancel(RequestId id) { this->implementation->Cancel(id); }
 
+bool TargetClient::CancelUnsent(RequestId id) { return this->implementation->CancelUnsent(id); }
+
 void TargetClient::SetMaxConnections(std::size_t max_connections) {
   this->implementation->SetMaxConnections(max_connections);
 }
--- a/src/http/target_client.h
+++ b/src/http/target_client.h
@@ -45,6 +45,10 @@
   /// Ends the request and closes its connection at once. Unknown ids are ignored.
   void Cancel(RequestId id);
 
+  /// Ends the request if no byte of it has been written; false if the target may have seen it, or
+  /// the id is unknown.
+  bool CancelUnsent(RequestId id);
+
   /// Limits the connections to each address; requests beyond wait in order until their deadline.
   void SetMaxConnections(std::size_t max_connections);
 
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -473,12 +473,18 @@
     this->AnswerNotRun(inbound, RefusalReason::kCancelled);
     return end(CancelStage::kQueued);
   }
-  // The answer of an at-most-once call is kept for later requests with its ticket.
-  if (inbound->ticket) return end(CancelStage::kKept);
+  const bool unsent = this->client.CancelUnsent(inbound->request);
+  // The answer of an at-most-once call that may run is kept for later requests with its ticket.
+  if (!unsent && inbound->ticket) return end(CancelStage::kKept);
   this->client.Cancel(inbound->request);
   this->EndContext(inbound, RefusalReason::kParentCancelled);
-  this->Answer(inbound, RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kCancelled));
-  const CancelStage stage = end(CancelStage::kRunning);
+  if (inbound->ticket) this->ledger.WithdrawUnsent(*inbound->ticket);
+  if (unsent) {
+    this->AnswerNotRun(inbound, RefusalReason::kCancelled);
+  } else {
+    this->Answer(inbound, RefusalAnswer(Outcome::OUTCOME_UNKNOWN, RefusalReason::kCancelled));
+  }
+  const CancelStage stage = end(unsent ? CancelStage::kUnsent : CancelStage::kRunning);
   this->admission.Abandoned(inbound->id, SteadyClock::now());
   return stage;
 }
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -138,6 +138,20 @@
   EXPECT_TRUE(this->RunUntilReached(2));
 }
 
+TEST_F(TargetServiceTest, CallThatRunsOnceIsNotSentIfItsCallerLeavesWhileItWaitsForAConnection) {
+  this->Announce(2);
+  this->client.SetMaxConnections(1);
+  const Id128 running = this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  const Id128 unsent = this->Call(this->NewTicket());
+  this->service.OnCancel(unsent);
+  EXPECT_EQ(this->answers[unsent], kNotRunOnce);
+  EXPECT_EQ(this->service.CancelledCalls(CancelStage::kUnsent), 1U);
+  this->service.OnCancel(running);
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  EXPECT_EQ(this->service.Admission().InFlight(), 0U);
+}
+
 TEST_F(TargetServiceTest, CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft) {
   const Id128 call = this->Call(this->NewTicket());
   ASSERT_TRUE(this->RunUntilReached(1));
