What a cancelled call goes on to ask for is refused

Some targets go on with a request after its connection has been closed. The calls that they had in progress ended with it, but its context was removed, so each further call that they made for it counted as a new request from outside, with retries, class and time of its own.

Further calls for it are refused as parent-cancelled: not run (503), or unknown where the call has a key, whose earlier outcome isn't looked up. Calls for a request that runs on, as it must run at most once, go on.

--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -52,10 +52,13 @@
   }
 }
 
-/// A node without records doesn't know the outcome of earlier requests with the same key.
+/// A node without records doesn't know the outcome of earlier requests with the same key, nor is it
+/// looked up for a call whose parent was cancelled.
 Outcome OutcomeOfRefused(RefusalReason reason, const http::Headers& headers) {
   const bool has_key = http::FindHeader(headers, kIdempotencyKeyHeader).has_value();
-  const bool outcome_unknown = reason == RefusalReason::kNotReady && has_key;
+  const bool may_have_run =
+      reason == RefusalReason::kNotReady || reason == RefusalReason::kParentCancelled;
+  const bool outcome_unknown = may_have_run && has_key;
   return outcome_unknown ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN;
 }
 
@@ -199,7 +202,12 @@
   const auto handle = this->wire.handle.empty()
                           ? std::nullopt
                           : http::FindHeader(request->headers, this->wire.handle);
-  const auto parent = handle ? this->contexts.Find(*handle) : this->ParentById(*request);
+  const auto parent_id = this->ParentIdOf(*request);
+  const auto parent = handle ? this->contexts.Find(*handle) : this->contexts.FindRequest(parent_id);
+  if (!parent && this->contexts.IsCancelled(handle ? *handle : parent_id)) {
+    return tl::unexpected(Refusal{RefusalReason::kParentCancelled,
+                                  "whoever asked for what this call is made for has left"});
+  }
   call.route = std::move(route);
   if (parent) {
     this->InheritFrom(parent, &call);
@@ -225,12 +233,11 @@
   return call;
 }
 
-std::shared_ptr<CallContext> CallerService::ParentById(const http::Request& request) const {
-  if (this->wire.child_separator.empty()) return nullptr;
+std::string_view CallerService::ParentIdOf(const http::Request& request) const {
+  if (this->wire.child_separator.empty()) return {};
   const auto id = http::FindHeader(request.headers, this->wire.request_id).value_or("");
   const auto separator = id.rfind(this->wire.child_separator);
-  if (separator == std::string_view::npos) return nullptr;
-  return this->contexts.FindRequest(id.substr(0, separator));
+  return separator == std::string_view::npos ? std::string_view() : id.substr(0, separator);
 }
 
 void CallerService::InheritFrom(const std::shared_ptr<CallContext>& parent,
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -85,9 +85,9 @@
   tl::expected<void, Refusal> SetDeadline(const http::Request& request, OutboundCall* call) const;
   tl::expected<void, Refusal> SetTicketSource(const http::Request& request,
                                               OutboundCall* call) const;
-  /// The running call for which the local target makes this one, according to the request ids; null
-  /// if none.
-  std::shared_ptr<CallContext> ParentById(const http::Request& request) const;
+  /// The request id of the call for which the local target makes this one, if its own id names one;
+  /// empty otherwise. Valid as long as the request.
+  std::string_view ParentIdOf(const http::Request& request) const;
   void InheritFrom(const std::shared_ptr<CallContext>& parent, OutboundCall* call) const;
   void IssueTicket(const http::RequestTarget& target, http::Exchange& exchange) const;
   void Dispatch(OutboundCall call, const std::shared_ptr<http::Exchange>& exchange);
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -435,7 +435,11 @@
 
 void TargetService::EndContext(const CallPointer& inbound, RefusalReason why) {
   if (!inbound->context) return;
-  this->contexts.Remove(inbound->context->handle);
+  if (why == RefusalReason::kParentCancelled) {
+    this->contexts.RemoveCancelled(inbound->context->handle, SteadyClock::now());
+  } else {
+    this->contexts.Remove(inbound->context->handle);
+  }
   const bool expired = SteadyClock::now() >= inbound->deadline;
   const auto callbacks = std::exchange(inbound->context->child_end_callbacks, {});
   for (const auto& [id, end] : callbacks) end(expired ? RefusalReason::kDeadline : why);
--- a/tests/node/context_table_test.cc
+++ b/tests/node/context_table_test.cc
@@ -59,5 +59,39 @@
   EXPECT_EQ(table.FindRequest("abc"), nullptr);
 }
 
+TEST(ContextTableTest, CancelledCallIsRememberedUntilItsDeadline) {
+  ContextTable table;
+  const SteadyTime now = SteadyClock::now();
+  const auto cancelled = AddRequest(table, "abc");
+  cancelled->deadline = now + std::chrono::seconds(1);
+  table.RemoveCancelled(cancelled->handle, now);
+  EXPECT_EQ(table.FindRequest("abc"), nullptr);
+  EXPECT_TRUE(table.IsCancelled("abc"));
+  EXPECT_TRUE(table.IsCancelled(cancelled->handle.ToHex()));
+  const auto ended = AddRequest(table, "def");
+  table.Remove(ended->handle);
+  EXPECT_FALSE(table.IsCancelled("def"));
+  EXPECT_FALSE(table.IsCancelled(""));
+  const auto later = AddRequest(table, "ghi");
+  later->deadline = now + std::chrono::seconds(9);
+  table.RemoveCancelled(later->handle, now + std::chrono::seconds(2));
+  EXPECT_FALSE(table.IsCancelled("abc"));
+  EXPECT_FALSE(table.IsCancelled(cancelled->handle.ToHex()));
+  EXPECT_TRUE(table.IsCancelled("ghi"));
+}
+
+TEST(ContextTableTest, CancelledCallsAreRememberedInABoundedNumber) {
+  ContextTable table;
+  const SteadyTime now = SteadyClock::now();
+  for (std::size_t i = 0; i <= ContextTable::kMaxCancelledCalls; ++i) {
+    const auto context = AddRequest(table, std::to_string(i));
+    context->deadline = now + std::chrono::seconds(600);
+    table.RemoveCancelled(context->handle, now);
+  }
+  EXPECT_FALSE(table.IsCancelled("0"));
+  EXPECT_TRUE(table.IsCancelled("1"));
+  EXPECT_TRUE(table.IsCancelled(std::to_string(ContextTable::kMaxCancelledCalls)));
+}
+
 }  // namespace
 }  // namespace fireflyrun::node
--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -144,6 +144,7 @@
     changed.slow_factor = given.value("slow_factor", changed.slow_factor);
     changed.fail = given.value("fail", changed.fail);
     changed.hang = given.value("hang", changed.hang);
+    changed.ignore_close = given.value("ignore_close", changed.ignore_close);
     changed.close_kept = given.value("close_kept", changed.close_kept);
     changed.reject_every = given.value("reject_every", changed.reject_every);
     changed.health = given.value("health", changed.health);
@@ -261,6 +262,7 @@
 }
 
 void TargetService::CallerGone(const RunPointer& run) {
+  if (this->faults.ignore_close) return;
   if (this->running.erase(run) > 0) {
     this->log.Cancel(run->number);
     run->timer.Reset();
