Test between processes: work ends with its caller over broken links and lost nodes

GoneCallerTest: a caller leaves while its call runs, waits or is repeated at the target, with the link silent just before, reset, or slow; with the caller's node cut off, killed, replaced, frozen, or draining; with a target that goes on after its connection was closed.

--- /dev/null
+++ b/tests/integration/gone_caller_test.cc
@@ -0,0 +1,165 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <functional>
+#include <future>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "tests/integration/fleet.h"
+#include "tests/integration/wait_until.h"
+
+namespace fireflyrun::integration {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Far above all time limits, so that nothing ends for having expired.
+constexpr const char* kDeadlineMs = "60000";
+constexpr seconds kLimit{10};
+/// When a caller leaves.
+constexpr milliseconds kPatience{800};
+/// How long before that a link falls silent: shorter than it takes to notice.
+constexpr milliseconds kSilenceBefore{300};
+/// From a caller's leaving to the end of its call, where its node has to open the link again.
+constexpr seconds kReopenedLinkLimit{3};
+/// The same where its node is gone: the time after which it has given the call up, and a margin.
+constexpr seconds kGoneNodeLimit{6};
+
+std::string Records() {
+  std::string text = ChainRecords();
+  const auto replace_all = [&text](const std::string& from, const std::string& to) {
+    for (auto at = text.find(from); at != std::string::npos; at = text.find(from, at + to.size())) {
+      text.replace(at, from.size(), to);
+    }
+  };
+  replace_all("\"deadline_ms\": 4000", std::string("\"deadline_ms\": ") + kDeadlineMs);
+  replace_all("\"retries_per_request\": 3", "\"retries_per_request\": 20");
+  return text;
+}
+
+/// An entry, a target on a node of its own, and one that calls it.
+class GoneCallerTest : public ::testing::Test {
+ protected:
+  GoneCallerTest()
+      : fleet({{"a0", "east", "east-a", "", 0, 0, "", {"--stop-grace", "3", "--stop-notice", "1"}},
+               {"a1", "east", "east-a", "deep", 1, 2, ""},
+               {"a2", "east", "east-a", "middle", 5, 2, "deep:/leaf"}},
+              Records(), FleetOptions{.network = true}) {}
+
+  void SetUp() override { ASSERT_TRUE(this->fleet.WaitReady()); }
+
+  int Count(const std::string& node, const char* counter) const {
+    return json::parse(this->fleet.Runs(node))[counter].get<int>();
+  }
+  /// A caller that leaves after `kPatience`.
+  std::future<HttpAnswer> CallAndLeave(const std::string& path) {
+    HttpCall call;
+    call.url = this->fleet.CallerUrl("a0") + path;
+    call.timeout = kPatience;
+    return std::async(std::launch::async, [call] { return MakeCall(call); });
+  }
+  /// Starts a call that hangs at the target, lets `fault` happen, and waits until the target is
+  /// told that the caller has left.
+  void ExpectCancelledAfter(const std::function<void()>& fault, seconds limit) {
+    this->fleet.SetTargetFault("a1", R"({"hang": true})");
+    auto call = this->CallAndLeave("/deep/x");
+    ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("a1", "runs") == 1; }));
+    fault();
+    call.wait();
+    EXPECT_TRUE(WaitUntil(limit, [&] { return this->Count("a1", "cancelled") == 1; }));
+  }
+
+  Fleet fleet;
+};
+
+TEST_F(GoneCallerTest, CancelSurvivesALinkThatFallsSilentJustBefore) {
+  this->ExpectCancelledAfter(
+      [this] {
+        std::this_thread::sleep_for(kPatience - kSilenceBefore);
+        this->fleet.Network().SilenceExisting({"a0", "a1"});
+      },
+      kReopenedLinkLimit);
+}
+
+TEST_F(GoneCallerTest, CancelSurvivesAResetLink) {
+  this->ExpectCancelledAfter(
+      [this] {
+        this->fleet.Network().Reset({"a0", "a1"});
+      },
+      kReopenedLinkLimit);
+}
+
+TEST_F(GoneCallerTest, CancelCrossesASlowLink) {
+  this->ExpectCancelledAfter(
+      [this] {
+        this->fleet.Network().Delay({"a0", "a1"}, milliseconds(100));
+      },
+      kReopenedLinkLimit);
+}
+
+TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeIsCutOff) {
+  this->ExpectCancelledAfter([this] { this->fleet.Network().CutBetween({"a0"}, {"a1"}); },
+                             kGoneNodeLimit);
+}
+
+TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeIsKilled) {
+  this->ExpectCancelledAfter([this] { this->fleet.NodeProcess("a0").Kill(); }, kGoneNodeLimit);
+}
+
+TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeIsReplaced) {
+  this->ExpectCancelledAfter(
+      [this] {
+        this->fleet.NodeProcess("a0").Kill();
+        this->fleet.StartNode("a0");
+      },
+      kGoneNodeLimit);
+}
+
+TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeIsFrozen) {
+  this->ExpectCancelledAfter([this] { this->fleet.NodeProcess("a0").Pause(); }, kGoneNodeLimit);
+  this->fleet.NodeProcess("a0").Resume();
+}
+
+TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeDrains) {
+  this->ExpectCancelledAfter([this] { this->fleet.NodeProcess("a0").Signal(SIGTERM); },
+                             kReopenedLinkLimit);
+}
+
+TEST_F(GoneCallerTest, QueuedCallNeverStartsWhenTheCallersNodeIsCutOff) {
+  this->fleet.SetTargetFault("a1", R"({"hang": true})");
+  auto running = std::async(std::launch::async,
+                            [this] { return this->fleet.Call("a2", "GET", "/deep/first"); });
+  ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("a1", "runs") == 1; }));
+  auto queued = this->CallAndLeave("/deep/queued");
+  this->fleet.Network().CutBetween({"a0"}, {"a1"});
+  queued.wait();
+  EXPECT_TRUE(HoldsFor(kGoneNodeLimit, [&] { return this->Count("a1", "runs") == 1; }));
+  this->fleet.NodeProcess("a2").Kill();
+  EXPECT_TRUE(WaitUntil(kGoneNodeLimit, [&] { return this->Count("a1", "cancelled") == 1; }));
+  EXPECT_EQ(this->Count("a1", "runs"), 1);
+}
+
+TEST_F(GoneCallerTest, TargetThatGoesOnCallsNothingMore) {
+  this->fleet.SetTargetFault("a2", R"({"slow_factor": 1000, "ignore_close": true})");
+  auto call = this->CallAndLeave("/middle/x");
+  ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("a2", "runs") == 1; }));
+  call.wait();
+  ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("a2", "completed") == 1; }));
+  EXPECT_EQ(this->Count("a1", "runs"), 0);
+}
+
+TEST_F(GoneCallerTest, NothingIsRepeatedForACallerThatHasLeft) {
+  constexpr int kMostRuns = 21;
+  this->fleet.SetTargetFault("a1", R"({"fail": true, "slow_factor": 50, "health": "up"})");
+  this->CallAndLeave("/deep/x").wait();
+  const int runs = this->Count("a1", "runs");
+  EXPECT_GE(runs, 2);
+  ASSERT_LT(runs, kMostRuns) << "all repeats are spent, so that nothing is shown";
+  EXPECT_TRUE(HoldsFor(kPatience, [&] { return this->Count("a1", "runs") <= runs + 1; }));
+}
+
+}  // namespace
+}  // namespace fireflyrun::integration
