Bytes without end that are no answer fail their call early, and are bounded together

Heads, bodies, chunks and trailers ended in an error at a limit of their own already, but interim answers (1xx) were skipped for ever, so that a target could keep a node's loop busy to the call's deadline; skipped bodies of answers to other requests had no limit; and nothing bounded what the answers of all connections hold together: with some hundred slots and 8 MiB each, more than the host's memory.

- At most 16 interim answers, and at most one answer's size of skipped bodies.
- The answers in progress hold at most 8 times the largest answer together; beyond, the request with the largest one fails as too large, and the others go on.
- What only trickles ends with its call's deadline, as before.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxStrayAnswers = 3;
+constexpr std::size_t kMaxInterimAnswers = 16;
 constexpr std::size_t kMaxReservedBytes = std::size_t{1} << 20;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
@@ -201,7 +202,10 @@
     header.value.resize(TrimSpace(header.value).size());  // The parser drops leading blanks.
   }
   this->skips_message = interim;
-  if (interim) return true;
+  if (interim) {
+    if (++this->interim_answers <= kMaxInterimAnswers) return true;
+    return this->Reject(ClientErrorKind::kBadAnswer, "too many interim answers");
+  }
   if (!this->AcceptEcho()) return false;
   return this->skips_message || this->AcceptFraming();
 }
@@ -241,7 +245,11 @@
 }
 
 bool AnswerReader::AppendBody(std::string_view piece) {
-  if (this->skips_message) return true;
+  if (this->skips_message) {
+    this->skipped_bytes += piece.size();
+    if (this->skipped_bytes <= this->request.max_response_bytes) return true;
+    return this->Reject(ClientErrorKind::kBadAnswer, "answers to other requests are too large");
+  }
   std::string& body = this->response.body;
   if (piece.size() > this->request.max_response_bytes - body.size()) {
     return this->Reject(ClientErrorKind::kTooLarge, "the answer is too large");
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -16,7 +16,8 @@
 struct TargetRequest;
 
 /// Reads the answer to one request from the bytes of its connection. Skips interim answers (1xx)
-/// and stray ones, which a target sends late or twice and which carry another request's echo.
+/// and stray ones, which a target sends late or twice and which carry another request's echo. What
+/// is read and what is skipped is bounded, so that bytes without end are an error.
 class AnswerReader {
  public:
   /// The request must outlive the reader.
@@ -42,6 +43,9 @@
 
   std::size_t StrayAnswers() const { return this->stray_answers; }
 
+  /// Bytes of the answer's body that were received so far.
+  std::size_t HeldBytes() const { return this->response.body.size(); }
+
   /// The complete answer, without headers of its connection or its framing.
   Response TakeResponse();
 
@@ -78,6 +82,8 @@
   std::optional<ClientError> error;
   std::optional<Duration> keep_alive;
   std::size_t stray_answers = 0;
+  std::size_t interim_answers = 0;
+  std::size_t skipped_bytes = 0;  ///< Of the bodies of answers to other requests.
   bool message_begun = false;
   bool head_complete = false;
   bool value_begun = false;
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -33,6 +33,7 @@
   void Cancel(RequestId id);
   bool CancelUnsent(RequestId id);
   void SetMaxConnections(std::size_t max_connections);
+  std::size_t HeldBytes() const { return this->held_bytes; }
 
   TargetClientCounters counters;
 
@@ -54,6 +55,7 @@
   void OnReadable(TargetConnection& connection);
   void OnWritable(TargetConnection& connection);
   bool ReadOnce(TargetConnection& connection);
+  bool FailLargestAnswer(const TargetConnection& reading);
   void OnIdleEnd(TargetConnection& connection);
 
   void Detach(TargetExchange& exchange, ConnectionEnd end);
@@ -74,6 +76,7 @@
   std::unordered_map<std::string, TargetAddress> addresses;
   std::unordered_map<RequestId, std::unique_ptr<TargetExchange>> exchanges;
   RequestId last_id = 0;
+  std::size_t held_bytes = 0;  ///< Of answers in progress.
   TimerSubscription timer;
   SteadyTime next_wake = SteadyTime::max();
   std::vector<char> read_buffer;
@@ -267,9 +270,11 @@
     return false;
   }
   const std::size_t strays = exchange.Reader().StrayAnswers();
+  const std::size_t held = exchange.Reader().HeldBytes();
   auto complete = error ? exchange.Reader().ConsumeEnd()
                         : exchange.Reader().Consume({this->read_buffer.data(), size});
   this->counters.stray_answers_skipped += exchange.Reader().StrayAnswers() - strays;
+  this->held_bytes += exchange.Reader().HeldBytes() - held;
   if (!complete) {
     this->Fail(exchange, std::move(complete.error()));
     return false;
@@ -278,9 +283,25 @@
     this->Succeed(exchange);
     return false;
   }
+  const bool too_much = this->held_bytes > this->options.max_held_bytes;
+  if (too_much && !this->FailLargestAnswer(connection)) return false;
   return this->WriteOn(connection) && size == this->read_buffer.size();
 }
 
+/// Returns false if that ended the request that `reading` serves, or the client.
+bool TargetClient::Implementation::FailLargestAnswer(const TargetConnection& reading) {
+  const auto largest = std::max_element(
+      this->exchanges.begin(), this->exchanges.end(), [](const auto& one, const auto& other) {
+        return one.second->Reader().HeldBytes() < other.second->Reader().HeldBytes();
+      });
+  TargetExchange& exchange = *largest->second;
+  const bool is_own = exchange.connection.get() == &reading;
+  const std::weak_ptr<bool> guard = this->alive;
+  this->Fail(exchange, ClientError{ClientErrorKind::kTooLarge,
+                                   "the answers in progress are too large together"});
+  return !is_own && !guard.expired();
+}
+
 void TargetClient::Implementation::OnIdleEnd(TargetConnection& connection) {
   TargetAddress& address = connection.Address();
   address.CloseDead(connection.shared_from_this());
@@ -297,6 +318,7 @@
     return;
   }
   connection->exchange = nullptr;
+  this->held_bytes -= exchange.Reader().HeldBytes();
   if (end == ConnectionEnd::kKeep) {
     this->WakeAt(address.KeepIdle(connection, exchange.Reader().KeepAliveTimeout()));
     return;
@@ -412,6 +434,8 @@
   this->implementation->SetMaxConnections(max_connections);
 }
 
+std::size_t TargetClient::HeldBytes() const { return this->implementation->HeldBytes(); }
+
 const TargetClientCounters& TargetClient::Counters() const {
   return this->implementation->counters;
 }
--- a/src/http/target_client.h
+++ b/src/http/target_client.h
@@ -52,6 +52,8 @@
   /// Limits the connections to each address; requests beyond wait in order until their deadline.
   void SetMaxConnections(std::size_t max_connections);
 
+  /// Bytes of answers in progress.
+  std::size_t HeldBytes() const;
   const TargetClientCounters& Counters() const;
 
  private:
--- a/src/http/target_client_options.h
+++ b/src/http/target_client_options.h
@@ -16,6 +16,8 @@
   Duration unacknowledged_limit = std::chrono::seconds(10);
   std::size_t max_connections = 1024;      ///< Per address, idle ones included.
   std::size_t max_idle_connections = 128;  ///< Per address.
+  /// Bytes of answers in progress, in all. Beyond, the request with the largest one fails.
+  std::size_t max_held_bytes = std::size_t{64} << 20;
 };
 
 }  // namespace fireflyrun::http
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -35,6 +35,8 @@
 /// Added to the header timeout: a pause in a body may last longer than a whole header may take.
 constexpr Duration kBodyTimeoutMargin = std::chrono::seconds(7);
 constexpr unsigned kIncarnationRandomBits = 20;
+/// Limit of the answers of the target that are in progress together, in units of the largest one.
+constexpr std::size_t kMaxAnswersHeld = 8;
 
 /// Milliseconds since the epoch, then random bits: later starts of a host get higher incarnations
 /// while its clock is roughly right, and two starts in one millisecond still differ.
@@ -49,6 +51,12 @@
   return {settings.address, settings.admin_port, kMaxAdminBodyBytes, kAdminConnections};
 }
 
+http::TargetClientOptions MakeTargetClientOptions(const NodeSettings& settings) {
+  http::TargetClientOptions options;
+  options.max_held_bytes = kMaxAnswersHeld * settings.max_body_bytes;
+  return options;
+}
+
 http::CallServerOptions CallerServerOptions(const NodeSettings& settings) {
   http::CallServerOptions options;
   options.address = settings.address;
@@ -106,7 +114,7 @@
       incarnation(NewIncarnation()),
       timers(loop),
       client(loop, kIdleStoreConnections),
-      target_client(timers, {}),
+      target_client(timers, MakeTargetClientOptions(settings)),
       control(timers, client, settings, incarnation, platform),
       calls(timers, target_client, settings, incarnation, control, metrics),
       admin_service(AdminHooks()),
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -152,6 +152,17 @@
   EXPECT_EQ(this->service.Admission().InFlight(), 0U);
 }
 
+TEST_F(TargetServiceTest, BytesThatAreNoAnswerFailTheCall) {
+  this->answer = std::string(std::size_t{1} << 20, 'x');
+  for (const bool once : {false, true}) {
+    const Id128 call = once ? this->Call(this->NewTicket()) : this->Call();
+    ASSERT_TRUE(http::RunUntil(this->loop, [&] { return !this->answers[call].empty(); }));
+    EXPECT_EQ(this->answers[call], std::vector{peer::pb::OUTCOME_UNKNOWN});
+  }
+  EXPECT_EQ(this->service.OpenCalls(), 0U);
+  EXPECT_EQ(this->client.HeldBytes(), 0U);
+}
+
 TEST_F(TargetServiceTest, CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft) {
   const Id128 call = this->Call(this->NewTicket());
   ASSERT_TRUE(this->RunUntilReached(1));
