Plainer names for the new parts of a close, and one look more after a failed answer

One fault found in that reading: failing the largest answer runs its handler, which may cancel the request that was just being read; the client then went on with a connection without a request. It now looks whether that request is still there. Found by reading; no test reaches it.

http_test, node_test, peer_test, child_calls_test and cancellation_test pass.

--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -31,8 +31,9 @@
 /// Callers reuse a connection until shortly before the time that they were told.
 constexpr std::chrono::milliseconds kIdleMargin(250);
 constexpr std::chrono::milliseconds kUnreadBytesGrace(250);
-/// How often a caller of whom no more is read is asked after while its request is in progress.
-constexpr std::chrono::milliseconds kUnreadCallerPeriod(100);
+/// How often a connection is polled for its end while its request is in progress and no more of it
+/// is read.
+constexpr std::chrono::milliseconds kEndPollPeriod(100);
 /// How long and how much is read and dropped after the last response: closing with unread bytes
 /// would reset the connection and could destroy the response on its way.
 constexpr std::chrono::seconds kClosingTime(5);
@@ -114,7 +115,7 @@
       this->deadline = now + kUnreadBytesGrace;
       return;
     case Phase::kHandling:
-      return this->WatchUnreadCaller();
+      return this->PollForEnd();
     case Phase::kWriting:
     case Phase::kClosing:
     case Phase::kClosed:
@@ -158,8 +159,8 @@
 
 void CallConnection::Read() {
   if (this->read_pending || this->input_ended || this->phase == Phase::kClosed) return;
-  if (this->ReadsNoFurther()) {
-    if (this->phase == Phase::kHandling) this->SetDeadline(kUnreadCallerPeriod);
+  if (this->HasReadAheadEnough()) {
+    if (this->phase == Phase::kHandling) this->SetDeadline(kEndPollPeriod);
     return;
   }
   this->read_pending = true;
@@ -170,20 +171,20 @@
       });
 }
 
-bool CallConnection::ReadsNoFurther() const {
+bool CallConnection::HasReadAheadEnough() const {
   const bool reads_ahead =
       this->continue_pending || this->phase == Phase::kHandling || this->phase == Phase::kWriting;
   return reads_ahead && this->input.Data().size() >= kReadAheadBytes;
 }
 
-/// The end of the input of a caller that has sent more than is read ahead is seen by asking only.
-void CallConnection::WatchUnreadCaller() {
+/// Reading would not show the end of the input, as unread bytes come before it.
+void CallConnection::PollForEnd() {
   pollfd state = {this->socket.native_handle(), POLLRDHUP, 0};
   if (::poll(&state, 1, 0) > 0) return this->Close();
-  this->SetDeadline(kUnreadCallerPeriod);
+  this->SetDeadline(kEndPollPeriod);
 }
 
-/// True when the end of the input is all that is left of it.
+/// True when the caller has closed and nothing else is left to be read.
 bool CallConnection::CallerHasLeft() {
   char byte = 0;
   const auto peeked = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -104,8 +104,8 @@
   void SetDeadline(Duration time_limit);
   bool HasUnreadBytes() const;
   bool CallerHasLeft();
-  bool ReadsNoFurther() const;
-  void WatchUnreadCaller();
+  bool HasReadAheadEnough() const;
+  void PollForEnd();
   std::size_t InputCapacity() const;
   bool DropsInput() const;
 
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -288,18 +288,17 @@
   return this->WriteOn(connection) && size == this->read_buffer.size();
 }
 
-/// Returns false if that ended the request that `reading` serves, or the client.
+/// Returns false if that ended the request that `reading` serves, which its handler may cancel, or
+/// the client.
 bool TargetClient::Implementation::FailLargestAnswer(const TargetConnection& reading) {
   const auto largest = std::max_element(
       this->exchanges.begin(), this->exchanges.end(), [](const auto& one, const auto& other) {
         return one.second->Reader().HeldBytes() < other.second->Reader().HeldBytes();
       });
-  TargetExchange& exchange = *largest->second;
-  const bool is_own = exchange.connection.get() == &reading;
   const std::weak_ptr<bool> guard = this->alive;
-  this->Fail(exchange, ClientError{ClientErrorKind::kTooLarge,
-                                   "the answers in progress are too large together"});
-  return !is_own && !guard.expired();
+  this->Fail(*largest->second, ClientError{ClientErrorKind::kTooLarge,
+                                           "the answers in progress are too large together"});
+  return !guard.expired() && reading.exchange != nullptr;
 }
 
 void TargetClient::Implementation::OnIdleEnd(TargetConnection& connection) {
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -228,7 +228,7 @@
                   "Cancels sent again, because their connection was lost.",
                   [this] { return static_cast<double>(this->links->Counters().cancels_repeated); });
   out->AddCounter(
-      "fireflyrun_orphaned_calls_total", "Calls whose callers' nodes were gone before them.",
+      "fireflyrun_orphaned_calls_total", "Calls cancelled because their caller's node was gone.",
       [this] { return static_cast<double>(this->link_server->Counters().calls_orphaned); });
 }
 
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -205,8 +205,8 @@
   const auto parent_id = this->ParentIdOf(*request);
   const auto parent = handle ? this->contexts.Find(*handle) : this->contexts.FindRequest(parent_id);
   if (!parent && this->contexts.IsCancelled(handle ? *handle : parent_id)) {
-    return tl::unexpected(Refusal{RefusalReason::kParentCancelled,
-                                  "whoever asked for what this call is made for has left"});
+    return tl::unexpected(
+        Refusal{RefusalReason::kParentCancelled, "the caller of the parent call has disconnected"});
   }
   call.route = std::move(route);
   if (parent) {
--- a/src/node/context_table.h
+++ b/src/node/context_table.h
@@ -17,8 +17,8 @@
 struct CallContext;
 
 /// The contexts of the calls that the local target is running, by handle and by request id. A call
-/// that was cancelled while it ran is remembered until its deadline, because a target may go on
-/// with it and call for it.
+/// that was cancelled while it ran is remembered until its deadline, because its target may
+/// continue it and make further child calls.
 class ContextTable {
  public:
   static constexpr std::size_t kMaxCancelledCalls = 10'000;
--- a/src/node/local_calls.cc
+++ b/src/node/local_calls.cc
@@ -10,7 +10,7 @@
 
 void LocalCalls::Send(peer::Call call, AnswerHandler handler) {
   const Id128 call_id = Id128::FromBytes(call.head.call_id()).value_or(Id128::Random());
-  this->on_their_way.insert(call_id);
+  this->in_transit.insert(call_id);
   asio::post(this->loop,
              [this, call_id, call = std::move(call), handler = std::move(handler)]() mutable {
                this->Deliver(call_id, std::move(call), std::move(handler));
@@ -18,7 +18,7 @@
 }
 
 void LocalCalls::Deliver(const Id128& call_id, peer::Call call, AnswerHandler handler) {
-  if (this->on_their_way.erase(call_id) == 0) return;
+  if (this->in_transit.erase(call_id) == 0) return;
   this->hooks.on_call(std::move(call), [this, handler = std::move(handler)](peer::Answer answer) {
     asio::post(this->loop,
                [handler, answer = std::move(answer)]() mutable { handler(std::move(answer)); });
@@ -26,7 +26,7 @@
 }
 
 void LocalCalls::Cancel(const Id128& call_id) {
-  if (this->on_their_way.erase(call_id) > 0) return;
+  if (this->in_transit.erase(call_id) > 0) return;
   this->hooks.on_cancel(call_id);
 }
 
--- a/src/node/local_calls.h
+++ b/src/node/local_calls.h
@@ -32,7 +32,7 @@
 
   asio::io_context& loop;
   Hooks hooks;
-  std::unordered_set<Id128> on_their_way;
+  std::unordered_set<Id128> in_transit;
 };
 
 }  // namespace fireflyrun::node
--- a/src/peer/link_server.h
+++ b/src/peer/link_server.h
@@ -20,8 +20,8 @@
 
 /// The called side: receives calls from other nodes, retains each answer until it is acknowledged,
 /// and replies to queries of call states. Duplicate and voided calls are never passed to the hook.
-/// A call is also cancelled when its caller's node has restarted, or has not been heard of for so
-/// long that its own side of the link has given the call up.
+/// A call is also cancelled when its caller's node has restarted, or has been silent for so long
+/// that its own side of the link has given the call up.
 class LinkServer {
  public:
   /// Sends the answer to one call; further invocations have no effect.
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -177,7 +177,6 @@
   if (this->on_cancel) this->on_cancel(call_id);
 }
 
-/// A node runs once at a time, so whatever an earlier run of it waited for is needed by nobody.
 void LinkServer::Implementation::EndEarlierIncarnations(const pb::Hello& hello) {
   const auto begin = this->callers.lower_bound(CallerKey(hello.node(), 0));
   const auto end = this->callers.lower_bound(CallerKey(hello.node(), hello.incarnation()));
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -47,10 +47,11 @@
   void CloseLink(Link link);
   void Sweep();
 
-  /// Cancels the calls of callers that have given them up without a word.
+  /// Cancels the calls of callers that must have given them up but could not cancel them.
   void CancelOrphanedCalls(SteadyTime now);
   /// True if the caller's own side of the link has given its calls up by now.
   bool HasGivenUp(const InboundCaller& caller, SteadyTime now) const;
+  /// Cancels what earlier incarnations of the node left, and drops the answers retained for them.
   void EndEarlierIncarnations(const pb::Hello& hello);
   void CancelOpenCall(const Id128& call_id);
   void CancelAll(const std::vector<Id128>& orphans);
