A caller that hears nothing counts as gone, although its Hellos arrive

A caller's node that hears nothing of the called node gives its calls up after two seconds, while it goes on opening links, whose Hellos arrive. The called node, which judged by the last bytes received, would have kept the calls for it to their deadlines.

It judges by the last frame that is sent on an open link: the caller sends one at once when it has heard the Hello of this side, and a heartbeat at least each second while it has calls. A call that was cancelled isn't an orphan as well.

--- a/src/peer/call_table.cc
+++ b/src/peer/call_table.cc
@@ -69,7 +69,8 @@
     const std::function<bool(const InboundCaller& caller)>& is_gone) {
   std::vector<Id128> ids;
   for (auto& [call_id, record] : this->records) {
-    if (record.answer || record.orphaned || !is_gone(*record.caller)) continue;
+    const bool open = !record.answer && record.answer_needed && !record.orphaned;
+    if (!open || !is_gone(*record.caller)) continue;
     record.orphaned = true;
     ids.push_back(call_id);
   }
--- a/src/peer/call_table.h
+++ b/src/peer/call_table.h
@@ -45,7 +45,8 @@
   void DropAnswer(const Id128& call_id, SteadyTime now);
   /// Drops the retained answers of a caller that cannot query them any more.
   void DropAnswersOf(const InboundCaller& caller, SteadyTime now);
-  /// Marks the open calls of the callers that are gone as orphaned; returns those newly marked.
+  /// Marks the open calls of the callers that are gone as orphaned, unless they were cancelled;
+  /// returns those newly marked.
   std::vector<Id128> MarkOrphans(const std::function<bool(const InboundCaller& caller)>& is_gone);
   /// Records that the caller has the answer or no longer needs it.
   void Acknowledge(const Id128& call_id, SteadyTime now);
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -152,12 +152,12 @@
 }
 
 bool LinkServer::Implementation::HasGivenUp(const InboundCaller& caller, SteadyTime now) const {
+  const Duration give_up = this->options.give_up_timeout;
   const auto connection = caller.connection.lock();
-  if (!connection || !connection->IsOpen()) {
-    return now - std::max(caller.lost_at, this->running_since) >= this->options.give_up_timeout;
-  }
-  const Duration silence = now - std::max(connection->LastReceived(), this->running_since);
-  return silence >= this->options.give_up_timeout + this->options.max_heartbeat_interval;
+  const bool connected = connection && connection->IsOpen();
+  if (!connected && now - std::max(caller.lost_at, this->running_since) >= give_up) return true;
+  const Duration silence = now - std::max(caller.last_heard, this->running_since);
+  return silence >= give_up + this->options.max_heartbeat_interval;
 }
 
 void LinkServer::Implementation::CancelAll(const std::vector<Id128>& orphans) {
@@ -191,6 +191,9 @@
 void LinkServer::Implementation::OnFrame(const Link& link, pb::Frame& frame) {
   if (frame.has_hello()) return this->OnHello(link, frame.hello());
   if (!link->caller) return this->CloseLink(link);
+  // A Hello doesn't count: its sender may hear nothing of this node, and then opens link after
+  // link.
+  link->caller->last_heard = link->connection->LastReceived();
   switch (frame.body_case()) {
     case pb::Frame::kCallHead:
       return this->OnCallHead(link, *frame.mutable_call_head());
--- a/tests/integration/gone_caller_test.cc
+++ b/tests/integration/gone_caller_test.cc
@@ -105,6 +105,11 @@
                              kGoneNodeLimit);
 }
 
+TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeHearsNothing) {
+  this->ExpectCancelledAfter([this] { this->fleet.Network().CutOneWay({"a1"}, {"a0"}); },
+                             kGoneNodeLimit);
+}
+
 TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeIsKilled) {
   this->ExpectCancelledAfter([this] { this->fleet.NodeProcess("a0").Kill(); }, kGoneNodeLimit);
 }
