A call that was given up is cancelled when its link returns

After two seconds of silence a link ends its calls as of unknown outcome, and the caller is answered or served elsewhere. If the link came back before the called node had come to the same conclusion, nobody cancelled them there: they ran on beside their own repetition.

A call that is given up becomes a cancel, kept until the call's deadline like every other; the two seconds no longer end the cancels themselves. The bounds stay: one entry a call, to its deadline.

--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -280,7 +280,6 @@
   const Duration silence = now - std::max(this->LastReceived(), this->pending_since);
   if (this->state != State::kOpen) {
     if (silence < this->options.give_up_timeout) return;
-    this->cancels.Clear();
     return this->FinishAll(LinkErrorKind::kUnknown, "the remote node is unreachable");
   }
   if (silence >= this->options.silence_timeout) {
@@ -334,6 +333,7 @@
       ++call;
       continue;
     }
+    if (ends_sent_calls) this->cancels.Add(call->first, call->second.deadline, SteadyClock::now());
     handlers.push_back(std::move(call->second.handler));
     call = this->calls.erase(call);
   }
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -89,7 +89,8 @@
   void Finish(Calls::iterator call, Result result);
   void FinishError(Calls::iterator call, LinkErrorKind kind, std::string message);
   /// Ends all calls to which `kind` applies: those handed over to the kernel if it is kUnknown,
-  /// otherwise those not handed over.
+  /// otherwise those not handed over. The former are cancelled if the remote node is reached again
+  /// before their deadlines.
   void FinishAll(LinkErrorKind kind, const std::string& message);
 
   TimerService& timers;
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -80,9 +80,9 @@
     return this->OnConnectFailed("another node answers at the address");
   }
   if (hello.incarnation() != this->address.incarnation) {
-    this->cancels.Clear();
     this->OnConnectFailed("another incarnation answers at the address");
-    return this->FinishAll(LinkErrorKind::kUnknown, "the remote node has restarted");
+    this->FinishAll(LinkErrorKind::kUnknown, "the remote node has restarted");
+    return this->cancels.Clear();
   }
   this->connect_timer.Reset();
   this->backoff.Reset();
