--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -446,12 +446,12 @@
 }
 
 TargetService::CallPointer TargetService::RemoveCaller(const Id128& call_id) {
-  if (const auto inbound = this->Find(call_id)) {
+  if (auto inbound = this->Find(call_id)) {
     inbound->caller_gone = true;
     return inbound;
   }
   const auto joined = this->joined_calls.extract(call_id);
-  const auto inbound = joined.empty() ? nullptr : this->Find(joined.mapped());
+  auto inbound = joined.empty() ? nullptr : this->Find(joined.mapped());
   if (!inbound) return nullptr;
   std::erase_if(inbound->joined, [bytes = call_id.ToBytes()](const InboundCall::JoinedCall& call) {
     return call.call_id == bytes;
