--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include <map>
+#include <unordered_map>
 
 #include "common/timer_service.h"
 #include "node/call_context.h"
@@ -78,7 +78,7 @@
   ContextTable contexts;
   TargetService service{timers, client, contexts, {"n1", 1, 1024, false, {}}, NoHooks()};
   std::uint64_t last_id = 0;
-  std::map<Id128, std::vector<peer::pb::Outcome>> answers;
+  std::unordered_map<Id128, std::vector<peer::pb::Outcome>> answers;
 };
 
 const std::vector kNotRunOnce = {peer::pb::OUTCOME_NOT_RUN};
