gone_caller_test: callers leave on command, no sleep, no vacuous pass

Read again: one test slept to hit the time between a link's silence and its discovery, and the test of the queued call cut the network without knowing that the call had reached the queue, so it could pass without showing anything.

A caller now holds a connection of its own and closes it when told to, right after the fault. The queued call is waited for in the queue's metric, and the one-way cut until the caller's node has lost its link, so that no cancel can cross.

--- a/tests/integration/gone_caller_test.cc
+++ b/tests/integration/gone_caller_test.cc
@@ -1,10 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <asio/buffer.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <csignal>
 #include <functional>
 #include <future>
 #include <nlohmann/json.hpp>
-#include <thread>
 
 #include "tests/integration/fleet.h"
 #include "tests/integration/wait_until.h"
@@ -19,10 +22,8 @@
 /// Far above all time limits, so that nothing ends for having expired.
 constexpr const char* kDeadlineMs = "60000";
 constexpr seconds kLimit{10};
-/// When a caller leaves.
 constexpr milliseconds kPatience{800};
-/// How long before that a link falls silent: shorter than it takes to notice.
-constexpr milliseconds kSilenceBefore{300};
+constexpr std::uint16_t kCallerPort = 7400;
 /// From a caller's leaving to the end of its call, where its node has to open the link again.
 constexpr seconds kReopenedLinkLimit{3};
 /// The same where its node is gone: the time after which it has given the call up, and a margin.
@@ -40,6 +41,21 @@
   return text;
 }
 
+/// A caller that has sent a request, and closes its connection when told to.
+class LeavingCaller {
+ public:
+  LeavingCaller(const std::string& address, const std::string& path) : socket(this->loop) {
+    this->socket.connect({asio::ip::make_address(address), kCallerPort});
+    const std::string request = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    asio::write(this->socket, asio::buffer(request));
+  }
+  void Leave() { this->socket.close(); }
+
+ private:
+  asio::io_context loop;
+  asio::ip::tcp::socket socket;
+};
+
 /// An entry, a target on a node of its own, and one that calls it.
 class GoneCallerTest : public ::testing::Test {
  protected:
@@ -54,6 +70,13 @@
   int Count(const std::string& node, const char* counter) const {
     return json::parse(this->fleet.Runs(node))[counter].get<int>();
   }
+  /// Waits for a line of a node's metrics.
+  bool WaitForMetric(const std::string& node, const std::string& line) const {
+    return WaitUntil(kLimit, [&] {
+      const std::string metrics = Get(this->fleet.AdminUrl(node) + "/metrics").body;
+      return metrics.find("\n" + line + "\n") != std::string::npos;
+    });
+  }
   /// A caller that leaves after `kPatience`.
   std::future<HttpAnswer> CallAndLeave(const std::string& path) {
     HttpCall call;
@@ -61,14 +84,14 @@
     call.timeout = kPatience;
     return std::async(std::launch::async, [call] { return MakeCall(call); });
   }
-  /// Starts a call that hangs at the target, lets `fault` happen, and waits until the target is
-  /// told that the caller has left.
+  /// Starts a call that hangs at the target, lets `fault` happen just before the caller leaves, and
+  /// waits until the target is told of that.
   void ExpectCancelledAfter(const std::function<void()>& fault, seconds limit) {
     this->fleet.SetTargetFault("a1", R"({"hang": true})");
-    auto call = this->CallAndLeave("/deep/x");
+    LeavingCaller caller(this->fleet.Address("a0"), "/deep/x");
     ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("a1", "runs") == 1; }));
     fault();
-    call.wait();
+    caller.Leave();
     EXPECT_TRUE(WaitUntil(limit, [&] { return this->Count("a1", "cancelled") == 1; }));
   }
 
@@ -78,7 +101,6 @@
 TEST_F(GoneCallerTest, CancelSurvivesALinkThatFallsSilentJustBefore) {
   this->ExpectCancelledAfter(
       [this] {
-        std::this_thread::sleep_for(kPatience - kSilenceBefore);
         this->fleet.Network().SilenceExisting({"a0", "a1"});
       },
       kReopenedLinkLimit);
@@ -106,8 +128,12 @@
 }
 
 TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeHearsNothing) {
-  this->ExpectCancelledAfter([this] { this->fleet.Network().CutOneWay({"a1"}, {"a0"}); },
-                             kGoneNodeLimit);
+  this->ExpectCancelledAfter(
+      [this] {
+        this->fleet.Network().CutOneWay({"a1"}, {"a0"});
+        ASSERT_TRUE(this->WaitForMetric("a0", "fireflyrun_open_links 0"));
+      },
+      kGoneNodeLimit);
 }
 
 TEST_F(GoneCallerTest, WorkEndsWhenTheCallersNodeIsKilled) {
@@ -138,9 +164,10 @@
   auto running = std::async(std::launch::async,
                             [this] { return this->fleet.Call("a2", "GET", "/deep/first"); });
   ASSERT_TRUE(WaitUntil(kLimit, [&] { return this->Count("a1", "runs") == 1; }));
-  auto queued = this->CallAndLeave("/deep/queued");
+  LeavingCaller queued(this->fleet.Address("a0"), "/deep/queued");
+  ASSERT_TRUE(this->WaitForMetric("a1", "fireflyrun_admission_queue_length 1"));
   this->fleet.Network().CutBetween({"a0"}, {"a1"});
-  queued.wait();
+  queued.Leave();
   EXPECT_TRUE(HoldsFor(kGoneNodeLimit, [&] { return this->Count("a1", "runs") == 1; }));
   this->fleet.NodeProcess("a2").Kill();
   EXPECT_TRUE(WaitUntil(kGoneNodeLimit, [&] { return this->Count("a1", "cancelled") == 1; }));
