Links tell how old their calls are, and late timers are counted

Clocks of two hosts can't be compared, but a round trip bounds the difference: Hello and heartbeats now carry the boot clocks of both ends, and the caller states each call's deadline by the called node's clock. That clock counts suspension and is not set.

New: fireflyrun_link_calls_timed_total, fireflyrun_link_calls_expired_total, fireflyrun_link_transit_seconds_total, fireflyrun_late_timers_total. Nothing acts on them yet.

--- a/src/common/clock.h
+++ b/src/common/clock.h
@@ -9,11 +9,11 @@
 using SteadyTime = SteadyClock::time_point;
 using Duration = SteadyClock::duration;
 
-inline std::chrono::microseconds ToMicroseconds(Duration duration) {
+constexpr std::chrono::microseconds ToMicroseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration);
 }
 
-inline std::chrono::milliseconds ToMilliseconds(Duration duration) {
+constexpr std::chrono::milliseconds ToMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
 }
 
--- a/src/common/suspension_detector.cc
+++ b/src/common/suspension_detector.cc
@@ -1,25 +1,20 @@
 #include "common/suspension_detector.h"
 
-#include <ctime>
 #include <utility>
 
+#include "common/boot_clock.h"
+
 namespace fireflyrun {
 namespace {
 
 /// Both clocks are read one after the other, between which the process may have to wait.
 constexpr Duration kSlack = std::chrono::milliseconds(200);
 
-Duration ReadClock(clockid_t clock) {
-  timespec now{};
-  clock_gettime(clock, &now);
-  return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
-}
-
 }  // namespace
 
 SuspensionDetector::SuspensionDetector()
-    : SuspensionDetector([] { return ReadClock(CLOCK_BOOTTIME); },
-                         [] { return ReadClock(CLOCK_MONOTONIC); }) {}
+    : SuspensionDetector([] { return BootClock::now().time_since_epoch(); },
+                         [] { return SteadyClock::now().time_since_epoch(); }) {}
 
 SuspensionDetector::SuspensionDetector(ClockHook boot_time, ClockHook steady_time)
     : boot(std::move(boot_time)), steady(std::move(steady_time)), last_offset(this->Offset()) {}
--- a/src/common/timer_service.cc
+++ b/src/common/timer_service.cc
@@ -52,10 +52,15 @@
   });
 }
 
+void TimerService::CountIfLate(Duration delay) {
+  if (delay >= kLateTimer) ++this->late_timers;
+}
+
 void TimerService::Arm(const std::shared_ptr<Entry>& entry, Duration delay) {
   entry->timer.expires_after(delay);
   entry->timer.async_wait([this, entry](const asio::error_code& error) {
     if (error || entry->cancelled) return;
+    this->CountIfLate(SteadyClock::now() - entry->timer.expiry());
     entry->callback();
     const bool repeats = entry->period > Duration::zero();
     if (repeats && !entry->cancelled) this->Arm(entry, entry->period);
--- a/src/common/timer_service.h
+++ b/src/common/timer_service.h
@@ -35,15 +35,21 @@
 
   asio::io_context& Loop() { return this->loop; }
 
+  /// Timers that fired at least `kLateTimer` after their time: the event loop was held up.
+  std::uint64_t LateTimers() const { return this->late_timers; }
+  static constexpr Duration kLateTimer = std::chrono::milliseconds(250);
+
  private:
   struct Entry;
 
   TimerSubscription Subscribe(Duration first_delay, Duration period,
                               std::function<void()> callback);
   void Arm(const std::shared_ptr<Entry>& entry, Duration delay);
+  void CountIfLate(Duration delay);
 
   asio::io_context& loop;
   Duration slot_offset;
+  std::uint64_t late_timers = 0;
 };
 
 }  // namespace fireflyrun
--- a/src/node/attempt_sender.cc
+++ b/src/node/attempt_sender.cc
@@ -103,6 +103,7 @@
   if (attempt.ticket) *head.mutable_ticket() = ToMessage(*attempt.ticket);
   if (attempt.successor) *head.mutable_successor() = ToMessage(*attempt.successor);
   message.body = call.body;
+  message.deadline = call.deadline;
   return message;
 }
 
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -227,6 +227,19 @@
   out->AddCounter("fireflyrun_link_cancels_repeated_total",
                   "Cancels sent again, because their connection was lost.",
                   [this] { return static_cast<double>(this->links->Counters().cancels_repeated); });
+  out->AddCounter(
+      "fireflyrun_link_calls_timed_total", "Calls from other nodes that told how old they were.",
+      [this] { return static_cast<double>(this->link_server->Counters().calls_timed); });
+  out->AddCounter("fireflyrun_link_calls_expired_total",
+                  "Calls from other nodes that arrived after their deadline.", [this] {
+                    return static_cast<double>(this->link_server->Counters().calls_expired);
+                  });
+  out->AddCounter("fireflyrun_link_transit_seconds_total",
+                  "Time from the writing of timed calls at their caller's node to their reading.",
+                  [this] {
+                    const Duration time = this->link_server->Counters().transit_time;
+                    return std::chrono::duration<double>(time).count();
+                  });
   out->AddCounter(
       "fireflyrun_orphaned_calls_total", "Calls cancelled because their caller's node was gone.",
       [this] { return static_cast<double>(this->link_server->Counters().calls_orphaned); });
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -244,7 +244,7 @@
 }
 
 void Node::Implementation::AddServerMetrics() {
-  AddProcessMetrics(&this->metrics);
+  AddProcessMetrics(this->timers, &this->metrics);
   this->metrics.AddGauge(
       "fireflyrun_open_exchanges", "Callers' requests that are not yet answered in full.",
       [this] { return static_cast<double>(this->caller_server.OpenExchanges()); });
--- a/src/node/process_metrics.cc
+++ b/src/node/process_metrics.cc
@@ -4,14 +4,18 @@
 
 #include "common/log.h"
 #include "common/process_memory.h"
+#include "common/timer_service.h"
 #include "node/node_metrics.h"
 #include "store/observed_store.h"
 
 namespace fireflyrun::node {
 
-void AddProcessMetrics(NodeMetrics* metrics) {
+void AddProcessMetrics(const TimerService& timers, NodeMetrics* metrics) {
   metrics->AddGauge("process_resident_memory_bytes", "Resident memory size in bytes.",
                     [] { return static_cast<double>(ResidentBytes()); });
+  metrics->AddCounter("fireflyrun_late_timers_total",
+                      "Timers that fired at least 0.25 s late, as the event loop was held up.",
+                      [&timers] { return static_cast<double>(timers.LateTimers()); });
   for (const auto& [urgency, name] : kLogUrgencyNames.Entries()) {
     const auto index = static_cast<std::size_t>(urgency);
     metrics->AddCounter("fireflyrun_log_lines_left_out_total",
--- a/src/peer/call.h
+++ b/src/peer/call.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "common/clock.h"
 #include "peer/peer.pb.h"
 
 namespace fireflyrun::peer {
@@ -10,6 +11,7 @@
 struct Call {
   pb::CallHead head;
   std::string body;
+  SteadyTime deadline;  ///< By this process's clock, at both ends of a link.
 };
 
 /// A complete answer. If there is no answer from the target, the head holds the refusal.
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -4,6 +4,7 @@
 #include <asio/post.hpp>
 #include <utility>
 
+#include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
 #include "peer/peer.pb.h"
 
@@ -93,11 +94,19 @@
   OutgoingMessage message;
   message.call_id = call_id;
   message.call = std::move(pending.call);
+  this->SetExpiry(*message.call);
   message.queued_at = pending.sent_at;
   pending.phase = PendingCall::Phase::kQueued;
   this->connection->Push(std::move(message));
 }
 
+void Link::SetExpiry(Call& call) const {
+  const auto remote_now = this->remote_clock.At(BootClock::now());
+  if (!remote_now) return;
+  const Duration left = call.deadline - SteadyClock::now();
+  call.head.set_expires_boot_us(EncodeBootTime(*remote_now + left));
+}
+
 void Link::OnHandedOver(const Id128& call_id) {
   const auto call = this->calls.find(call_id);
   if (call != this->calls.end()) call->second.phase = PendingCall::Phase::kHandedOver;
@@ -201,6 +210,11 @@
   constexpr int kTotalWeight = 8;
   const auto sent_at = SteadyTime(std::chrono::microseconds(heartbeat.sent_us()));
   this->cancels.Confirm(sent_at);
+  const auto sent_boot = DecodeBootTime(heartbeat.sent_boot_us());
+  const auto replied_boot = DecodeBootTime(heartbeat.replied_boot_us());
+  if (sent_boot && replied_boot) {
+    this->remote_clock.Add(*sent_boot, *replied_boot, BootClock::now());
+  }
   const Duration sample = std::max(SteadyClock::now() - sent_at, Duration::zero());
   if (this->round_trip == Duration::zero()) {
     this->round_trip = sample;
@@ -213,6 +227,7 @@
   const auto now = SteadyClock::now().time_since_epoch();
   pb::Heartbeat heartbeat;
   heartbeat.set_sent_us(static_cast<std::uint64_t>(ToMicroseconds(now).count()));
+  heartbeat.set_sent_boot_us(EncodeBootTime(BootClock::now()));
   this->connection->PushFrame(pb::Frame::kHeartbeatFieldNumber, heartbeat);
   this->last_heartbeat = SteadyClock::now();
 }
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -14,6 +14,7 @@
 #include "peer/backoff.h"
 #include "peer/connection.h"
 #include "peer/pending_call.h"
+#include "peer/remote_clock.h"
 #include "peer/unconfirmed_cancels.h"
 
 namespace fireflyrun::peer {
@@ -73,6 +74,8 @@
   void OnDeadline(const Id128& call_id);
 
   void Queue(const Id128& call_id, PendingCall& pending);
+  /// States the call's deadline by the remote node's clock, if that is known.
+  void SetExpiry(Call& call) const;
   void PushHeartbeat();
   void PushQuery(const Id128& call_id);
   void PushCancel(const Id128& call_id);
@@ -112,6 +115,8 @@
   SteadyTime last_tick;
   SteadyTime last_heartbeat;
   Duration round_trip{};
+  RemoteClock remote_clock;
+  BootTime hello_sent_at;
   bool tick_running = false;
 };
 
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -3,6 +3,7 @@
 #include <asio/ip/address.hpp>
 #include <utility>
 
+#include "peer/boot_time_codec.h"
 #include "peer/link.h"
 #include "peer/peer.pb.h"
 
@@ -71,6 +72,8 @@
   hello.set_node(this->options.node);
   hello.set_incarnation(this->options.incarnation);
   hello.set_link_number(this->next_number());
+  this->hello_sent_at = BootClock::now();
+  hello.set_boot_us(EncodeBootTime(this->hello_sent_at));
   this->connection->PushFrame(pb::Frame::kHelloFieldNumber, hello);
   this->connection->Flush();
 }
@@ -84,6 +87,9 @@
     this->FinishAll(LinkErrorKind::kUnknown, "the remote node has restarted");
     return this->cancels.Clear();
   }
+  if (const auto remote = DecodeBootTime(hello.boot_us())) {
+    this->remote_clock.Add(this->hello_sent_at, *remote, BootClock::now());
+  }
   this->connect_timer.Reset();
   this->backoff.Reset();
   this->state = State::kOpen;
--- a/src/peer/link_counters.h
+++ b/src/peer/link_counters.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 
+#include "common/clock.h"
+
 namespace fireflyrun::peer {
 
 /// Totals since the start of a LinkPool or LinkServer.
@@ -17,6 +19,9 @@
   std::uint64_t cancels = 0;           ///< Of calls that may have arrived: sent, or received.
   std::uint64_t cancels_repeated = 0;  ///< Sent again, as their connection was lost.
   std::uint64_t calls_orphaned = 0;    ///< Open when their caller's node was gone.
+  std::uint64_t calls_timed = 0;       ///< Arrived with an expiry by this node's clock.
+  std::uint64_t calls_expired = 0;     ///< Of those, arrived after it.
+  Duration transit_time{};             ///< Of the timed calls, from their writing to their reading.
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_pool.cc
+++ b/src/peer/link_pool.cc
@@ -72,6 +72,7 @@
   if (link->HasCall(*call_id)) return this->Refuse(std::move(handler), "the call id is in use");
   call.head.set_body_length(call.body.size());
   call.head.set_body_crc32(Checksum(call.body));
+  if (call.deadline == SteadyTime()) call.deadline = deadline;
   if (call.head.deadline_us() == 0) {
     call.head.set_deadline_us(MicrosecondsUntil(deadline));
   }
--- a/src/peer/link_pool.h
+++ b/src/peer/link_pool.h
@@ -35,9 +35,10 @@
 
   /// Sends a call whose head has a unique call_id; sets the head's body length and checksum. The
   /// head's deadline_us is reduced by the time spent in the queue; if 0, it is first set to the
-  /// time until `deadline`. `handler` runs exactly once, never from within Send(), at the latest at
-  /// `deadline` (then with kUnknown, or kNotSent if the call was not sent). An invalid or pending
-  /// call_id, or a head or body over its limit, results in kNotSent.
+  /// time until `deadline`, and so is the call's deadline if it isn't set. `handler` runs exactly
+  /// once, never from within Send(), at the latest at `deadline` (then with kUnknown, or kNotSent
+  /// if the call was not sent). An invalid or pending call_id, or a head or body over its limit,
+  /// results in kNotSent.
   void Send(const PeerAddress& peer, Call call, SteadyTime deadline, AnswerHandler handler);
 
   /// Cancels a call: drops the handler without running it, and notifies the remote node, if need be
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -4,6 +4,7 @@
 #include <asio/ip/address.hpp>
 #include <asio/post.hpp>
 
+#include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
 #include "peer/peer.pb.h"
@@ -206,7 +207,7 @@
     case pb::Frame::kStateQuery:
       return this->OnStateQuery(link, frame.state_query());
     case pb::Frame::kHeartbeat:
-      return link->connection->PushFrame(pb::Frame::kHeartbeatReplyFieldNumber, frame.heartbeat());
+      return this->OnHeartbeat(link, *frame.mutable_heartbeat());
     default:
       return this->CloseLink(link);
   }
@@ -238,12 +239,29 @@
   reply.set_cluster(this->options.cluster);
   reply.set_node(this->options.node);
   reply.set_incarnation(this->options.incarnation);
+  reply.set_boot_us(EncodeBootTime(BootClock::now()));
   link->connection->PushFrame(pb::Frame::kHelloFieldNumber, reply);
 }
 
+void LinkServer::Implementation::OnHeartbeat(const Link& link, pb::Heartbeat& heartbeat) {
+  heartbeat.set_replied_boot_us(EncodeBootTime(BootClock::now()));
+  link->connection->PushFrame(pb::Frame::kHeartbeatReplyFieldNumber, heartbeat);
+}
+
+void LinkServer::Implementation::CountTransit(const pb::CallHead& head) {
+  const auto expires = DecodeBootTime(head.expires_boot_us());
+  if (!expires) return;
+  const Duration left = *expires - BootClock::now();
+  const Duration transit = std::chrono::microseconds(head.deadline_us()) - left;
+  this->counters->transit_time += std::max(transit, Duration::zero());
+  ++this->counters->calls_timed;
+  if (left <= Duration::zero()) ++this->counters->calls_expired;
+}
+
 void LinkServer::Implementation::OnCallHead(const Link& link, pb::CallHead& head) {
   const auto call_id = Id128::FromBytes(head.call_id());
   if (!call_id || link->partial_calls.contains(*call_id)) return this->CloseLink(link);
+  this->CountTransit(head);
   const auto deadline = SteadyClock::now() + std::chrono::microseconds(head.deadline_us());
   const std::uint64_t length = head.body_length();
   const std::size_t partial_limit = this->options.max_body_bytes * kMaxPartialBodies;
