--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -59,6 +59,8 @@
   return connections > 1 && policy.health_path ? connections - 1 : connections;
 }
 
+bool HasExpired(const InboundCall& inbound) { return SteadyClock::now() >= inbound.deadline; }
+
 std::string RequestIdOf(const peer::pb::CallHead& head, const WireNames& wire) {
   for (const auto& header : head.headers()) {
     if (http::SameHeaderName(header.name(), wire.request_id)) return header.value();
@@ -170,7 +172,7 @@
   auto inbound = std::make_shared<InboundCall>();
   inbound->id = Id128::FromBytes(call.head.call_id()).value_or(Id128::Random());
   inbound->arrived = SteadyClock::now();
-  inbound->deadline = inbound->arrived + std::chrono::microseconds(call.head.deadline_us());
+  inbound->deadline = call.deadline;
   inbound->call = std::move(call);
   inbound->reply = std::move(reply);
   this->calls[inbound->id] = inbound;
@@ -251,6 +253,10 @@
     this->Refuse(inbound, RefusalReason::kNoTarget);
     return;
   }
+  if (HasExpired(*inbound)) {
+    this->Refuse(inbound, RefusalReason::kDeadline);
+    return;
+  }
   if (this->options.admit_all) {
     this->StartCall(inbound->id);
     return;
@@ -268,6 +274,11 @@
     this->admission.Abandoned(id, SteadyClock::now());
     return;
   }
+  if (HasExpired(*inbound)) {
+    this->admission.Abandoned(id, SteadyClock::now());
+    this->Refuse(inbound, RefusalReason::kDeadline);
+    return;
+  }
   inbound->started = SteadyClock::now();
   if (inbound->ticket && !this->ledger.Start(*inbound->ticket, inbound->started)) {
     this->admission.Abandoned(id, inbound->started);
--- a/src/peer/inbound_link.h
+++ b/src/peer/inbound_link.h
@@ -21,7 +21,6 @@
   struct PartialCall {
     Call call;
     BodyAssembly assembly;
-    SteadyTime deadline;
     std::size_t body_length = 0;
   };
 
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -39,6 +39,15 @@
   return answer;
 }
 
+/// The time left when the call was written starts anew here, unless the caller knew this node's
+/// clock: then what the call spent on its way counts too.
+SteadyTime DeadlineOf(const pb::CallHead& head) {
+  Duration left = std::chrono::microseconds(head.deadline_us());
+  const auto expires = DecodeBootTime(head.expires_boot_us());
+  if (expires) left = std::min<Duration>(left, *expires - BootClock::now());
+  return SteadyClock::now() + left;
+}
+
 }  // namespace
 
 LinkServer::Implementation::Implementation(TimerService& timer_service, LinkOptions link_options,
@@ -262,7 +271,7 @@
   const auto call_id = Id128::FromBytes(head.call_id());
   if (!call_id || link->partial_calls.contains(*call_id)) return this->CloseLink(link);
   this->CountTransit(head);
-  const auto deadline = SteadyClock::now() + std::chrono::microseconds(head.deadline_us());
+  const SteadyTime deadline = DeadlineOf(head);
   const std::uint64_t length = head.body_length();
   const std::size_t partial_limit = this->options.max_body_bytes * kMaxPartialBodies;
   if (length > this->options.max_body_bytes || link->partial_bytes + length > partial_limit) {
@@ -271,12 +280,13 @@
   if (length == 0) {
     Call call;
     call.head.Swap(&head);
-    return this->Run(link, *call_id, std::move(call), deadline);
+    call.deadline = deadline;
+    return this->Run(link, *call_id, std::move(call));
   }
   InboundLink::PartialCall partial;
   partial.call.head.Swap(&head);
+  partial.call.deadline = deadline;
   partial.assembly = BodyAssembly(length, partial.call.head.body_crc32());
-  partial.deadline = deadline;
   partial.body_length = length;
   link->partial_bytes += length;
   link->partial_calls.emplace(*call_id, std::move(partial));
@@ -292,10 +302,9 @@
   if (state == BodyAssembly::State::kIncomplete) return;
   Call call = std::move(partial.call);
   call.body = partial.assembly.TakeBody();
-  const SteadyTime deadline = partial.deadline;
   this->DropPartial(link, *call_id);
   if (state == BodyAssembly::State::kDamaged) return this->Refuse(link, *call_id, kBodyDamaged);
-  this->Run(link, *call_id, std::move(call), deadline);
+  this->Run(link, *call_id, std::move(call));
 }
 
 void LinkServer::Implementation::DropPartial(const Link& link, const Id128& call_id) {
@@ -337,9 +346,8 @@
   link->connection->Push(std::move(message));
 }
 
-void LinkServer::Implementation::Run(const Link& link, const Id128& call_id, Call call,
-                                     SteadyTime deadline) {
-  if (!this->calls.Begin(call_id, link->caller, deadline, SteadyClock::now())) {
+void LinkServer::Implementation::Run(const Link& link, const Id128& call_id, Call call) {
+  if (!this->calls.Begin(call_id, link->caller, call.deadline, SteadyClock::now())) {
     ++this->counters->calls_dropped;
     return;
   }
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -68,7 +68,7 @@
   void OnStateQuery(const Link& link, const pb::StateQuery& query);
 
   void DropPartial(const Link& link, const Id128& call_id);
-  void Run(const Link& link, const Id128& call_id, Call call, SteadyTime deadline);
+  void Run(const Link& link, const Id128& call_id, Call call);
   /// Passes the calls on that have arrived and were not cancelled by what arrived with them.
   void DeliverArrivals();
   void Refuse(const Link& link, const Id128& call_id, std::string_view reason);
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -37,17 +37,18 @@
   }
 
   /// A call under `ticket`, or an idempotent one.
-  Id128 Call(const std::optional<policy::Ticket>& ticket = std::nullopt) {
+  Id128 Call(const std::optional<policy::Ticket>& ticket = std::nullopt,
+             Duration limit = seconds(20)) {
     const Id128 id(0, ++this->last_id);
     peer::Call call;
     auto& head = call.head;
     head.set_call_id(id.ToBytes());
     head.set_root_id(id.ToBytes());
-    head.set_deadline_us(20'000'000);
     head.set_service(kService);
     head.set_method("GET");
     head.set_target("/");
     head.set_at_most_once(ticket.has_value());
+    call.deadline = SteadyClock::now() + limit;
     if (ticket) *head.mutable_ticket() = ToMessage(*ticket);
     this->service.OnCall(std::move(call), [this, id](const peer::Answer& answer) {
       this->answers[id].push_back(answer.head.outcome());
@@ -163,6 +164,16 @@
   EXPECT_EQ(this->client.HeldBytes(), 0U);
 }
 
+TEST_F(TargetServiceTest, CallThatArrivesAfterItsDeadlineNeverRuns) {
+  for (const bool once : {false, true}) {
+    const auto ticket = once ? std::optional(this->NewTicket()) : std::nullopt;
+    const Id128 call = this->Call(ticket, -milliseconds(1));
+    EXPECT_EQ(this->answers[call], kNotRunOnce);
+  }
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  EXPECT_EQ(this->service.OpenCalls(), 0U);
+}
+
 TEST_F(TargetServiceTest, CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft) {
   const Id128 call = this->Call(this->NewTicket());
   ASSERT_TRUE(this->RunUntilReached(1));
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
 #include "tests/peer/raw_link.h"
@@ -67,6 +68,55 @@
   EXPECT_EQ(harness.server->OpenCalls(), 0U);
 }
 
+/// The time left of a call when the called node takes it.
+std::optional<Duration> TimeLeft(const std::function<void(PeerHarness&, RawLink&)>& send) {
+  PeerHarness harness;
+  std::optional<Duration> left;
+  harness.on_call = [&](const Call& call, const LinkServer::Reply&) {
+    left = call.deadline - SteadyClock::now();
+  };
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  send(harness, link);
+  EXPECT_TRUE(harness.RunUntil([&] { return left.has_value(); }));
+  return left;
+}
+
+TEST(LinkServerTest, TimeOnTheWayCountsTowardsACallsDeadline) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  const auto left_when_expiring = [](Duration from_now) {
+    return TimeLeft([from_now](PeerHarness&, RawLink& link) {
+      link.SendCall(kCall, "", 0, EncodeBootTime(BootClock::now() + from_now));
+    });
+  };
+  EXPECT_LE(left_when_expiring(-milliseconds(1)), Duration::zero());
+  EXPECT_LE(left_when_expiring(seconds(1)), seconds(1));
+  EXPECT_GT(left_when_expiring(seconds(1)), Duration::zero());
+  // What the caller left of its time is never exceeded: RawLink leaves 10 s.
+  EXPECT_LE(left_when_expiring(seconds(60)), seconds(10));
+}
+
+TEST(LinkServerTest, TimeInWhichACallsBodyArrivesCountsTowardsItsDeadline) {
+  const std::chrono::milliseconds limit(20);
+  const auto left = TimeLeft([limit](PeerHarness& harness, RawLink& link) {
+    pb::CallHead head;
+    head.set_call_id(kCall.ToBytes());
+    head.set_deadline_us(static_cast<std::uint32_t>(ToMicroseconds(limit).count()));
+    head.set_body_length(4);
+    head.set_body_crc32(Checksum("body"));
+    link.Send(pb::Frame::kCallHeadFieldNumber, head);
+    const auto bytes_in = harness.server->Counters().bytes_in;
+    ASSERT_TRUE(harness.RunUntil([&] { return harness.server->Counters().bytes_in > bytes_in; }));
+    const SteadyTime late = SteadyClock::now() + limit;
+    ASSERT_TRUE(harness.RunUntil([&] { return SteadyClock::now() > late; }));
+    std::string chunk;
+    AppendChunkFrame(pb::Frame::kCallChunkFieldNumber, kCall, "body", &chunk);
+    link.Write(chunk);
+  });
+  EXPECT_LE(left, Duration::zero());
+}
+
 TEST(LinkServerTest, CallThatEndsWithItsCancelLeavesNoState) {
   PeerHarness harness;
   LinkServer::Reply kept;
--- a/tests/peer/raw_link.cc
+++ b/tests/peer/raw_link.cc
@@ -42,9 +42,11 @@
   this->Send(pb::Frame::kHelloFieldNumber, hello);
 }
 
-void RawLink::SendCall(const Id128& call_id, const std::string& body, std::uint32_t crc32) {
+void RawLink::SendCall(const Id128& call_id, const std::string& body, std::uint32_t crc32,
+                       std::uint64_t expires_boot_us) {
   pb::CallHead head;
   head.set_call_id(call_id.ToBytes());
+  head.set_expires_boot_us(expires_boot_us);
   head.set_deadline_us(10'000'000);
   head.set_body_length(body.size());
   head.set_body_crc32(crc32);
--- a/tests/peer/raw_link.h
+++ b/tests/peer/raw_link.h
@@ -20,7 +20,8 @@
   void Write(const std::string& bytes);
   void Send(int field_number, const google::protobuf::MessageLite& message);
   void SendHello(const std::string& node, std::uint64_t incarnation, std::uint64_t link_number);
-  void SendCall(const Id128& call_id, const std::string& body, std::uint32_t crc32);
+  void SendCall(const Id128& call_id, const std::string& body, std::uint32_t crc32,
+                std::uint64_t expires_boot_us = 0);
   void SendQuery(const Id128& call_id);
   void SendCancel(const Id128& call_id);
   /// Runs the event loop until a frame with this body is received; drops other frames. Returns
