A call and the cancel far behind it on one link are seen together

A node that read late took 16 KiB of a link and handed over the calls in it, while the cancels of some of them lay further back, unread.

A link is now read on, up to 256 KiB a turn, before the calls in it are handed over. What lies behind that is read in the next turn, as before.

LinkServerTest.CancelFarBehindItsCallIsSeenBeforeTheCallIsHandedOver failed without the change.

--- a/src/peer/connection.cc
+++ b/src/peer/connection.cc
@@ -22,6 +22,8 @@
 constexpr int kMaxUnsentBytes = 128 << 10;
 /// Writes in one Flush(); then the event loop runs other handlers.
 constexpr int kMaxWritesPerFlush = 4;
+/// Full reads in a row; then the event loop runs other handlers.
+constexpr int kMaxReadsInARow = 16;
 
 void LimitUnsentBytes(asio::ip::tcp::socket& socket) {
   const int bytes = kMaxUnsentBytes;
@@ -139,19 +141,44 @@
 
 void Connection::Read() {
   const auto space = this->reader.Prepare();
-  this->socket.async_read_some(
-      asio::buffer(space.data(), space.size()),
-      [self = this->shared_from_this()](const asio::error_code& error, std::size_t size) {
-        if (!self->open) return;
-        if (error) return self->Fail(error.message());
-        self->last_received = SteadyClock::now();
-        self->counters->bytes_in += size;
-        self->reader.Commit(size);
-        self->DispatchFrames();
-        if (!self->open) return;
-        self->Flush();
-        if (self->open) self->Read();
-      });
+  this->socket.async_read_some(asio::buffer(space.data(), space.size()),
+                               [self = this->shared_from_this(), capacity = space.size()](
+                                   const asio::error_code& error, std::size_t size) {
+                                 if (!self->open) return;
+                                 if (error) return self->Fail(error.message());
+                                 self->OnRead(size, size == capacity);
+                               });
+}
+
+/// Reads on while there is more, so that a call and the cancel behind it are seen together.
+void Connection::OnRead(std::size_t size, bool was_full) {
+  this->Take(size);
+  for (int reads = 1; was_full && this->open && reads < kMaxReadsInARow; ++reads) {
+    was_full = this->ReadMore();
+  }
+  if (!this->open) return;
+  this->Flush();
+  if (this->open) this->Read();
+}
+
+bool Connection::ReadMore() {
+  const auto space = this->reader.Prepare();
+  asio::error_code error;
+  const std::size_t size = this->socket.read_some(asio::buffer(space.data(), space.size()), error);
+  if (error == asio::error::would_block || error == asio::error::try_again) return false;
+  if (error) {
+    this->Fail(error.message());
+    return false;
+  }
+  this->Take(size);
+  return size == space.size();
+}
+
+void Connection::Take(std::size_t size) {
+  this->last_received = SteadyClock::now();
+  this->counters->bytes_in += size;
+  this->reader.Commit(size);
+  this->DispatchFrames();
 }
 
 void Connection::DispatchFrames() {
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -57,6 +57,11 @@
   };
 
   void Read();
+  void OnRead(std::size_t size, bool was_full);
+  /// Reads once without waiting; returns true if there may be more to read.
+  bool ReadMore();
+  /// Handles the frames of what was read into the reader's space.
+  void Take(std::size_t size);
   void DispatchFrames();
   bool WriteOnce();
   void WaitUntilWritable();
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
@@ -117,6 +119,34 @@
   EXPECT_LE(left, Duration::zero());
 }
 
+/// A call's frame, as RawLink sends it.
+std::string CallFrame(const Id128& call_id) {
+  pb::CallHead head;
+  head.set_call_id(call_id.ToBytes());
+  head.set_deadline_us(10'000'000);
+  std::string bytes;
+  AppendFrame(pb::Frame::kCallHeadFieldNumber, head, &bytes);
+  return bytes;
+}
+
+TEST(LinkServerTest, CancelFarBehindItsCallIsSeenBeforeTheCallIsHandedOver) {
+  constexpr int kCallsBetween = 1000;
+  PeerHarness harness;
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  ASSERT_TRUE(link.Await(pb::Frame::kHello));
+  std::string bytes = CallFrame(kCall);
+  for (std::uint64_t call = 0; call < kCallsBetween; ++call) bytes += CallFrame({2, call});
+  pb::Cancel cancel;
+  cancel.set_call_id(kCall.ToBytes());
+  AppendFrame(pb::Frame::kCancelFieldNumber, cancel, &bytes);
+  // At once, as many small writes would not all fit in the kernel's buffer.
+  link.Write(bytes);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.ran.size() >= kCallsBetween; }));
+  EXPECT_EQ(std::count(harness.ran.begin(), harness.ran.end(), kCall), 0);
+  EXPECT_TRUE(harness.cancelled.empty());
+}
+
 TEST(LinkServerTest, CallThatEndsWithItsCancelLeavesNoState) {
   PeerHarness harness;
   LinkServer::Reply kept;
