A call taken from the queue starts after what has arrived was read

When a slot became free, the next call was sent to the target at once, although its cancel could lie unread in a link that the event loop would come to next, as after a time in which it was held up.

Calls that have waited now start after the loop has polled its sockets once more. Until then a cancel, an expired deadline, a target that has gone or is leaving still keeps the call from starting; without the checks a call would have started at a target that was withdrawn meanwhile. A call that is admitted as it arrives starts at once, as before.

--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "common/post_after_poll.h"
 #include "common/timer_service.h"
 #include "http/headers.h"
 #include "http/status.h"
@@ -94,7 +95,10 @@
       hooks(std::move(service_hooks)),
       ledger(this->options.node, this->options.incarnation, LedgerLimits(), SteadyClock::now()),
       admission(this->options.admission,
-                {[this](const Id128& id) { this->StartCall(id); },
+                {[this](const Id128& id) {
+                   if (id == this->offered) return this->StartCall(id);
+                   this->StartQueuedCall(id);
+                 },
                  [this](const Id128& id, RefusalReason reason) {
                    if (const auto inbound = this->Find(id)) this->Refuse(inbound, reason);
                  }},
@@ -263,20 +267,36 @@
   }
   LogQueued(this->LogContext(*inbound));
   const auto root = Id128::FromBytes(head.root_id()).value_or(Id128());
+  this->offered = inbound->id;
   this->admission.Offer({inbound->id, policy::KeyFor(head.class_rank(), root), inbound->deadline},
                         SteadyClock::now());
+  this->offered.reset();
   this->TickWhenDue();
 }
 
+void TargetService::StartQueuedCall(const Id128& id) {
+  PostAfterPoll(this->timers.Loop(), [this, id, guard = std::weak_ptr<bool>(this->alive)] {
+    if (!guard.expired()) this->StartCall(id);
+  });
+}
+
+RefusalReason TargetService::ReasonNotToStart(const InboundCall& inbound) const {
+  const bool has_target = this->target && this->target->service == inbound.call.head.service();
+  if (!has_target) return RefusalReason::kNoTarget;
+  if (this->leaving && !this->options.admit_all) return RefusalReason::kLeaving;
+  return HasExpired(inbound) ? RefusalReason::kDeadline : RefusalReason::kNone;
+}
+
 void TargetService::StartCall(const Id128& id) {
   const auto inbound = this->Find(id);
   if (!inbound) {
     this->admission.Abandoned(id, SteadyClock::now());
     return;
   }
-  if (HasExpired(*inbound)) {
+  const RefusalReason refusal = this->ReasonNotToStart(*inbound);
+  if (refusal != RefusalReason::kNone) {
     this->admission.Abandoned(id, SteadyClock::now());
-    this->Refuse(inbound, RefusalReason::kDeadline);
+    this->Refuse(inbound, refusal);
     return;
   }
   inbound->started = SteadyClock::now();
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -108,7 +108,11 @@
   void Offer(const CallPointer& inbound);
   /// Sets the timer for the admission's next tick, if it needs one.
   void TickWhenDue();
+  /// Starts a call that has waited, unless a cancel has arrived that is still unread.
+  void StartQueuedCall(const Id128& id);
   void StartCall(const Id128& id);
+  /// kNone if the call may start now.
+  policy::RefusalReason ReasonNotToStart(const InboundCall& inbound) const;
   void SendToTarget(const CallPointer& inbound);
   void OnTargetEnded(const CallPointer& inbound,
                      tl::expected<http::Response, http::ClientError> ended);
@@ -152,6 +156,9 @@
   bool tick_due = false;
   Duration tick_delay = Duration::zero();
   TimerSubscription tick_timer;
+  std::optional<Id128> offered;  ///< The call that the admission is being offered.
+  /// Expires with the service; whatever is queued on the loop checks it first.
+  std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 }  // namespace fireflyrun::node
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -23,11 +23,13 @@
  protected:
   TargetServiceTest() { this->Announce(1); }
 
-  static TargetService::Hooks NoHooks() {
+  TargetService::Hooks MakeHooks() {
     TargetService::Hooks hooks;
     hooks.on_admitted = [](const InboundCall&, Duration) {};
     hooks.on_refused = [](const InboundCall&, policy::RefusalReason) {};
-    hooks.on_answered = [](const InboundCall&, Duration) {};
+    hooks.on_answered = [this](const InboundCall&, Duration) {
+      if (this->on_answered) this->on_answered();
+    };
     return hooks;
   }
 
@@ -70,14 +72,17 @@
   }
 
   std::string answer;  ///< What the target writes after each request.
+  std::function<void()> on_answered;
   asio::io_context loop;
   TimerService timers{loop};
-  http::RawServer target{loop, [this](http::RawConnection& connection, int) {
-                           if (!this->answer.empty()) connection.Write(this->answer);
+  std::shared_ptr<http::RawConnection> connection;  ///< Of the latest request.
+  http::RawServer target{loop, [this](http::RawConnection& used, int) {
+                           this->connection = used.shared_from_this();
+                           if (!this->answer.empty()) used.Write(this->answer);
                          }};
   http::TargetClient client{timers, {}};
   ContextTable contexts;
-  TargetService service{timers, client, contexts, {"n1", 1, 1024, false, {}}, NoHooks()};
+  TargetService service{timers, client, contexts, {"n1", 1, 1024, false, {}}, MakeHooks()};
   std::uint64_t last_id = 0;
   std::unordered_map<Id128, std::vector<peer::pb::Outcome>> answers;
 };
@@ -174,6 +179,30 @@
   EXPECT_EQ(this->service.OpenCalls(), 0U);
 }
 
+TEST_F(TargetServiceTest, QueuedCallWhoseCancelHasArrivedUnreadNeverStarts) {
+  this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  const Id128 queued = this->Call();
+  // The answer frees the slot and leaves its connection idle; the cancel is read next.
+  this->on_answered = [&] { asio::post(this->loop, [&] { this->service.OnCancel(queued); }); };
+  asio::write(this->connection->socket, asio::buffer(std::string_view(http::kWholeResponse)));
+  ASSERT_TRUE(http::RunUntil(this->loop, [&] { return !this->answers[queued].empty(); }));
+  EXPECT_EQ(this->answers[queued], kNotRunOnce);
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  EXPECT_EQ(this->target.requests, 1);
+  EXPECT_EQ(this->service.Admission().InFlight(), 0U);
+}
+
+TEST_F(TargetServiceTest, QueuedCallIsNotStartedAtATargetThatHasGoneMeanwhile) {
+  const Id128 running = this->Call();
+  ASSERT_TRUE(this->RunUntilReached(1));
+  const Id128 queued = this->Call();
+  this->service.OnCancel(running);
+  this->service.WithdrawTarget();
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  EXPECT_EQ(this->answers[queued], kNotRunOnce);
+}
+
 TEST_F(TargetServiceTest, CallThatRunsOnceAndWasSentRunsOnAfterItsCallerHasLeft) {
   const Id128 call = this->Call(this->NewTicket());
   ASSERT_TRUE(this->RunUntilReached(1));
