A link that fell silent is reset, so that its calls do not arrive later

When nothing came back on a link for 0.6 s, its connection was closed and another one opened. The kernel went on sending what it had been given: calls arrived, and ran, after their callers had given them up with the link, and the cancels went another way.

The connection is now reset. What the called node has not got is lost; the state query on the next connection says so, and the call goes elsewhere as not run.

LinkTest.ConnectionThatFellSilentIsResetSoThatNothingMoreOfItArrives saw a plain end before.

--- a/src/peer/connection.cc
+++ b/src/peer/connection.cc
@@ -212,6 +212,12 @@
   this->CloseSocket();
 }
 
+void Connection::Abort() {
+  asio::error_code ignored;
+  this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  this->Close();
+}
+
 void Connection::CloseSocket() {
   this->open = false;
   asio::error_code ignored;
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -45,6 +45,8 @@
   /// Removes the frames of a call that are not in the write buffer yet.
   FrameQueue::Removal Remove(const Id128& call_id) { return this->queue.Remove(call_id); }
   void Close();
+  /// Closes the connection so that the kernel sends nothing more of what it was given.
+  void Abort();
 
   bool IsOpen() const { return this->open; }
   /// When bytes were last received; the clock's epoch before the first.
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -60,6 +60,7 @@
   void OnConnectionLost(const std::string& reason);
   void OnHello(const pb::Hello& hello);
   void CloseConnection();
+  void AbortConnection();
   /// True while there is something that the remote node has to be told or asked.
   bool NeedsConnection() const { return !this->calls.empty() || !this->cancels.Empty(); }
   void StopTicking();
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -109,7 +109,7 @@
 /// stay pending, to query their state on the next connection.
 void Link::OnConnectFailed(const std::string& reason) {
   const auto self = this->shared_from_this();
-  this->CloseConnection();
+  this->AbortConnection();
   this->state = State::kBackingOff;
   this->connect_timer = this->timers.After(this->backoff.Next(), [this] {
     this->state = State::kClosed;
@@ -121,7 +121,7 @@
 void Link::OnConnectionLost(const std::string& reason) {
   if (this->state != State::kOpen) return this->OnConnectFailed(reason);
   const auto self = this->shared_from_this();
-  this->CloseConnection();
+  this->AbortConnection();
   this->state = State::kClosed;
   // A partially received answer is sent again in full.
   for (auto& [call_id, pending] : this->calls) pending.answer.reset();
@@ -129,6 +129,12 @@
   if (this->state == State::kClosed && this->NeedsConnection()) this->Connect();
 }
 
+/// Calls left in the kernel would arrive after their callers have given them up.
+void Link::AbortConnection() {
+  if (this->connection) this->connection->Abort();
+  this->CloseConnection();
+}
+
 void Link::CloseConnection() {
   this->connect_timer.Reset();
   if (const auto socket = std::exchange(this->connecting_socket, nullptr)) {
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -134,6 +134,21 @@
   EXPECT_EQ(harness.pool->Counters().late_answers_dropped, 1U);
 }
 
+TEST(LinkTest, ConnectionThatFellSilentIsResetSoThatNothingMoreOfItArrives) {
+  PeerHarness harness;
+  asio::ip::tcp::acceptor acceptor(harness.loop, {asio::ip::address_v4::loopback(), 0});
+  harness.address.port = acceptor.local_endpoint().port();
+  std::optional<RawLink> remote;
+  acceptor.async_accept([&](const asio::error_code&, asio::ip::tcp::socket socket) {
+    remote.emplace(harness, std::move(socket));
+    remote->SendHello("b", PeerHarness::kIncarnation, 0);
+  });
+  const auto call = harness.Send("call");
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.pool->Counters().links_replaced == 1; }));
+  EXPECT_TRUE(remote->AwaitEnd());
+  EXPECT_EQ(remote->EndError(), asio::error::connection_reset);
+}
+
 TEST(LinkTest, MeasuresTheOneWayDelay) {
   PeerHarness harness;
   harness.proxy->SetFaults(standins::FaultProxy::Direction::kToServer,
--- a/tests/peer/raw_link.cc
+++ b/tests/peer/raw_link.cc
@@ -96,7 +96,10 @@
   const auto space = this->reader.Prepare();
   asio::error_code error;
   const auto size = this->socket.read_some(asio::buffer(space.data(), space.size()), error);
-  if (error && error != asio::error::would_block) this->ended = true;
+  if (error && error != asio::error::would_block) {
+    this->ended = true;
+    this->end_error = error;
+  }
   this->reader.Commit(error ? 0 : size);
   return !error;
 }
--- a/tests/peer/raw_link.h
+++ b/tests/peer/raw_link.h
@@ -29,6 +29,8 @@
   std::optional<pb::Frame> Await(pb::Frame::BodyCase body_case);
   /// Runs the event loop until the remote end has closed the stream.
   bool AwaitEnd();
+  /// How the stream ended; no error before it has.
+  const asio::error_code& EndError() const { return this->end_error; }
 
  private:
   bool ReadSome();
@@ -37,6 +39,7 @@
   asio::ip::tcp::socket socket;
   FrameReader reader{std::size_t{1} << 24};
   bool ended = false;
+  asio::error_code end_error;
 };
 
 }  // namespace fireflyrun::peer
