A call that is given up at its deadline is cancelled at its target's node

The calling node only acknowledged such a call, with the next write. A called node that knew nothing of the deadline having passed (an older one, or one that met its caller's clock for the first time) went on with it.

LinkFaultsTest.CallThatWasGivenUpAtItsDeadlineIsCancelled failed before.

--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -125,7 +125,8 @@
   if (removal != FrameQueue::Removal::kNotFound) {
     return this->FinishError(call, LinkErrorKind::kNotSent, "deadline passed while sending");
   }
-  this->Acknowledge(call_id);
+  // The call may still wait on its way. A cancel also acknowledges an answer that is on its own.
+  if (open) this->PushCancel(call_id);
   this->FinishError(call, LinkErrorKind::kUnknown, "deadline passed");
 }
 
--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -196,6 +196,15 @@
   EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
 }
 
+TEST(LinkFaultsTest, CallThatWasGivenUpAtItsDeadlineIsCancelled) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  const HeldCall held(harness, milliseconds(50));
+  ASSERT_TRUE(harness.RunUntilDone(held.sent));
+  ASSERT_TRUE(harness.RunUntil([&] { return !harness.cancelled.empty(); }));
+  EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
+}
+
 TEST(LinkFaultsTest, CallThatWasGivenUpIsCancelledWhenItsLinkReturns) {
   PeerHarness harness;
   ASSERT_TRUE(harness.WarmUp());
