A request that expires before it is written does not reach its target

The head of a request is now built when its first byte is about to be written: with the time left then, or not at all.

TargetClientTest.RequestThatExpiresWhileItsConnectionIsMadeIsNotSent and .RequestThatExpiresWhileItWaitsForAConnectionIsNotSent fail without the check; .DeadlineHeaderTellsWhatIsLeftWhenTheRequestIsWritten needs the new field, so it has no old run.

--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -20,6 +20,8 @@
 constexpr int kMaxReadsInARow = 8;
 /// Deadlines that lie closer together are served by one wake-up.
 constexpr Duration kWakeStep = std::chrono::milliseconds(2);
+constexpr const char* kNoTimeLeft = "no time is left";
+
 }  // namespace
 
 class TargetClient::Implementation {
@@ -149,10 +151,6 @@
 
 void TargetClient::Implementation::Start(TargetExchange& exchange) {
   TargetAddress& address = *exchange.address;
-  if (SteadyClock::now() >= exchange.Request().deadline) {
-    this->FailFromLoop(exchange, "no time is left");
-    return;
-  }
   if (address.waiting.empty() && this->StartOnIdle(exchange)) return;
   if (!address.waiting.empty() || !address.MakeRoom()) {
     address.waiting.push_back(&exchange);
@@ -161,9 +159,14 @@
   this->StartOnNew(exchange);
 }
 
-/// Tries the idle connections until one takes the request's first byte.
+/// Tries the idle connections until one takes the request's first byte. Also ends a request for
+/// which no time is left; returns false if the request still needs a connection.
 bool TargetClient::Implementation::StartOnIdle(TargetExchange& exchange) {
   TargetAddress& address = *exchange.address;
+  if (!exchange.PrepareToWrite()) {
+    this->FailFromLoop(exchange, kNoTimeLeft);
+    return true;
+  }
   while (auto connection = address.TakeIdle(exchange.Request().repeatable)) {
     exchange.connection = connection;
     connection->exchange = &exchange;
@@ -239,6 +242,10 @@
     return;
   }
   ++this->counters.connections_opened;
+  if (!exchange.PrepareToWrite()) {
+    this->Fail(exchange, ClientError{ClientErrorKind::kNotSent, kNoTimeLeft});
+    return;
+  }
   connection.WatchReads();
   this->WriteOn(connection);
 }
--- a/src/http/target_exchange.cc
+++ b/src/http/target_exchange.cc
@@ -36,9 +36,7 @@
     : id(exchange_id),
       request(std::move(request_to_send)),
       handler(std::move(end_handler)),
-      reader(this->request) {
-  this->BuildHead();
-}
+      reader(this->request) {}
 
 tl::expected<void, ClientError> TargetExchange::Check(const TargetRequest& request) {
   const std::string& target = request.target;
@@ -53,13 +51,21 @@
   return {};
 }
 
+bool TargetExchange::PrepareToWrite() {
+  const Duration left = this->request.deadline - SteadyClock::now();
+  if (left <= Duration::zero()) return false;
+  this->BuildHead(left);
+  return true;
+}
+
 std::array<asio::const_buffer, 2> TargetExchange::Unwritten() const {
   const std::size_t of_head = std::min(this->written, this->head.size());
   const std::size_t of_body = this->written - of_head;
   return {asio::buffer(this->head) + of_head, asio::buffer(this->request.body) + of_body};
 }
 
-void TargetExchange::BuildHead() {
+void TargetExchange::BuildHead(Duration time_left) {
+  this->head.clear();
   this->head.reserve(kHeadReserveBytes);
   this->head.append(this->request.method).append(" ").append(this->request.target);
   this->head.append(" HTTP/1.1\r\n");
@@ -69,6 +75,10 @@
   for (const Header& header : this->request.headers) {
     if (!IsConnectionHeader(header.name)) AppendHeader(this->head, header.name, header.value);
   }
+  if (!this->request.deadline_header.empty()) {
+    const auto left_ms = std::to_string(ToMilliseconds(time_left).count());
+    AppendHeader(this->head, this->request.deadline_header, left_ms);
+  }
   if (TellsLength(this->request)) {
     AppendHeader(this->head, "Content-Length", std::to_string(this->request.body.size()));
   }
--- a/src/http/target_exchange.h
+++ b/src/http/target_exchange.h
@@ -36,6 +36,8 @@
   AnswerReader& Reader() { return this->reader; }
   Handler TakeHandler() { return std::move(this->handler); }
 
+  /// Makes the request ready to be written now; false when no time is left for it.
+  bool PrepareToWrite();
   std::array<asio::const_buffer, 2> Unwritten() const;
   void CountWritten(std::size_t bytes) { this->written += bytes; }
   bool NothingWritten() const { return this->written == 0; }
@@ -55,7 +57,7 @@
   SteadyTime connect_deadline = SteadyTime::max();
 
  private:
-  void BuildHead();
+  void BuildHead(Duration time_left);
 
   std::uint64_t id;
   TargetRequest request;
--- a/src/http/target_request.h
+++ b/src/http/target_request.h
@@ -17,7 +17,9 @@
   /// is added where it is missing.
   Headers headers;
   std::string body;
-  SteadyTime deadline;
+  SteadyTime deadline;  ///< Nothing is sent from then on.
+  /// Name of a header that tells the milliseconds left when the request is written; may be empty.
+  std::string deadline_header;
   std::size_t max_response_bytes = std::size_t{16} << 20;
   /// The target may run it twice.
   bool repeatable = false;
--- a/src/node/target_request.cc
+++ b/src/node/target_request.cc
@@ -48,15 +48,13 @@
     const bool is_id = EqualsIgnoringCase(header.name(), wire.request_id);
     if (is_id) request.echo_header = request.headers.back();
   }
-  const Duration left = std::max<Duration>(deadline - SteadyClock::now(), Duration::zero());
-  const std::string left_ms = std::to_string(ToMilliseconds(left).count());
   if (!wire.handle.empty()) request.headers.push_back({wire.handle, handle.ToHex()});
-  if (!wire.deadline.empty()) request.headers.push_back({wire.deadline, left_ms});
   if (!wire.expected_target.empty() && !target.id.empty()) {
     request.headers.push_back({wire.expected_target, target.id});
   }
   request.body = call.body;
   request.deadline = deadline;
+  request.deadline_header = wire.deadline;
   request.repeatable = !call.head.at_most_once();
   return request;
 }
--- a/tests/http/target_client_test.cc
+++ b/tests/http/target_client_test.cc
@@ -2,11 +2,16 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/steady_timer.hpp>
+
 #include "tests/http/target_test_support.h"
 
 namespace fireflyrun::http {
 namespace {
 
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
 constexpr std::size_t kLargeBody = std::size_t{32} << 20;
 
 /// Reads the request's head and no more; answers with `text`.
@@ -179,6 +184,64 @@
   EXPECT_LE(connection.received.size(), delivered);
 }
 
+/// Passes the time until `deadline` without running the loop.
+void StallUntil(asio::io_context& loop, SteadyTime deadline) {
+  asio::steady_timer(loop, deadline + milliseconds(1)).wait();
+}
+
+TEST(TargetClientTest, RequestThatExpiresWhileItsConnectionIsMadeIsNotSent) {
+  TargetFixture fixture(Always(kWholeResponse));
+  TargetRequest request = fixture.Request();
+  request.deadline = SteadyClock::now() + milliseconds(20);
+  std::optional<Result> result;
+  fixture.client->Send(request, [&](Result ended) { result = std::move(ended); });
+  StallUntil(fixture.loop, request.deadline);
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return result.has_value(); }));
+  EXPECT_EQ(result->error().kind, ClientErrorKind::kNotSent);
+  EXPECT_TRUE(fixture.Fetch());
+  EXPECT_EQ(fixture.server.requests, 1);
+}
+
+TEST(TargetClientTest, RequestThatExpiresWhileItWaitsForAConnectionIsNotSent) {
+  TargetFixture fixture([](RawConnection&, int) {});
+  fixture.client->SetMaxConnections(1);
+  TargetRequest waiting = fixture.Request();
+  waiting.deadline = SteadyClock::now() + milliseconds(50);
+  std::optional<Result> first;
+  std::optional<Result> second;
+  fixture.client->Send(fixture.Request(), [&](Result ended) { first = std::move(ended); });
+  fixture.client->Send(waiting, [&](Result ended) { second = std::move(ended); });
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return fixture.server.requests == 1; }));
+  asio::write(fixture.accepted[0]->socket, asio::buffer(std::string_view(kWholeResponse)));
+  StallUntil(fixture.loop, waiting.deadline);
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return first && second; }));
+  EXPECT_TRUE(first->has_value());
+  EXPECT_EQ(second->error().kind, ClientErrorKind::kNotSent);
+  EXPECT_EQ(fixture.server.requests, 1);
+}
+
+TEST(TargetClientTest, DeadlineHeaderTellsWhatIsLeftWhenTheRequestIsWritten) {
+  constexpr milliseconds kWait(100);
+  TargetFixture fixture([](RawConnection& connection, int number) {
+    if (number == 2) connection.Write(kWholeResponse);
+  });
+  fixture.client->SetMaxConnections(1);
+  fixture.client->Send(fixture.Request(), [](const Result&) {});
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return fixture.server.requests == 1; }));
+  TargetRequest waiting = fixture.Request();
+  waiting.deadline = SteadyClock::now() + seconds(5);
+  waiting.deadline_header = "X-Left-Ms";
+  const auto answer =
+      fixture.timers.After(kWait, [&] { fixture.accepted[0]->Write(kWholeResponse); });
+  ASSERT_TRUE(fixture.Fetch(waiting));
+  const std::string& head = fixture.server.last_head;
+  const auto header = head.find("X-Left-Ms: ");
+  ASSERT_NE(header, std::string::npos) << head;
+  const int left = std::stoi(head.substr(header + std::string("X-Left-Ms: ").size()));
+  EXPECT_LE(left, ToMilliseconds(seconds(5) - kWait).count());
+  EXPECT_GT(left, 0);
+}
+
 TEST(TargetClientTest, HandlerMayDestroyTheClientWhileOthersWait) {
   TargetFixture fixture(Always(kWholeResponse));
   int ended = 0;
--- a/tests/http/test_support.h
+++ b/tests/http/test_support.h
@@ -117,6 +117,7 @@
   void Serve(RawConnection& connection) {
     const auto end = connection.received.find("\r\n\r\n");
     if (end == std::string::npos) return;
+    this->last_head = connection.received.substr(0, end + 4);
     connection.received.erase(0, end + 4);
     this->script(connection, ++this->requests);
   }
@@ -126,6 +127,7 @@
   Script script;
   int connections = 0;
   int requests = 0;
+  std::string last_head;  ///< Of the latest request.
 };
 
 inline constexpr const char* kWholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
