A call that was too long on its way is refused, as its caller may have left

A cancel is on its way as long as its call. Where calls took 1.2 s to arrive, each was started for a caller that might have left more than half a second before, and the called node could not know.

It knows the age of a call now. One that was on its way for over 0.5 s is refused as not run (link-slow); as after a refusal for load, the caller's node may send it to another target once, without a retry. The time left is stated in full where the called node's clock is known, as the way is then taken off there; before, half a round trip was taken off in advance, which hid up to that much of the age.

TargetServiceTest.CallThatWasOnItsWayForTooLongIsRefusedUnrun, LinkServerTest.CallTellsHowLong..., LinkTest.CalledNodeKnowsHowLongACallWasOnItsWayAndWhenItExpires: of new behaviour, without an old run.

--- a/src/node/attempt_sender.cc
+++ b/src/node/attempt_sender.cc
@@ -24,6 +24,7 @@
     case RefusalReason::kQueueFull:
     case RefusalReason::kAdmissionLevel:
     case RefusalReason::kDeadline:
+    case RefusalReason::kLinkSlow:
     case RefusalReason::kLeaving:
     case RefusalReason::kNoTarget:
     case RefusalReason::kTicketVoid:
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -41,7 +41,7 @@
 /// As AllowsMove(), but the refusal indicates overload, which many moves would only spread.
 bool AllowsLoadMove(RefusalReason reason) {
   return reason == RefusalReason::kOverload || reason == RefusalReason::kQueueFull ||
-         reason == RefusalReason::kAdmissionLevel;
+         reason == RefusalReason::kAdmissionLevel || reason == RefusalReason::kLinkSlow;
 }
 
 /// True for a caller's key. Until its ticket is resolved, it may belong to an earlier request that
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -27,6 +27,9 @@
 constexpr int kMisdirectedStatus = 421;
 /// Initial share of the slots of a target that reports a cold start: all of them work, but slowly.
 constexpr double kInitialColdSlotShare = 0.5;
+/// A call that was on its way for longer is refused: its caller may have left since, and the cancel
+/// is on its way as long.
+constexpr Duration kMaxTransitTime = std::chrono::milliseconds(500);
 constexpr std::uint32_t kRememberedWindows = 12;
 constexpr std::size_t kTicketsPerWindow = 16'000;
 constexpr std::size_t kRetainedAnswerBytes = std::size_t{2} << 20;
@@ -261,6 +264,10 @@
     this->Refuse(inbound, RefusalReason::kDeadline);
     return;
   }
+  if (inbound->call.transit_time > kMaxTransitTime) {
+    this->Refuse(inbound, RefusalReason::kLinkSlow);
+    return;
+  }
   if (this->options.admit_all) {
     this->StartCall(inbound->id);
     return;
--- a/src/peer/call.h
+++ b/src/peer/call.h
@@ -12,6 +12,8 @@
   pb::CallHead head;
   std::string body;
   SteadyTime deadline;  ///< By this process's clock, at both ends of a link.
+  /// At the called node: how long its head was on its way, at most; zero if that is not known.
+  Duration transit_time{};
 };
 
 /// A complete answer. If there is no answer from the target, the head holds the refusal.
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -94,17 +94,19 @@
   OutgoingMessage message;
   message.call_id = call_id;
   message.call = std::move(pending.call);
-  this->SetExpiry(*message.call);
+  this->SetExpiry(pending.sent_at, *message.call);
   message.queued_at = pending.sent_at;
   pending.phase = PendingCall::Phase::kQueued;
   this->connection->Push(std::move(message));
 }
 
-void Link::SetExpiry(Call& call) const {
+void Link::SetExpiry(SteadyTime queued_at, Call& call) const {
   const auto remote_now = this->remote_clock.At(BootClock::now());
   if (!remote_now) return;
   const Duration left = call.deadline - SteadyClock::now();
   call.head.set_expires_boot_us(EncodeBootTime(*remote_now + left));
+  // In full: the remote node takes off what the call spends on its way.
+  call.head.set_deadline_us(EncodeMicroseconds(call.deadline - queued_at));
 }
 
 void Link::OnHandedOver(const Id128& call_id) {
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -75,8 +75,9 @@
   void OnDeadline(const Id128& call_id);
 
   void Queue(const Id128& call_id, PendingCall& pending);
-  /// States the call's deadline by the remote node's clock, if that is known.
-  void SetExpiry(Call& call) const;
+  /// States the call's deadline by the remote node's clock, if that is known. `queued_at`: since
+  /// when the wait in the queue is taken off deadline_us.
+  void SetExpiry(SteadyTime queued_at, Call& call) const;
   void PushHeartbeat();
   void PushQuery(const Id128& call_id);
   void PushCancel(const Id128& call_id);
--- a/src/peer/link_pool.cc
+++ b/src/peer/link_pool.cc
@@ -3,27 +3,17 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <cstdint>
-#include <limits>
 #include <map>
 #include <utility>
 
 #include "common/timer_service.h"
+#include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
 #include "peer/link.h"
 
 namespace fireflyrun::peer {
 
-namespace {
-
-std::uint32_t MicrosecondsUntil(SteadyTime deadline) {
-  constexpr std::int64_t kMax = std::numeric_limits<std::uint32_t>::max();
-  const std::int64_t left = ToMicroseconds(deadline - SteadyClock::now()).count();
-  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(left, 0, kMax));
-}
-
-}  // namespace
-
 class LinkPool::Implementation : public std::enable_shared_from_this<Implementation> {
  public:
   Implementation(TimerService& timer_service, LinkOptions link_options)
@@ -74,7 +64,7 @@
   call.head.set_body_crc32(Checksum(call.body));
   if (call.deadline == SteadyTime()) call.deadline = deadline;
   if (call.head.deadline_us() == 0) {
-    call.head.set_deadline_us(MicrosecondsUntil(deadline));
+    call.head.set_deadline_us(EncodeMicroseconds(deadline - SteadyClock::now()));
   }
   ++this->counters->calls;
   link->Send(*call_id, std::move(call), deadline, std::move(handler));
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -257,20 +257,22 @@
   link->connection->PushFrame(pb::Frame::kHeartbeatReplyFieldNumber, heartbeat);
 }
 
-void LinkServer::Implementation::CountTransit(const pb::CallHead& head) {
+Duration LinkServer::Implementation::TakeTransitTime(const pb::CallHead& head) {
   const auto expires = DecodeBootTime(head.expires_boot_us());
-  if (!expires) return;
+  if (!expires) return {};
   const Duration left = *expires - BootClock::now();
-  const Duration transit = std::chrono::microseconds(head.deadline_us()) - left;
-  this->counters->transit_time += std::max(transit, Duration::zero());
+  const Duration transit_time =
+      std::max<Duration>(std::chrono::microseconds(head.deadline_us()) - left, Duration::zero());
+  this->counters->transit_time += transit_time;
   ++this->counters->calls_timed;
   if (left <= Duration::zero()) ++this->counters->calls_expired;
+  return transit_time;
 }
 
 void LinkServer::Implementation::OnCallHead(const Link& link, pb::CallHead& head) {
   const auto call_id = Id128::FromBytes(head.call_id());
   if (!call_id || link->partial_calls.contains(*call_id)) return this->CloseLink(link);
-  this->CountTransit(head);
+  const Duration transit_time = this->TakeTransitTime(head);
   const SteadyTime deadline = DeadlineOf(head);
   const std::uint64_t length = head.body_length();
   const std::size_t partial_limit = this->options.max_body_bytes * kMaxPartialBodies;
@@ -281,11 +283,13 @@
     Call call;
     call.head.Swap(&head);
     call.deadline = deadline;
+    call.transit_time = transit_time;
     return this->Run(link, *call_id, std::move(call));
   }
   InboundLink::PartialCall partial;
   partial.call.head.Swap(&head);
   partial.call.deadline = deadline;
+  partial.call.transit_time = transit_time;
   partial.assembly = BodyAssembly(length, partial.call.head.body_crc32());
   partial.body_length = length;
   link->partial_bytes += length;
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -59,8 +59,9 @@
   void OnFrame(const Link& link, pb::Frame& frame);
   void OnHello(const Link& link, const pb::Hello& hello);
   void OnHeartbeat(const Link& link, pb::Heartbeat& heartbeat);
-  /// Counts how long the call was on its way, by its caller's knowledge of this node's clock.
-  void CountTransit(const pb::CallHead& head);
+  /// Counts and returns how long the call was on its way, by its caller's knowledge of this node's
+  /// clock; zero if it has none. Too long by the quickest reply's time on its way back.
+  Duration TakeTransitTime(const pb::CallHead& head);
   void OnCallHead(const Link& link, pb::CallHead& head);
   void OnCallChunk(const Link& link, pb::BodyChunk& chunk);
   void OnCancel(const Link& link, const pb::Cancel& cancel);
--- a/src/policy/refusal_reason.h
+++ b/src/policy/refusal_reason.h
@@ -34,6 +34,7 @@
   kTargetRefused,     ///< The target itself reported that it has not run the call.
   kDownstreamFailed,  ///< The target failed because a call that it made failed.
   kLinkLost,          ///< The link to the target's node was lost.
+  kLinkSlow,          ///< The call was on its way too long to know whether its caller still waits.
   kLinkBudget,        ///< The inter-region byte budget is spent.
   kUnknownService,    ///< No record describes the service.
   kNotReady,          ///< The node holds no configuration yet.
@@ -68,6 +69,7 @@
     std::pair{RefusalReason::kTargetRefused, std::string_view("target-refused")},
     std::pair{RefusalReason::kDownstreamFailed, std::string_view("downstream-failed")},
     std::pair{RefusalReason::kLinkLost, std::string_view("link-lost")},
+    std::pair{RefusalReason::kLinkSlow, std::string_view("link-slow")},
     std::pair{RefusalReason::kLinkBudget, std::string_view("link-budget")},
     std::pair{RefusalReason::kUnknownService, std::string_view("unknown-service")},
     std::pair{RefusalReason::kNotReady, std::string_view("not-ready")},
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -51,6 +51,7 @@
     head.set_target("/");
     head.set_at_most_once(ticket.has_value());
     call.deadline = SteadyClock::now() + limit;
+    call.transit_time = this->transit_time;
     if (ticket) *head.mutable_ticket() = ToMessage(*ticket);
     this->service.OnCall(std::move(call), [this, id](const peer::Answer& answer) {
       this->answers[id].push_back(answer.head.outcome());
@@ -73,6 +74,7 @@
 
   std::string answer;  ///< What the target writes after each request.
   std::function<void()> on_answered;
+  Duration transit_time{};
   asio::io_context loop;
   TimerService timers{loop};
   std::shared_ptr<http::RawConnection> connection;  ///< Of the latest request.
@@ -179,6 +181,16 @@
   EXPECT_EQ(this->service.OpenCalls(), 0U);
 }
 
+TEST_F(TargetServiceTest, CallThatWasOnItsWayForTooLongIsRefusedUnrun) {
+  this->transit_time = milliseconds(501);
+  EXPECT_EQ(this->answers[this->Call()], kNotRunOnce);
+  EXPECT_EQ(this->answers[this->Call(this->NewTicket())], kNotRunOnce);
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  this->transit_time = milliseconds(400);
+  this->Call();
+  EXPECT_TRUE(this->RunUntilReached(1));
+}
+
 TEST_F(TargetServiceTest, QueuedCallWhoseCancelHasArrivedUnreadNeverStarts) {
   this->Call();
   ASSERT_TRUE(this->RunUntilReached(1));
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -99,6 +99,22 @@
   EXPECT_LE(left_when_expiring(seconds(60)), seconds(10));
 }
 
+TEST(LinkServerTest, CallTellsHowLongItWasOnItsWay) {
+  // RawLink leaves the call 10 s; of these, 9.3 s are left by the called node's clock.
+  constexpr std::chrono::milliseconds kLeft(9300);
+  PeerHarness harness;
+  std::optional<Duration> transit_time;
+  harness.on_call = [&](const Call& call, const LinkServer::Reply&) {
+    transit_time = call.transit_time;
+  };
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  link.SendCall(kCall, "", 0, EncodeBootTime(BootClock::now() + kLeft));
+  ASSERT_TRUE(harness.RunUntil([&] { return transit_time.has_value(); }));
+  EXPECT_GE(*transit_time, std::chrono::milliseconds(700));
+  EXPECT_LT(*transit_time, std::chrono::seconds(5));
+}
+
 TEST(LinkServerTest, TimeInWhichACallsBodyArrivesCountsTowardsItsDeadline) {
   const std::chrono::milliseconds limit(20);
   const auto left = TimeLeft([limit](PeerHarness& harness, RawLink& link) {
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -149,6 +149,23 @@
   EXPECT_EQ(remote->EndError(), asio::error::connection_reset);
 }
 
+TEST(LinkTest, CalledNodeKnowsHowLongACallWasOnItsWayAndWhenItExpires) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  harness.proxy->SetFaults(standins::FaultProxy::Direction::kToServer,
+                           standins::FaultProxy::Scope::kAll, {.delay = milliseconds(100)});
+  std::optional<Call> taken;
+  harness.on_call = [&](Call call, const LinkServer::Reply&) { taken = std::move(call); };
+  const SteadyTime sent_at = SteadyClock::now();
+  harness.Send("call", std::chrono::seconds(20));
+  ASSERT_TRUE(harness.RunUntil([&] { return taken.has_value(); }));
+  EXPECT_GE(taken->transit_time, milliseconds(90));
+  EXPECT_LT(taken->transit_time, std::chrono::seconds(5));
+  // Both ends run on one clock here.
+  EXPECT_LE(taken->deadline, sent_at + std::chrono::seconds(20) + milliseconds(10));
+  EXPECT_GT(taken->deadline, sent_at + std::chrono::seconds(15));
+}
+
 TEST(LinkTest, MeasuresTheOneWayDelay) {
   PeerHarness harness;
   harness.proxy->SetFaults(standins::FaultProxy::Direction::kToServer,
