Fewer bytes of a link wait where they can't be called back

A cancel overtakes calls in the link's own queue, but nothing that is in the write buffer or the kernel: up to 64 and 128 KiB. On a link between regions that many links share, that is seconds.

Both are 32 KiB now; what waits, waits in the queue, where its deadline is counted and its cancel takes it back. Bytes ahead of a small call on a slow link: 164 to 197 KB before, 98 KB now, three runs each; LinkFaultsTest.SmallCallsOvertakeALongBodyOnASlowLink holds it below 130 KB (300 KB before).

--- a/src/peer/connection.cc
+++ b/src/peer/connection.cc
@@ -15,11 +15,11 @@
 namespace {
 
 /// Size to which the write buffer is filled; frames queued later wait until it is written.
-constexpr std::size_t kWriteBufferBytes = std::size_t{64} << 10;
+constexpr std::size_t kWriteBufferBytes = std::size_t{32} << 10;
 /// An empty buffer above this size is freed, because a node has hundreds of idle connections.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{8} << 10;
 /// Unsent bytes that the kernel may buffer (TCP_NOTSENT_LOWAT); bounds the wait of small frames.
-constexpr int kMaxUnsentBytes = 128 << 10;
+constexpr int kMaxUnsentBytes = 32 << 10;
 /// Writes in one Flush(); then the event loop runs other handlers.
 constexpr int kMaxWritesPerFlush = 4;
 /// Full reads in a row; then the event loop runs other handlers.
--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -22,7 +22,7 @@
 
 TEST(LinkFaultsTest, SmallCallsOvertakeALongBodyOnASlowLink) {
   // Counted in bytes, because a delay of the proxy would change a time limit but not the bytes.
-  constexpr std::uint64_t kMaxBytesAhead = 300'000;
+  constexpr std::uint64_t kMaxBytesAhead = 130'000;
   LinkOptions options;
   options.cluster = "test";
   PeerHarness harness(options);
