--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -148,11 +148,11 @@
 }
 
 tl::expected<Response, ClientError> Transfer::Finish(CURLcode code) {
-  if (code == CURLE_OK && this->BodyLengthIsKnown()) return std::move(this->response);
+  if (code == CURLE_OK && this->IsComplete()) return std::move(this->response);
   ClientError error;
   error.kind = this->KindOf(code);
   const char* text = this->error_text[0] != '\0' ? this->error_text : curl_easy_strerror(code);
-  error.message = code == CURLE_OK ? "the response does not tell its length" : text;
+  error.message = code == CURLE_OK ? "the response is not known to be complete" : text;
   return tl::make_unexpected(std::move(error));
 }
 
@@ -191,11 +191,13 @@
   if (line.starts_with("HTTP/")) {
     // Headers of an interim (1xx) response do not belong to the final one.
     this->response.headers.clear();
+    this->head_complete = false;
     long status = 0;
     curl_easy_getinfo(this->handle.get(), CURLINFO_RESPONSE_CODE, &status);
     this->response.status = static_cast<int>(status);
     return;
   }
+  if (TrimBlanks(line).empty()) this->head_complete = true;
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return;
   this->response.headers.push_back({std::string(TrimBlanks(line.substr(0, colon))),
@@ -221,6 +223,9 @@
   return true;
 }
 
+/// libcurl takes a connection that ends within the head for the end of a response without a body.
+bool Transfer::IsComplete() const { return this->head_complete && this->BodyLengthIsKnown(); }
+
 bool Transfer::BodyLengthIsKnown() const {
   const int status = this->response.status;
   const bool has_no_body =
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -63,6 +63,7 @@
   void AppendHeader(const std::string& line);
   void ReadHeaderLine(std::string_view line);
   bool ReadBody(std::string_view piece);
+  bool IsComplete() const;
   bool BodyLengthIsKnown() const;
   ClientErrorKind KindOf(CURLcode code) const;
 
@@ -76,6 +77,7 @@
   std::string chunk;
   char error_text[CURL_ERROR_SIZE] = {};
   bool connection_made = false;
+  bool head_complete = false;
   bool too_large = false;
 };
 
--- a/tests/http/client_error_test.cc
+++ b/tests/http/client_error_test.cc
@@ -102,6 +102,16 @@
   }
 }
 
+TEST(ClientErrorTest, ResponseWhoseHeadIsCutOffIsNoResponse) {
+  for (const std::string begin : {"200 OK\r\nContent-Length: 2", "200 OK\r\nContent-Length: 0",
+                                  "200 OK\r\nTransfer-Encoding: chunked", "204 No Content"}) {
+    const std::string head = "HTTP/1.1 " + begin + "\r\nX-Last: 1\r\n\r\n";
+    for (std::size_t size = 0; size < head.size(); ++size) {
+      EXPECT_FALSE(FetchText(head.substr(0, size))->has_value()) << head.substr(0, size);
+    }
+  }
+}
+
 TEST(ClientErrorTest, BodyOverTheLimitIsTooLarge) {
   ClientRequest request;
   request.max_response_bytes = 4;
