An earlier refusal that a target writes again is no refusal of the next request

A target that answers each request with its id may write an earlier refusal once more on a kept connection.

On a connection that has served earlier requests an answer must tell its request. On a new one, an answer that doesn't tell it is taken as a refusal only, as nothing was answered there before, and otherwise as no answer. A request that failed on a connection isn't sent on it again; a connection is closed after 32 failures.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -93,6 +93,7 @@
 
 Response AnswerReader::TakeResponse() {
   StripConnectionHeaders(this->response.headers);
+  this->response.lacks_echo = this->echo_missing;
   return std::move(this->response);
 }
 
@@ -217,7 +218,7 @@
   if (echo == expected.value) return true;
   if (!echo) {
     this->echo_missing = true;
-    if (this->response.status >= kFirstErrorStatus) return true;
+    if (this->response.status >= kFirstErrorStatus && !this->connection_reused) return true;
     return this->Reject(ClientErrorKind::kBadAnswer, "the answer lacks its echo header");
   }
   this->skips_message = true;
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -25,6 +25,10 @@
   AnswerReader(const AnswerReader&) = delete;
   AnswerReader& operator=(const AnswerReader&) = delete;
 
+  /// Whether earlier requests were answered on the connection. Such an answer may be sent again, so
+  /// that one without its echo can't be told from it and is rejected.
+  void SetConnectionReused(bool reused) { this->connection_reused = reused; }
+
   /// True once the answer is complete.
   tl::expected<bool, ClientError> Consume(std::string_view bytes);
 
@@ -41,6 +45,8 @@
   /// The idle timeout that the target stated, if any.
   std::optional<Duration> KeepAliveTimeout() const { return this->keep_alive; }
 
+  int Status() const { return this->response.status; }
+
   std::size_t StrayAnswers() const { return this->stray_answers; }
 
   /// Bytes of the answer's body that were received so far.
@@ -89,6 +95,7 @@
   bool value_begun = false;
   bool skips_message = false;
   bool echo_missing = false;
+  bool connection_reused = false;
   bool complete = false;
   bool connection_stays = false;
 };
--- a/src/http/response.h
+++ b/src/http/response.h
@@ -11,6 +11,8 @@
   int status = 0;
   Headers headers;
   std::string body;
+  /// Of a target's answer: it doesn't tell which request it answers, though targets should.
+  bool lacks_echo = false;
 };
 
 }  // namespace fireflyrun::http
--- a/src/http/status.h
+++ b/src/http/status.h
@@ -16,6 +16,9 @@
 inline constexpr int kServiceUnavailable = 503;
 inline constexpr int kVersionNotSupported = 505;
 
+/// True for statuses by which a server refuses a request or says that it failed (4xx and 5xx).
+constexpr bool IsError(int status) { return status >= kBadRequest; }
+
 /// True for statuses by which a server says that it failed (RFC 9110, 5xx).
 constexpr bool IsServerError(int status) { return status >= kFirstServerErrorStatus; }
 
--- a/src/http/target_address.cc
+++ b/src/http/target_address.cc
@@ -6,6 +6,7 @@
 #include "http/target_client_counters.h"
 #include "http/target_client_options.h"
 #include "http/target_connection.h"
+#include "http/target_request.h"
 
 namespace fireflyrun::http {
 namespace {
@@ -33,20 +34,22 @@
                              TargetClientCounters& client_counters)
     : endpoint(ParseEndpoint(ip_and_port)), options(client_options), counters(client_counters) {}
 
-TargetAddress::ConnectionPointer TargetAddress::TakeIdle(bool repeatable) {
+TargetAddress::ConnectionPointer TargetAddress::TakeIdle(const TargetRequest& request) {
   const SteadyTime now = SteadyClock::now();
-  while (!this->idle.empty()) {
-    ConnectionPointer connection = this->idle.back();
+  for (std::size_t left = this->idle.size(); left > 0; --left) {
+    const std::size_t position = left - 1;
+    const ConnectionPointer connection = this->idle[position];
     const Duration age = now - connection->idle_since;
-    if (!repeatable && age >= this->options.unrepeatable_idle_limit) return nullptr;
+    if (!request.repeatable && age >= this->options.unrepeatable_idle_limit) return nullptr;
+    if (connection->HasFailed(request.echo_header.value)) continue;
     const bool in_time = now < connection->usable_until;
     const bool quiet = connection->IsQuiet();
     if (in_time && quiet) {
-      this->idle.pop_back();
+      this->idle.erase(this->idle.begin() + static_cast<std::ptrdiff_t>(position));
       return connection;
     }
     if (!quiet) ++this->counters.connections_found_dead;
-    this->Close(this->idle.size() - 1);
+    this->Close(position);
   }
   return nullptr;
 }
--- a/src/http/target_address.h
+++ b/src/http/target_address.h
@@ -14,6 +14,7 @@
 
 class TargetConnection;
 class TargetExchange;
+struct TargetRequest;
 struct TargetClientCounters;
 struct TargetClientOptions;
 
@@ -35,8 +36,8 @@
   void CountOpened() { ++this->open_connections; }
   void CountClosed() { --this->open_connections; }
 
-  /// The newest idle connection that is fit for a request, or null.
-  ConnectionPointer TakeIdle(bool repeatable);
+  /// The newest idle connection that is fit for the request, or null.
+  ConnectionPointer TakeIdle(const TargetRequest& request);
 
   /// Keeps a connection for other requests, for as long as its target is sure to keep it; gives the
   /// time at which CloseExpired() is due.
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/timer_service.h"
+#include "http/status.h"
 #include "http/target_address.h"
 #include "http/target_connection.h"
 #include "http/target_exchange.h"
@@ -167,7 +168,8 @@
     this->FailFromLoop(exchange, kNoTimeLeft);
     return true;
   }
-  while (auto connection = address.TakeIdle(exchange.Request().repeatable)) {
+  exchange.Reader().SetConnectionReused(true);
+  while (auto connection = address.TakeIdle(exchange.Request())) {
     exchange.connection = connection;
     connection->exchange = &exchange;
     if (this->Write(*connection) == WriteOutcome::kGoesOn) {
@@ -182,6 +184,7 @@
 
 void TargetClient::Implementation::StartOnNew(TargetExchange& exchange) {
   TargetAddress& address = *exchange.address;
+  exchange.Reader().SetConnectionReused(false);
   auto connection = std::make_shared<TargetConnection>(this->timers.Loop(), address, this->hooks);
   if (const auto error = connection->Connect(this->options.unacknowledged_limit)) {
     this->FailFromLoop(exchange, error.message());
@@ -338,7 +341,10 @@
 }
 
 void TargetClient::Implementation::Succeed(TargetExchange& exchange) {
-  const bool stays = exchange.Reader().ConnectionStaysUsable();
+  TargetConnection& connection = *exchange.connection;
+  const bool failed = IsError(exchange.Reader().Status());
+  if (failed) connection.AddFailure(exchange.Request().echo_header.value);
+  const bool stays = exchange.Reader().ConnectionStaysUsable() && connection.MayFailAgain();
   const ConnectionEnd end = stays ? ConnectionEnd::kKeep : ConnectionEnd::kClose;
   // The target still expects the rest of a body that was not written in full.
   this->Detach(exchange, exchange.FullyWritten() ? end : ConnectionEnd::kAbort);
--- a/src/http/target_connection.cc
+++ b/src/http/target_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <asio/detail/socket_option.hpp>
 #include <cerrno>
 #include <utility>
@@ -13,6 +14,9 @@
 namespace fireflyrun::http {
 namespace {
 
+/// Failures on one connection; then it is closed.
+constexpr std::size_t kMaxFailures = 32;
+
 using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 }  // namespace
@@ -83,6 +87,17 @@
                           });
 }
 
+void TargetConnection::AddFailure(const std::string& echo) {
+  if (!echo.empty()) this->failed_echoes.push_back(echo);
+}
+
+bool TargetConnection::HasFailed(std::string_view echo) const {
+  const auto& echoes = this->failed_echoes;
+  return std::find(echoes.begin(), echoes.end(), echo) != echoes.end();
+}
+
+bool TargetConnection::MayFailAgain() const { return this->failed_echoes.size() < kMaxFailures; }
+
 void TargetConnection::Close() {
   asio::error_code ignored;
   this->closed = true;
--- a/src/http/target_connection.h
+++ b/src/http/target_connection.h
@@ -7,6 +7,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
 #include "common/clock.h"
 
@@ -51,6 +54,13 @@
 
   TargetAddress& Address() { return this->address; }
 
+  /// Remembers the echo of a request that was answered with a failure. Were the request sent again
+  /// here, that answer, given once more, would pass for the new one.
+  void AddFailure(const std::string& echo);
+  bool HasFailed(std::string_view echo) const;
+  /// False once the connection can't remember another failure.
+  bool MayFailAgain() const;
+
   TargetExchange* exchange = nullptr;  ///< The request that uses the connection; null while idle.
   SteadyTime idle_since;
   SteadyTime usable_until;
@@ -63,6 +73,7 @@
   std::shared_ptr<const Hooks> hooks;
   bool watches_writes = false;
   bool closed = false;
+  std::vector<std::string> failed_echoes;
 };
 
 }  // namespace fireflyrun::http
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -335,6 +335,8 @@
   if (!this->Find(inbound->id)) return;  // Cancelled in the meantime.
   if (ended && this->ReportsNotRun(*ended)) {
     this->OnTargetRefusal(inbound);
+  } else if (ended && ended->lacks_echo) {
+    this->OnTargetError(inbound, {http::ClientErrorKind::kBadAnswer, "the answer lacks its echo"});
   } else if (ended) {
     this->OnTargetAnswer(inbound, std::move(*ended));
   } else {
