--- a/src/node/target_announcement.cc
+++ b/src/node/target_announcement.cc
@@ -11,6 +11,10 @@
 using nlohmann::json;
 
 constexpr std::uint32_t kMaxSlots = 10'000;
+/// In Unix milliseconds; a later start would make all announcements after it seem old.
+constexpr std::uint64_t kMaxBorn = 100'000'000'000'000;
+constexpr std::uint64_t kMaxSeq = std::uint64_t{1} << 53U;
+constexpr double kMaxColdSeconds = 86'400;
 
 void ReadService(const json& document, TargetAnnouncement* announcement, Findings* findings) {
   const auto field = document.find("service");
@@ -55,11 +59,14 @@
   announcement->state = *state;
 }
 
-void ReadCount(const json& document, const char* name, std::uint64_t* count, Findings* findings) {
+void ReadCount(const json& document, const char* name, std::uint64_t most, std::uint64_t* count,
+               Findings* findings) {
   const auto field = document.find(name);
   if (field == document.end()) return;
-  if (!field->is_number_unsigned()) {
-    findings->push_back({std::string("/") + name, "is not a whole number of 0 or more"});
+  const bool whole = field->is_number_unsigned();
+  if (!whole || field->get<std::uint64_t>() > most) {
+    findings->push_back(
+        {std::string("/") + name, "is not a whole number of 0 to " + std::to_string(most)});
     return;
   }
   *count = field->get<std::uint64_t>();
@@ -68,11 +75,12 @@
 void ReadColdTime(const json& document, TargetAnnouncement* announcement, Findings* findings) {
   const auto field = document.find("cold_left");
   if (field == document.end()) return;
-  if (!field->is_number() || field->get<double>() < 0) {
-    findings->push_back({"/cold_left", "is not a number of seconds of 0 or more"});
+  const double seconds = field->is_number() ? field->get<double>() : -1;
+  if (!(seconds >= 0 && seconds <= kMaxColdSeconds)) {
+    findings->push_back({"/cold_left", "is not a number of seconds of 0 to 86400"});
     return;
   }
-  announcement->target.cold_seconds = field->get<double>();
+  announcement->target.cold_seconds = seconds;
 }
 
 }  // namespace
@@ -88,8 +96,8 @@
   ReadAddress(document, &announcement, &findings);
   ReadSlots(document, &announcement, &findings);
   ReadState(document, &announcement, &findings);
-  ReadCount(document, "born", &announcement.born, &findings);
-  ReadCount(document, "seq", &announcement.seq, &findings);
+  ReadCount(document, "born", kMaxBorn, &announcement.born, &findings);
+  ReadCount(document, "seq", kMaxSeq, &announcement.seq, &findings);
   ReadColdTime(document, &announcement, &findings);
   if (!findings.empty()) return tl::unexpected(std::move(findings));
   announcement.has_state_and_seq = document.contains("state") && document.contains("seq");
@@ -100,7 +108,7 @@
   const json document = json::parse(text, nullptr, false);
   std::uint64_t born = 0;
   Findings ignored;
-  if (document.is_object()) ReadCount(document, "born", &born, &ignored);
+  if (document.is_object()) ReadCount(document, "born", kMaxBorn, &born, &ignored);
   return born;
 }
 
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -179,6 +179,14 @@
   return MakeCall(call);
 }
 
+int PlatformFleet::Announce(std::size_t host, const std::string& id, std::string body) const {
+  integration::HttpCall call;
+  call.method = "PUT";
+  call.url = "http://" + this->members[host].ip + ":7401/target?id=" + id;
+  call.body = std::move(body);
+  return MakeCall(call).status;
+}
+
 int PlatformFleet::Health(std::size_t host) const {
   return integration::Get("http://" + this->members[host].ip + ":7404/health").status;
 }
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -57,6 +57,8 @@
   /// Sends a request through the node's caller port with the Host header of the routes.
   integration::HttpAnswer Call(std::size_t host, const std::string& method, const std::string& path,
                                std::vector<std::string> headers = {}, std::string body = "") const;
+  /// Announces a target to the node as another writer; returns the status.
+  int Announce(std::size_t host, const std::string& id, std::string body) const;
   /// The status of the node's `GET /health`; 0 when it does not answer.
   int Health(std::size_t host) const;
   /// The node's log so far, for the messages of failed tests.
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -29,6 +29,8 @@
 constexpr std::size_t kZoneBShopNode = 2;         // zone b, service shop
 constexpr std::size_t kLargeBodyBytes = 300'000;  // More than one link's window.
 constexpr int kCallDeadlineMs = 3000;
+constexpr int kDepthOfAnAnnouncement = 5'000;  // Within the limit of its body.
+constexpr int kDepthOfAnEntry = 100'000;
 
 Json Route(const std::string& name, const std::string& kind, const std::string& service) {
   return {{"host", "shop.example"}, {"prefix", "/" + name + "/"},
@@ -318,6 +320,55 @@
   }
 }
 
+/// What another writer may leave in place of a target or a node; `depth` is that of nested values.
+std::vector<std::string> OddEntries(int depth) {
+  std::string nested_objects;
+  for (int level = 0; level < depth; ++level) nested_objects += R"({"service":)";
+  const std::string begin = R"({"service":"shop","state":"serving","seq":9,"address":")";
+  return {
+      "",
+      "null",
+      "7",
+      "\xff\xfe\x00",
+      "{\"service\":",
+      std::string(depth, '['),
+      nested_objects,
+      begin + R"(127.0.0.1:99999","slots":4})",
+      begin + R"(127.0.0.1:-1","slots":4})",
+      begin + R"(no address","slots":4})",
+      begin + R"(127.0.0.1:80","slots":1e999})",
+      begin + R"(127.0.0.1:80","slots":99999999999999999999999})",
+      begin + R"(127.0.0.1:80","slots":4,"born":1e300})",
+      begin + R"(127.0.0.1:80","slots":4,"born":18446744073709551615})",
+      begin + R"(127.0.0.1:80","slots":4,"cold_left":1e300})",
+      R"({"node":"nx","control_address":"127.0.0.1:99999","admin_address":"127.0.0.1:1"})",
+      R"({"node":"ny","control_address":"no address","admin_address":7})",
+      R"({"node":"nz","control_address":")" + std::string(depth, ':') + R"(","admin_address":""})"};
+}
+
+TEST_F(PlatformNodeTest, OddAnnouncementsLeaveTheTargetAndItsNodeAlone) {
+  this->StartServing();
+  for (const std::string& entry : OddEntries(kDepthOfAnAnnouncement)) {
+    const int status = this->fleet.Announce(kZoneAShopNode, "i-odd", entry);
+    EXPECT_EQ(status, 400) << entry.substr(0, 100);
+  }
+  EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesServe(); }));
+}
+
+TEST_F(PlatformNodeTest, OddEntriesAmongTheNodesListedInTheStoreLeaveTheOthersAlone) {
+  this->StartServing();
+  this->fleet.OnModel([](auto& model) {
+    int slot = 0;
+    for (const std::string& entry : OddEntries(kDepthOfAnEntry)) {
+      model.Put("/fireflyrun/platform/roster/a/" + std::to_string(100 + slot++), entry);
+    }
+  });
+  this->fleet.KillNode(kZoneAShopNode);
+  this->fleet.StartNode(kZoneAShopNode);
+  EXPECT_TRUE(WaitUntil(kStartTimeout, [this] { return this->AllNodesServe(); }));
+  EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesServe(); }));
+}
+
 TEST_F(PlatformNodeTest, RestartedNodeIsReadyOnceItServes) {
   this->StartServing();
   this->fleet.KillNode(kZoneAShopNode);
