The time that a request lies unread at its entry counts towards its deadline

A request that waited in the kernel for an event loop that was held up got its whole time anew when it was read: it ran after its deadline where its caller had not closed, and its target was told more time than was left.

The kernel tells how long ago the last bytes arrived (TCP_INFO); that is taken off. Where it doesn't tell, all is as before.

ExpiredCallTest.RequestUnreadByItsEntryPastItsDeadlineNeverRuns, with a stopped entry, failed before; CallServerTest.RequestTellsHowLongItLayUnread.

--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -1,5 +1,7 @@
 #include "http/call_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -191,6 +193,15 @@
   return peeked == 0 || (peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+/// How long ago the last bytes arrived; zero where the kernel doesn't tell.
+Duration CallConnection::UnreadTime() {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  const int descriptor = this->socket.native_handle();
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return {};
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 std::size_t CallConnection::InputCapacity() const {
   const bool reads_body = this->phase == Phase::kReading && this->reader.HeadComplete();
   return reads_body ? kBodyInputBytes : kInputBytes;
@@ -294,6 +305,7 @@
   request.remote_address = this->remote_address;
   request.connection_id = this->id;
   request.sequence = this->requests++;
+  request.unread_time = this->UnreadTime();
   this->core->Handle(std::move(request),
                      std::make_shared<CallExchange>(this->shared_from_this(), this->requests));
 }
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -104,6 +104,7 @@
   void SetDeadline(Duration time_limit);
   bool HasUnreadBytes() const;
   bool CallerHasLeft();
+  Duration UnreadTime();
   bool HasReadAheadEnough() const;
   void PollForEnd();
   std::size_t InputCapacity() const;
--- a/src/http/request.h
+++ b/src/http/request.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 
+#include "common/clock.h"
 #include "http/headers.h"
 
 namespace fireflyrun::http {
@@ -16,6 +17,7 @@
   std::string remote_address;       ///< IP number of the connection's far end.
   std::uint64_t connection_id = 0;  ///< For Server::CloseConnection().
   std::uint64_t sequence = 0;       ///< Requests received before on the same connection.
+  Duration unread_time{};           ///< How long its last bytes had arrived before it was read.
 };
 
 }  // namespace fireflyrun::http
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -254,8 +254,8 @@
 
 tl::expected<void, CallerService::Refusal> CallerService::SetDeadline(const http::Request& request,
                                                                       OutboundCall* call) const {
-  const SteadyTime now = SteadyClock::now();
-  call->deadline = now + call->route->deadline;
+  const SteadyTime arrived = SteadyClock::now() - request.unread_time;
+  call->deadline = arrived + call->route->deadline;
   if (call->parent) call->deadline = std::min(call->deadline, call->parent->deadline);
   if (this->wire.deadline.empty()) return {};
   const auto header = http::FindHeader(request.headers, this->wire.deadline);
@@ -268,7 +268,7 @@
     return tl::unexpected(Refusal{RefusalReason::kBadRequest,
                                   this->wire.deadline + " is not a whole number of 0 to 600000"});
   }
-  call->deadline = std::min(call->deadline, now + std::chrono::milliseconds(left_ms));
+  call->deadline = std::min(call->deadline, arrived + std::chrono::milliseconds(left_ms));
   return {};
 }
 
--- a/tests/http/call_server_test.cc
+++ b/tests/http/call_server_test.cc
@@ -187,6 +187,19 @@
   EXPECT_EQ(this->server->Counters().callers_gone_unread, 2U);
 }
 
+TEST_F(CallServerTest, RequestTellsHowLongItLayUnread) {
+  constexpr std::chrono::milliseconds kStall(300);
+  constexpr std::chrono::milliseconds kKernelTick(20);
+  const auto late = RawConnection::Connect(this->loop, this->server->Port());
+  asio::write(late->socket, asio::buffer(std::string_view(kGet)));
+  this->Stall(kStall);
+  ASSERT_TRUE(this->WaitForRequests(1));
+  EXPECT_GE(this->requests[0].unread_time, kStall - kKernelTick);
+  const auto prompt = this->ConnectAndSend(kGet);
+  ASSERT_TRUE(this->WaitForRequests(2));
+  EXPECT_LT(this->requests[1].unread_time, kStall);
+}
+
 TEST_F(CallServerTest, NoticesACallerThatLeavesBehindMoreThanIsReadAhead) {
   const auto caller = this->ConnectAndSend(kGet);
   ASSERT_TRUE(this->WaitForRequests(1));
--- a/tests/integration/expired_call_test.cc
+++ b/tests/integration/expired_call_test.cc
@@ -70,5 +70,15 @@
   this->ExpectServingAgain();
 }
 
+TEST_F(ExpiredCallTest, RequestUnreadByItsEntryPastItsDeadlineNeverRuns) {
+  this->fleet.NodeProcess("a0").Pause();
+  auto call = std::async(std::launch::async, [this] { return this->CallInVain(); });
+  EXPECT_TRUE(HoldsFor(kRunTime, [this] { return this->Runs() == this->runs_before; }));
+  this->fleet.NodeProcess("a0").Resume();
+  EXPECT_EQ(call.get().status, 504);
+  EXPECT_EQ(this->Runs(), this->runs_before);
+  this->ExpectServingAgain();
+}
+
 }  // namespace
 }  // namespace fireflyrun::integration
