target_service.cc: limits of the target and contexts of calls in files of their own

Moved, unchanged: WarmUpOf and MaxCalls to target_limits, MakeContext to call_context_factory (as MakeCallContext). Why a call must not start is asked in one place, as it is offered and as it is started.

--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -25,6 +25,8 @@
     peer::LinkServer::Reply reply;
   };
 
+  bool HasExpired(SteadyTime now) const { return now >= this->deadline; }
+
   Id128 id;
   peer::Call call;
   peer::LinkServer::Reply reply;
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -9,8 +9,10 @@
 #include "http/status.h"
 #include "node/answer_codec.h"
 #include "node/call_context.h"
+#include "node/call_context_factory.h"
 #include "node/context_table.h"
 #include "node/request_log.h"
+#include "node/target_limits.h"
 #include "node/target_request.h"
 #include "node/ticket_codec.h"
 #include "policy/admission_request.h"
@@ -25,8 +27,6 @@
 
 constexpr int kServiceUnavailableStatus = 503;
 constexpr int kMisdirectedStatus = 421;
-/// Initial share of the slots of a target that reports a cold start: all of them work, but slowly.
-constexpr double kInitialColdSlotShare = 0.5;
 /// A call that was on its way for longer is refused: its caller may have left since, and the cancel
 /// is on its way as long.
 constexpr Duration kMaxTransitTime = std::chrono::milliseconds(500);
@@ -49,43 +49,6 @@
   return answer;
 }
 
-/// A target that doesn't report whether it has just started is treated as new.
-policy::WarmUp WarmUpOf(const TargetAddress& target) {
-  if (!target.cold_seconds) return {};
-  const std::chrono::duration<double> reported(*target.cold_seconds);
-  return {std::chrono::duration_cast<Duration>(reported), kInitialColdSlotShare};
-}
-
-/// Each call takes a connection, and one is reserved so that the health probe need not wait. A
-/// target that accepts only one connection gets both over it.
-std::uint32_t MaxCalls(const records::ServicePolicy& policy) {
-  const auto connections = static_cast<std::uint32_t>(*policy.max_connections);
-  return connections > 1 && policy.health_path ? connections - 1 : connections;
-}
-
-bool HasExpired(const InboundCall& inbound) { return SteadyClock::now() >= inbound.deadline; }
-
-std::string RequestIdOf(const peer::pb::CallHead& head, const WireNames& wire) {
-  for (const auto& header : head.headers()) {
-    if (http::SameHeaderName(header.name(), wire.request_id)) return header.value();
-  }
-  return {};
-}
-
-std::shared_ptr<CallContext> MakeContext(const InboundCall& inbound, const WireNames& wire) {
-  const auto& head = inbound.call.head;
-  auto context = std::make_shared<CallContext>();
-  context->root_id = Id128::FromBytes(head.root_id()).value_or(Id128());
-  context->deadline = inbound.deadline;
-  context->call_class = {head.call_class(), head.class_rank(), head.may_leave_region()};
-  context->tenant = head.tenant();
-  if (!wire.child_separator.empty()) context->request_id = RequestIdOf(head, wire);
-  context->depth = head.depth();
-  context->at_most_once = inbound.ticket.has_value();
-  context->allotment = std::make_shared<policy::RetryAllotment>(head.retry_allotment());
-  return context;
-}
-
 }  // namespace
 
 TargetService::TargetService(TimerService& timer_service, http::TargetClient& http_client,
@@ -255,17 +218,9 @@
 }
 
 void TargetService::Offer(const CallPointer& inbound) {
-  const auto& head = inbound->call.head;
-  if (!this->target || this->target->service != head.service()) {
-    this->Refuse(inbound, RefusalReason::kNoTarget);
-    return;
-  }
-  if (HasExpired(*inbound)) {
-    this->Refuse(inbound, RefusalReason::kDeadline);
-    return;
-  }
-  if (inbound->call.transit_time > kMaxTransitTime) {
-    this->Refuse(inbound, RefusalReason::kLinkSlow);
+  const RefusalReason refusal = this->ReasonToRefuse(*inbound);
+  if (refusal != RefusalReason::kNone) {
+    this->Refuse(inbound, refusal);
     return;
   }
   if (this->options.admit_all) {
@@ -273,6 +228,7 @@
     return;
   }
   LogQueued(this->LogContext(*inbound));
+  const auto& head = inbound->call.head;
   const auto root = Id128::FromBytes(head.root_id()).value_or(Id128());
   this->offered = inbound->id;
   this->admission.Offer({inbound->id, policy::KeyFor(head.class_rank(), root), inbound->deadline},
@@ -287,11 +243,13 @@
   });
 }
 
-RefusalReason TargetService::ReasonNotToStart(const InboundCall& inbound) const {
+RefusalReason TargetService::ReasonToRefuse(const InboundCall& inbound) const {
   const bool has_target = this->target && this->target->service == inbound.call.head.service();
   if (!has_target) return RefusalReason::kNoTarget;
   if (this->leaving && !this->options.admit_all) return RefusalReason::kLeaving;
-  return HasExpired(inbound) ? RefusalReason::kDeadline : RefusalReason::kNone;
+  if (inbound.HasExpired(SteadyClock::now())) return RefusalReason::kDeadline;
+  const bool held_up = inbound.call.transit_time > kMaxTransitTime;
+  return held_up ? RefusalReason::kLinkSlow : RefusalReason::kNone;
 }
 
 void TargetService::StartCall(const Id128& id) {
@@ -300,7 +258,7 @@
     this->admission.Abandoned(id, SteadyClock::now());
     return;
   }
-  const RefusalReason refusal = this->ReasonNotToStart(*inbound);
+  const RefusalReason refusal = this->ReasonToRefuse(*inbound);
   if (refusal != RefusalReason::kNone) {
     this->admission.Abandoned(id, SteadyClock::now());
     this->Refuse(inbound, refusal);
@@ -318,7 +276,7 @@
 }
 
 void TargetService::SendToTarget(const CallPointer& inbound) {
-  inbound->context = MakeContext(*inbound, this->options.wire);
+  inbound->context = MakeCallContext(*inbound, this->options.wire);
   inbound->target_address = this->target->address;
   this->contexts.Add(inbound->context);
   auto request = BuildTargetRequest(inbound->call, *this->target, inbound->context->handle,
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -111,8 +111,8 @@
   /// Starts a call that has waited, unless a cancel has arrived that is still unread.
   void StartQueuedCall(const Id128& id);
   void StartCall(const Id128& id);
-  /// kNone if the call may start now.
-  policy::RefusalReason ReasonNotToStart(const InboundCall& inbound) const;
+  /// Why the call must not start now, whatever the admission says; kNone if it may.
+  policy::RefusalReason ReasonToRefuse(const InboundCall& inbound) const;
   void SendToTarget(const CallPointer& inbound);
   void OnTargetEnded(const CallPointer& inbound,
                      tl::expected<http::Response, http::ClientError> ended);
