--- a/src/http/target_address.cc
+++ b/src/http/target_address.cc
@@ -38,7 +38,7 @@
   const SteadyTime now = SteadyClock::now();
   for (std::size_t left = this->idle.size(); left > 0; --left) {
     const std::size_t position = left - 1;
-    const ConnectionPointer connection = this->idle[position];
+    ConnectionPointer connection = this->idle[position];
     const Duration age = now - connection->idle_since;
     if (!request.repeatable && age >= this->options.unrepeatable_idle_limit) return nullptr;
     if (connection->HasFailed(request.echo_header.value)) continue;
