--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -329,7 +329,7 @@
       "",
       "null",
       "7",
-      "\xff\xfe\x00",
+      std::string("\xff\xfe\0", 3),
       "{\"service\":",
       std::string(depth, '['),
       nested_objects,
