admission_controller_test: the same draws on arm64 and x86-64

Cause: Id128(generator(), generator()) draws its halves in the order in which arguments are evaluated, which differs between the processors, so the ids, and what is shed by their hash, did too.

The draws are made one after the other, in the order of x86-64.

--- a/tests/policy/admission_controller_test.cc
+++ b/tests/policy/admission_controller_test.cc
@@ -78,7 +78,10 @@
 
   void Arrive(const std::array<double, kRanks>& rates) {
     std::discrete_distribution<std::uint32_t> rank_of(rates.begin(), rates.end());
-    const Id128 id(this->generator(), this->generator());
+    // One after the other: the order in which arguments are evaluated differs between processors.
+    const std::uint64_t low = this->generator();
+    const std::uint64_t high = this->generator();
+    const Id128 id(high, low);
     const Call call{rank_of(this->generator), this->now + ToDuration(this->call_timeout_seconds)};
     this->calls.emplace(id, call);
     this->controller.Offer({id, KeyFor(call.rank, id), call.deadline}, this->now);
