A stopping node starts only calls that end before it does

Cause: RefuseIfStopping let every call of the local target pass to the end of the grace, and retries and moves began at any time; what still ran at 0.86 of the grace was cut with the process.

Change: each first and further attempt asks policy::DrainPolicy. A refusal is kLeaving, not run, with Retry-After, and counts as a failed child of its parent. What still runs when the drain ends is answered (its outcome is unknown) before the connections close.

Measured with planned_stop_test, six streams of requests 50 ms apart from the signal on, calls of 0.8 s, a grace of 6 s. Ruled out there (passed before and after): new and kept connections, late bodies, other hosts' calls at the stopping gate, calls queued elsewhere (the queue answers them long before).

--- a/src/node/call_dispatcher.cc
+++ b/src/node/call_dispatcher.cc
@@ -38,4 +38,13 @@
   dispatch->OnParentEnded(why);
 }
 
+void CallDispatcher::OnDrainEnded() {
+  // A copy keeps the dispatches alive: ending one removes it from the table, and its parent's end
+  // may end others.
+  const auto open = this->dispatches;
+  for (const auto& [id, dispatch] : open) {
+    if (this->dispatches.contains(id)) dispatch->OnDrainEnded();
+  }
+}
+
 }  // namespace fireflyrun::node
--- a/src/node/call_dispatcher.h
+++ b/src/node/call_dispatcher.h
@@ -36,6 +36,9 @@
   /// attempt has reported whether it ran.
   void OnParentEnded(DispatchId id, policy::RefusalReason why);
 
+  /// Ends all calls in progress, as the node's drain has ended. Their handlers run at once.
+  void OnDrainEnded();
+
   std::size_t InProgress() const { return this->dispatches.size(); }
 
  private:
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -21,6 +21,7 @@
 #include "node/target_probe.h"
 #include "peer/link_pool.h"
 #include "peer/link_server.h"
+#include "policy/drain_policy.h"
 #include "policy/fleet_retry_bound.h"
 #include "records/configuration.h"
 
@@ -276,15 +277,28 @@
   this->target_watcher->OnSettingsChanged();
 }
 
-void CallPlane::Leave() {
+void CallPlane::Leave(SteadyTime stop_began) {
   this->leaving = true;
-  this->leaving_since = SteadyClock::now();
+  this->leaving_since = stop_began;
+  const Duration passed = SteadyClock::now() - stop_began;
   // Until the callers have left, the target can still serve the other nodes.
   this->target_leave_timer =
-      this->timers.After(StopTimesOf(this->settings).target_service_limit,
+      this->timers.After(StopTimesOf(this->settings).target_service_limit - passed,
                          [this] { this->target_watcher->LeavePermanently(); });
 }
 
+void CallPlane::OnDrainEnded() { this->dispatcher->OnDrainEnded(); }
+
+bool CallPlane::MayStart(const OutboundCall& call) const {
+  if (!this->leaving) return true;
+  const StopTimes times = StopTimesOf(this->settings);
+  const policy::DrainWindow window{this->leaving_since + times.notice,
+                                   this->leaving_since + times.drain_limit};
+  const policy::DrainCall described{!call.route->idempotent, call.deadline,
+                                    this->call_times.Longest(LevelKey(*call.route))};
+  return policy::DrainPolicy::MayStart(window, described, SteadyClock::now());
+}
+
 bool CallPlane::HasOpenCalls() const {
   return this->target->OpenCalls() > 0 || this->dispatcher->InProgress() > 0;
 }
@@ -323,6 +337,7 @@
   services.sender = this->sender.get();
   services.budgets = this->budgets.get();
   services.fixed_retries = this->settings.decisions_off;
+  services.may_start = [this](const OutboundCall& call) { return this->MayStart(call); };
   services.count_repeat = [this](const OutboundCall& call, bool is_move) {
     this->metrics.CountRepeat(call, is_move);
   };
@@ -344,8 +359,10 @@
     return this->IssueTicket(route);
   };
   hooks.on_ended = [this](const OutboundCall& call, const CallResult& result, Duration latency) {
+    this->call_times.Add(LevelKey(*call.route), latency, SteadyClock::now());
     this->metrics.OnEnded(call, result, latency);
   };
+  hooks.may_start = [this](const OutboundCall& call) { return this->MayStart(call); };
   hooks.stopping = [this] { return this->leaving; };
   hooks.refuses_new_calls = [this](bool first_on_connection) {
     const bool notice_ended =
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -23,6 +23,7 @@
 #include "node/target_service.h"
 #include "node/target_watcher.h"
 #include "policy/byte_budget.h"
+#include "policy/call_times.h"
 #include "policy/target_chooser.h"
 
 namespace fireflyrun {
@@ -76,8 +77,10 @@
   void OnSettingsChanged();
 
   /// Directs callers to other nodes from now on; the local target takes no new calls after
-  /// `StopTimes::target_service_limit`.
-  void Leave();
+  /// `StopTimes::target_service_limit`. The stop counts from `stop_began`.
+  void Leave(SteadyTime stop_began);
+  /// Answers the callers of all calls that still run at the end of the drain.
+  void OnDrainEnded();
   bool Leaving() const { return this->leaving; }
   bool HasOpenCalls() const;
   bool HasUnclaimedAnswers() const;
@@ -102,6 +105,7 @@
   /// have none.
   const records::ServicePolicy* PolicyOf(const std::string& service) const;
   bool IsInOtherRegion(const std::string& node) const;
+  bool MayStart(const OutboundCall& call) const;
   /// Wraps `handler` so that the answer's bytes are charged to the inter-region budget.
   AttemptSender::AnswerHandler WithLinkCharge(AttemptSender::AnswerHandler handler);
   std::optional<std::string> IssueTicket(const records::CallPolicy& route);
@@ -115,6 +119,7 @@
   std::unique_ptr<RetryBudgets> budgets;
   policy::ByteBudget link_budget;
   policy::TargetChooser chooser;
+  policy::CallTimes call_times;  ///< By LevelKey().
   std::unique_ptr<TargetDirectory> directory;
   std::unique_ptr<TargetService> target;
   LocalCalls local_calls;
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -148,9 +148,12 @@
 
 bool CallerService::RefuseIfStopping(const OutboundCall& call, bool first_on_connection,
                                      http::Exchange& exchange) const {
-  // Calls of the local target are still accepted, on new connections too, so that it can finish
-  // what it runs.
-  if (call.parent || !this->hooks.refuses_new_calls(first_on_connection)) return false;
+  // Calls of the local target are accepted for longer, on new connections too, so that it can
+  // finish what it runs.
+  const bool from_outside = call.parent == nullptr;
+  const bool refuses = from_outside && this->hooks.refuses_new_calls(first_on_connection);
+  if (!refuses && this->hooks.may_start(call)) return false;
+  if (call.parent) call.parent->child_failed = true;
   const bool has_key = call.ticket_source != TicketSource::kNone;
   const auto outcome = has_key ? Outcome::OUTCOME_UNKNOWN : Outcome::OUTCOME_NOT_RUN;
   this->Refuse({RefusalReason::kLeaving, "this node is stopping"}, outcome, call.headers, exchange);
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -45,6 +45,8 @@
     std::function<bool()> stopping;
     /// True for requests that arrive after callers had time to notice that the node is stopping.
     std::function<bool(bool first_on_connection)> refuses_new_calls;
+    /// False while the node is stopping and the call might not end before it does.
+    std::function<bool(const OutboundCall&)> may_start;
     /// The service on this host; empty while it is unknown.
     std::function<std::string()> own_service;
   };
--- a/src/node/dispatch.cc
+++ b/src/node/dispatch.cc
@@ -87,6 +87,15 @@
   this->FinishRefused(why);
 }
 
+void Dispatch::OnDrainEnded() {
+  if (this->attempt_id) {
+    this->may_have_run = true;
+    this->services.sender->Cancel(*this->attempt_id);
+  }
+  this->FinishRefused(this->may_have_run ? RefusalReason::kOutcomeUnknown
+                                         : RefusalReason::kLeaving);
+}
+
 void Dispatch::Abandon() {
   this->ended = true;
   this->timer.Reset();
@@ -95,6 +104,8 @@
 void Dispatch::Step() {
   if (SteadyClock::now() >= this->call.deadline) {
     this->FinishRefused(RefusalReason::kDeadline);
+  } else if (!this->services.may_start(this->call)) {
+    this->FinishRefused(RefusalReason::kLeaving);
   } else if (this->call.ticket_source == TicketSource::kNone) {
     this->SendIdempotent();
   } else if (!this->ticket) {
@@ -346,6 +357,7 @@
 
 bool Dispatch::MayMove(const AttemptResult& result) {
   if (result.outcome != Outcome::OUTCOME_NOT_RUN) return false;
+  if (!this->services.may_start(this->call)) return false;
   const bool for_load = AllowsLoadMove(result.reason);
   if (!for_load && !AllowsMove(result.reason)) return false;
   if (this->moves >= (for_load ? kMaxLoadMoves : kMaxMoves)) return false;
@@ -356,6 +368,7 @@
 }
 
 bool Dispatch::MayRetry(const AttemptResult& result) {
+  if (!this->services.may_start(this->call)) return false;
   if (this->services.fixed_retries) {
     if (this->fixed_retries_left == 0) return false;
     --this->fixed_retries_left;
--- a/src/node/dispatch.h
+++ b/src/node/dispatch.h
@@ -38,6 +38,9 @@
   /// attempt to report whether it ran.
   void OnParentEnded(policy::RefusalReason why);
 
+  /// Ends the call at the end of the node's drain; it may have run if an attempt is in progress.
+  void OnDrainEnded();
+
   /// Stops the call without running the handler or cancelling the attempt; for the destruction of
   /// the node.
   void Abandon();
--- a/src/node/dispatch_services.h
+++ b/src/node/dispatch_services.h
@@ -38,6 +38,8 @@
   std::function<void(const std::string& service, const std::string& key, std::string from,
                      std::string to, TicketHandler)>
       move_key;
+  /// False while the node is stopping and the call might not end before it does.
+  std::function<bool(const OutboundCall&)> may_start;
   /// Counts one retry or move of the call.
   std::function<void(const OutboundCall&, bool is_move)> count_repeat;
   /// Baseline for benchmarks: a fixed number of retries at each hop, regardless of the allotment.
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -106,6 +106,9 @@
   Supervisor root;
   std::function<void()> on_stopped;  ///< Empty before the stop.
   TimerSubscription stop_timer;
+  /// The earliest time at which the stop may have been requested: the event loop may have been held
+  /// up while the request waited, and the time to a kill counts from the request.
+  SteadyTime stop_began;
 };
 
 Node::Implementation::Implementation(asio::io_context& loop, NodeSettings node_settings,
@@ -157,8 +160,11 @@
   this->on_stopped = [called = false, done = std::move(done)]() mutable {
     if (!std::exchange(called, true)) done();
   };
+  const SteadyTime now = SteadyClock::now();
+  this->stop_began = now;
+  const SteadyTime process_end = this->stop_began + StopTimesOf(this->settings).process_limit;
   // Ends the stop even if a component still waits for something.
-  this->stop_timer = this->timers.After(StopTimesOf(this->settings).process_limit, [this] {
+  this->stop_timer = this->timers.After(process_end - now, [this] {
     Log(LogLevel::kWarning, "node", "event=stop-limit-passed");
     this->on_stopped();
   });
@@ -208,6 +214,7 @@
   };
   hooks.has_unclaimed_answers = [this] { return this->calls.HasUnclaimedAnswers(); };
   hooks.stop_accepting = [this] { this->caller_server.StopAccepting(); };
+  hooks.on_limit_passed = [this] { this->calls.OnDrainEnded(); };
   return hooks;
 }
 
@@ -270,10 +277,10 @@
   component.start = []() -> tl::expected<void, std::string> { return {}; };
   component.stop = [this](std::function<void()> done) {
     this->caller_server.BeginDrain();
-    this->calls.Leave();
+    this->calls.Leave(this->stop_began);
     // The store may be slow to answer; leaving the roster before the drain gives it time.
     this->control.LeaveRoster();
-    this->drain.Start(std::move(done));
+    this->drain.Start(this->stop_began, std::move(done));
   };
   return component;
 }
--- a/src/node/node_drain.cc
+++ b/src/node/node_drain.cc
@@ -23,10 +23,10 @@
                      Hooks drain_hooks)
     : timers(timer_service), settings(node_settings), hooks(std::move(drain_hooks)) {}
 
-void NodeDrain::Start(std::function<void()> on_drained) {
+void NodeDrain::Start(SteadyTime stop_began, std::function<void()> on_drained) {
   this->done = std::move(on_drained);
-  this->started = SteadyClock::now();
-  this->last_busy = this->started;
+  this->started = stop_began;
+  this->last_busy = SteadyClock::now();
   this->check_timer = this->timers.Every(kCheckPeriod, [this] { this->Check(); });
 }
 
@@ -47,8 +47,11 @@
     this->hooks.stop_accepting();
   }
   if (!drained && !limit_passed) return;
-  if (!drained) Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
   this->check_timer.Reset();
+  if (!drained) {
+    Log(LogLevel::kWarning, "node", "event=drain-limit-passed");
+    this->hooks.on_limit_passed();
+  }
   std::exchange(this->done, nullptr)();
 }
 
--- a/src/node/node_drain.h
+++ b/src/node/node_drain.h
@@ -23,13 +23,15 @@
     std::function<bool()> has_unclaimed_answers;
     /// Runs once, when the notice has ended and no call is open: closes the server to new callers.
     std::function<void()> stop_accepting;
+    /// Runs once, when the drain limit has passed although calls are open.
+    std::function<void()> on_limit_passed;
   };
 
   /// Reads `node_settings` while it waits, so changes take effect at once.
   NodeDrain(TimerService& timer_service, const NodeSettings& node_settings, Hooks drain_hooks);
 
-  /// Calls `done` once.
-  void Start(std::function<void()> done);
+  /// Calls `done` once. The limits count from `stop_began`.
+  void Start(SteadyTime stop_began, std::function<void()> done);
 
  private:
   void Check();
--- a/tests/integration/http_call.h
+++ b/tests/integration/http_call.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,24 @@
   std::chrono::milliseconds timeout{10'000};
 };
 
+/// Requests of one caller, one after another, on a connection that is kept as long as the other end
+/// allows.
+class CallSession {
+ public:
+  CallSession();
+  ~CallSession();
+  CallSession(const CallSession&) = delete;
+  CallSession& operator=(const CallSession&) = delete;
+
+  /// Makes the request and waits for the answer.
+  HttpAnswer Make(const HttpCall& call);
+
+ private:
+  struct Handle;
+
+  std::unique_ptr<Handle> handle;
+};
+
 /// Makes the request on a connection of its own and waits for the answer.
 HttpAnswer MakeCall(const HttpCall& call);
 
