A stop counts from when its signal may have come, not from when it was seen

Cause: all steps of a stop counted from the handling of SIGTERM. A loop that was held up for 0.8 s ended the process 0.6 s after the kill of a grace of 3 s.

Change: TimerService::LongestDelay() tells for how long the loop has been held up at most (no timer fired since, or timers that just fired late); the stop counts from that time. At most a timer's gap too early.

--- a/src/common/timer_service.cc
+++ b/src/common/timer_service.cc
@@ -1,5 +1,6 @@
 #include "common/timer_service.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 #include <utility>
 
@@ -10,6 +11,9 @@
 namespace {
 
 constexpr std::chrono::seconds kMostSlotOffset(1);
+constexpr std::chrono::milliseconds kNoticeableDelay(50);
+/// Within it, an event loop that was held up has handled what waited.
+constexpr std::chrono::milliseconds kCatchUpTime(100);
 
 }  // namespace
 
@@ -52,15 +56,27 @@
   });
 }
 
-void TimerService::CountIfLate(Duration delay) {
-  if (delay >= kLateTimer) ++this->late_timers;
+Duration TimerService::LongestDelay() const {
+  const SteadyTime now = SteadyClock::now();
+  const bool just_held_up = now - this->held_up_until < kCatchUpTime;
+  return now - (just_held_up ? this->held_up_since : this->last_fired);
+}
+
+void TimerService::OnFired(SteadyTime due) {
+  const SteadyTime now = SteadyClock::now();
+  this->last_fired = now;
+  if (now - due >= kLateTimer) ++this->late_timers;
+  if (now - due < kNoticeableDelay) return;
+  const bool same_delay = now - this->held_up_until < kCatchUpTime;
+  this->held_up_since = same_delay ? std::min(this->held_up_since, due) : due;
+  this->held_up_until = now;
 }
 
 void TimerService::Arm(const std::shared_ptr<Entry>& entry, Duration delay) {
   entry->timer.expires_after(delay);
   entry->timer.async_wait([this, entry](const asio::error_code& error) {
     if (error || entry->cancelled) return;
-    this->CountIfLate(SteadyClock::now() - entry->timer.expiry());
+    this->OnFired(entry->timer.expiry());
     entry->callback();
     const bool repeats = entry->period > Duration::zero();
     if (repeats && !entry->cancelled) this->Arm(entry, entry->period);
--- a/src/common/timer_service.h
+++ b/src/common/timer_service.h
@@ -35,6 +35,10 @@
 
   asio::io_context& Loop() { return this->loop; }
 
+  /// How long the event loop has been held up, at most: what it handles now may have waited as
+  /// long.
+  Duration LongestDelay() const;
+
   /// Timers that fired at least `kLateTimer` after their time: the event loop was held up.
   std::uint64_t LateTimers() const { return this->late_timers; }
   static constexpr Duration kLateTimer = std::chrono::milliseconds(250);
@@ -45,11 +49,14 @@
   TimerSubscription Subscribe(Duration first_delay, Duration period,
                               std::function<void()> callback);
   void Arm(const std::shared_ptr<Entry>& entry, Duration delay);
-  void CountIfLate(Duration delay);
+  void OnFired(SteadyTime due);
 
   asio::io_context& loop;
   Duration slot_offset;
   std::uint64_t late_timers = 0;
+  SteadyTime last_fired = SteadyClock::now();
+  SteadyTime held_up_since;  ///< When the first of the timers was due that fired late together.
+  SteadyTime held_up_until;  ///< When the last of them fired.
 };
 
 }  // namespace fireflyrun
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -161,7 +161,7 @@
     if (!std::exchange(called, true)) done();
   };
   const SteadyTime now = SteadyClock::now();
-  this->stop_began = now;
+  this->stop_began = now - this->timers.LongestDelay();
   const SteadyTime process_end = this->stop_began + StopTimesOf(this->settings).process_limit;
   // Ends the stop even if a component still waits for something.
   this->stop_timer = this->timers.After(process_end - now, [this] {
--- a/tests/common/timer_service_test.cc
+++ b/tests/common/timer_service_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <asio/post.hpp>
+#include <thread>
+
 namespace fireflyrun {
 namespace {
 
@@ -56,5 +59,26 @@
   EXPECT_GE(apart, -spent);
 }
 
+TEST(TimerServiceTest, TellsHowLongTheLoopWasHeldUp) {
+  constexpr std::chrono::milliseconds kBlocked(400);
+  asio::io_context loop;
+  TimerService timers(loop);
+  const auto ticks = timers.Every(std::chrono::milliseconds(20), [] {});
+  loop.run_for(std::chrono::milliseconds(60));
+  Duration before_timers = Duration::zero();
+  asio::post(loop, [&] {
+    std::this_thread::sleep_for(kBlocked);
+    before_timers = timers.LongestDelay();
+  });
+  loop.run_for(std::chrono::milliseconds(1));
+  EXPECT_GE(before_timers, kBlocked);
+  EXPECT_LT(before_timers, kBlocked + std::chrono::milliseconds(200));
+  // The timers that were late have fired, so that only their lateness tells.
+  loop.run_for(std::chrono::milliseconds(40));
+  EXPECT_GE(timers.LongestDelay(), kBlocked - std::chrono::milliseconds(40));
+  loop.run_for(std::chrono::milliseconds(200));
+  EXPECT_LT(timers.LongestDelay(), kBlocked / 2);
+}
+
 }  // namespace
 }  // namespace fireflyrun
--- a/tests/integration/stop_test.cc
+++ b/tests/integration/stop_test.cc
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <thread>
 
 #include "tests/integration/fleet.h"
 #include "tests/integration/wait_until.h"
@@ -150,5 +151,24 @@
   EXPECT_NE(call.get().status, 200);
 }
 
+/// The time to the kill counts from the signal, not from when a busy event loop sees it.
+TEST_F(StopTest, EndsBeforeTheKillAlthoughItSeesTheSignalLate) {
+  constexpr milliseconds kHeldUp{800};
+  for (const auto* target : {"a2", "a3"}) {
+    this->fleet.SetTargetFault(target, R"({"hang": true})");
+  }
+  auto call = this->CallInBackground();
+  ASSERT_TRUE(HoldsFor(kMoment, [&] { return this->IsReady(); }));
+  Process& node = this->fleet.NodeProcess("a1");
+  const auto start = steady_clock::now();
+  node.Pause();
+  node.Signal(SIGTERM);
+  std::this_thread::sleep_for(kHeldUp);
+  node.Resume();
+  EXPECT_EQ(node.WaitForExit(kGrace), 0) << node.ErrorOutput();
+  EXPECT_LT(steady_clock::now() - start, kGrace);
+  EXPECT_NE(call.get().status, 200);
+}
+
 }  // namespace
 }  // namespace fireflyrun::integration
