A further copy of a store's response is not taken for the next one

Cause: libcurl looks for bytes on a kept connection only when it was idle for a second or more. A response that a server sent twice was given to the next request, at once and after a turn of the loop.

Change: before a request is sent, Client looks for unread bytes on its connection, found by its local port, and sends the request on a new one instead. Tried first: CURLINFO_ACTIVESOCKET, which is not set yet at that time. ClientTest.FurtherCopyOfAnAnswerIsNotTheNextRequests: got "1" for "2" before, both ways.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,6 +33,14 @@
   bool closed = false;
 };
 
+/// 0 when the socket has none.
+int LocalPortOf(curl_socket_t file) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  const int failed = getsockname(file, reinterpret_cast<sockaddr*>(&address), &size);
+  return failed == 0 && address.sin_family == AF_INET ? ntohs(address.sin_port) : 0;
+}
+
 void InitializeCurl() {
   static const CURLcode initialized = curl_global_init(CURL_GLOBAL_DEFAULT);
   (void)initialized;
@@ -68,6 +77,9 @@
   void DeliverEnds(const std::weak_ptr<bool>& guard);
   void PostResult(Handler handler, ClientError error);
   void Recycle(Transfer& transfer);
+  void StartAnew(Transfer& transfer);
+  /// libcurl looks for bytes on a kept connection only when it was idle for a second.
+  bool HasUnreadBytes(int local_port) const;
   Transfer::EasyHandle TakeHandle();
 
   asio::io_context& loop;
@@ -111,8 +123,9 @@
 Client::RequestId Client::Implementation::Start(ClientRequest request, ChunkHandler on_chunk,
                                                 Handler handler) {
   const RequestId id = ++this->last_id;
-  auto transfer =
-      std::make_shared<Transfer>(id, std::move(request), std::move(handler), std::move(on_chunk));
+  auto transfer = std::make_shared<Transfer>(
+      id, std::move(request), std::move(handler), std::move(on_chunk),
+      [this](int local_port) { return this->HasUnreadBytes(local_port); });
   if (auto prepared = transfer->Prepare(this->TakeHandle()); !prepared) {
     this->PostResult(transfer->TakeHandler(), std::move(prepared.error()));
     return id;
@@ -161,6 +174,20 @@
   }
 }
 
+void Client::Implementation::StartAnew(Transfer& transfer) {
+  curl_multi_remove_handle(this->multi, transfer.Easy());
+  transfer.PrepareForNewConnection();
+  curl_multi_add_handle(this->multi, transfer.Easy());
+}
+
+bool Client::Implementation::HasUnreadBytes(int local_port) const {
+  return std::any_of(this->sockets.begin(), this->sockets.end(), [local_port](const auto& entry) {
+    const curl_socket_t file = entry.first;
+    char byte = 0;
+    return LocalPortOf(file) == local_port && recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  });
+}
+
 int Client::Implementation::OnSocketChange(CURL*, curl_socket_t file, int what, void* client,
                                            void*) {
   static_cast<Implementation*>(client)->WatchSocket(file, what);
@@ -281,6 +308,10 @@
     curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &ended);
     const auto found = this->transfers.find(ended->Id());
     const TransferPointer transfer = found->second;
+    if (transfer->NeedsNewConnection()) {
+      this->StartAnew(*transfer);
+      continue;
+    }
     this->transfers.erase(found);
     auto result = transfer->Finish(code);
     this->Recycle(*transfer);
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -47,11 +47,12 @@
 }  // namespace
 
 Transfer::Transfer(std::uint64_t request_id, ClientRequest request_to_send, Handler end_handler,
-                   ChunkHandler chunk_handler)
+                   ChunkHandler chunk_handler, UnreadBytesHook unread_bytes_hook)
     : id(request_id),
       request(std::move(request_to_send)),
       on_end(std::move(end_handler)),
       on_chunk(std::move(chunk_handler)),
+      has_unread_bytes(std::move(unread_bytes_hook)),
       handle(nullptr, &curl_easy_cleanup) {}
 
 Transfer::~Transfer() { curl_slist_free_all(this->header_list); }
@@ -94,6 +95,12 @@
   return {};
 }
 
+void Transfer::PrepareForNewConnection() {
+  this->request.fresh_connection = true;
+  this->found_unread_bytes = false;
+  this->SetLimits();
+}
+
 tl::expected<void, ClientError> Transfer::CheckRequest() const {
   if (!IsToken(this->request.method)) return Malformed("method is not a token");
   for (const Header& header : this->request.headers) {
@@ -172,8 +179,13 @@
   handler(piece);
 }
 
-int Transfer::OnConnectionReady(void* transfer, char*, char*, int, int) {
-  static_cast<Transfer*>(transfer)->connection_made = true;
+int Transfer::OnConnectionReady(void* transfer, char*, char*, int, int local_port) {
+  Transfer& ready = *static_cast<Transfer*>(transfer);
+  if (ready.has_unread_bytes(local_port)) {
+    ready.found_unread_bytes = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
+  ready.connection_made = true;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -22,10 +22,12 @@
   using Handler = std::function<void(tl::expected<Response, ClientError>)>;
   using ChunkHandler = std::function<void(std::string_view)>;
   using EasyHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
+  /// Whether the connection with this local port holds bytes that were not read.
+  using UnreadBytesHook = std::function<bool(int local_port)>;
 
   /// `on_chunk` may be empty; the body is then collected.
   Transfer(std::uint64_t request_id, ClientRequest request_to_send, Handler end_handler,
-           ChunkHandler chunk_handler);
+           ChunkHandler chunk_handler, UnreadBytesHook unread_bytes_hook);
   ~Transfer();
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
@@ -39,6 +41,15 @@
   /// The result, once libcurl has ended the transfer with `code`.
   tl::expected<Response, ClientError> Finish(CURLcode code);
 
+  /// True for an ended transfer whose kept connection held bytes before the request was sent: a
+  /// further copy of an earlier response, which would pass for the next one. Nothing was sent.
+  bool NeedsNewConnection() const {
+    return this->found_unread_bytes && !this->request.fresh_connection;
+  }
+
+  /// Makes such a transfer ready to run on a connection of its own.
+  void PrepareForNewConnection();
+
   /// Gives the handle back for another request.
   EasyHandle ReleaseHandle();
 
@@ -71,12 +82,14 @@
   ClientRequest request;
   Handler on_end;
   ChunkHandler on_chunk;
+  UnreadBytesHook has_unread_bytes;
   EasyHandle handle;
   curl_slist* header_list = nullptr;
   Response response;
   std::string chunk;
   char error_text[CURL_ERROR_SIZE] = {};
   bool connection_made = false;
+  bool found_unread_bytes = false;
   bool head_complete = false;
   bool too_large = false;
 };
--- a/tests/http/client_test.cc
+++ b/tests/http/client_test.cc
@@ -28,6 +28,25 @@
   EXPECT_EQ(server.connections, 2);
 }
 
+/// A server sends its answer once more on a connection that is kept.
+TEST(ClientTest, FurtherCopyOfAnAnswerIsNotTheNextRequests) {
+  for (const bool loop_runs_between : {false, true}) {
+    asio::io_context loop;
+    Client client(loop, 4);
+    std::shared_ptr<RawConnection> first;
+    RawServer server(loop, [&](RawConnection& connection, int number) {
+      if (number == 1) first = connection.shared_from_this();
+      connection.Write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number));
+    });
+    ASSERT_EQ(Fetch(loop, client, Get(server.Port()))->value().body, "1");
+    asio::write(first->socket,
+                asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1")));
+    if (loop_runs_between) loop.poll();
+    EXPECT_EQ(Fetch(loop, client, Get(server.Port()))->value().body, "2");
+    EXPECT_EQ(server.connections, 2);
+  }
+}
+
 TEST(ClientTest, SendsTheTargetAndHeadersAsGivenAndAddsNone) {
   asio::io_context loop;
   Client client(loop, 4);
