target_client: bytes that come before the request are not its answer

Cause: an answer was believed on a reused connection although it began while the request was still being written, and on a new one although the target had sent it before any request. Where no echo tells answers apart, that is another request's.

Change: without an echo header, an answer on a reused connection that begins before the request was sent in full is malformed; a target that speaks first gets no request (not sent, so another may take it). A late copy that comes after the request and before its answer still can't be told apart without ids.

--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -131,7 +131,9 @@
 }
 
 int AnswerReader::OnMessageBegin(http_parser* parser) {
-  ReaderOf(parser).message_begun = true;
+  AnswerReader& reader = ReaderOf(parser);
+  reader.message_begun = true;
+  reader.begun_before_sent = !reader.request_sent;
   return kContinue;
 }
 
@@ -213,7 +215,11 @@
 
 bool AnswerReader::AcceptEcho() {
   const Header& expected = this->request.echo_header;
-  if (expected.name.empty()) return true;
+  if (expected.name.empty()) {
+    if (!this->connection_reused || !this->begun_before_sent) return true;
+    return this->Reject(ClientErrorKind::kBadAnswer,
+                        "the answer began before the request was sent");
+  }
   const auto echo = FindHeader(this->response.headers, expected.name);
   if (echo == expected.value) return true;
   if (!echo) {
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -29,6 +29,10 @@
   /// that one without its echo can't be told from it and is rejected.
   void SetConnectionReused(bool reused) { this->connection_reused = reused; }
 
+  /// Whether the request was sent in full. On a reused connection, an answer that begins before
+  /// that may belong to an earlier request and is rejected, unless its echo shows otherwise.
+  void SetRequestSent(bool sent) { this->request_sent = sent; }
+
   /// True once the answer is complete.
   tl::expected<bool, ClientError> Consume(std::string_view bytes);
 
@@ -96,6 +100,8 @@
   bool skips_message = false;
   bool echo_missing = false;
   bool connection_reused = false;
+  bool request_sent = true;
+  bool begun_before_sent = false;  ///< The current message.
   bool complete = false;
   bool connection_stays = false;
 };
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -249,6 +249,11 @@
     this->Fail(exchange, ClientError{ClientErrorKind::kNotSent, kNoTimeLeft});
     return;
   }
+  if (!connection.IsQuiet()) {
+    this->Fail(exchange,
+               ClientError{ClientErrorKind::kNotSent, "the target sent before a request"});
+    return;
+  }
   connection.WatchReads();
   this->WriteOn(connection);
 }
@@ -279,6 +284,7 @@
     this->Fail(exchange, ClientError{ClientErrorKind::kConnectionLost, error.message()});
     return false;
   }
+  exchange.Reader().SetRequestSent(exchange.FullyWritten());
   const std::size_t strays = exchange.Reader().StrayAnswers();
   const std::size_t held = exchange.Reader().HeldBytes();
   auto complete = error ? exchange.Reader().ConsumeEnd()
--- a/tests/http/target_client_reuse_test.cc
+++ b/tests/http/target_client_reuse_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <asio/read.hpp>
+
 #include "tests/http/target_test_support.h"
 
 namespace fireflyrun::http {
@@ -91,6 +93,41 @@
   }
 }
 
+/// Without an echo nothing else tells it from the answer to the request.
+TEST(TargetClientReuseTest, FurtherAnswerThatBeginsBeforeTheNextRequestIsSentIsNotItsAnswer) {
+  constexpr std::size_t kLargeBody = std::size_t{32} << 20;
+  TargetFixture fixture([](RawConnection& connection, int number) {
+    if (number > 1) connection.paused = true;
+    connection.Write(kWholeResponse);
+  });
+  ASSERT_TRUE(fixture.Fetch());
+  TargetRequest request = fixture.Request("POST");
+  request.body.assign(kLargeBody, 'x');
+  EXPECT_EQ(fixture.FetchError(request), ClientErrorKind::kBadAnswer);
+  EXPECT_EQ(fixture.server.connections, 1);
+  EXPECT_TRUE(fixture.Fetch());
+  EXPECT_EQ(fixture.server.connections, 2);
+}
+
+TEST(TargetClientReuseTest, TargetThatSpeaksFirstOnANewConnectionGetsNoRequest) {
+  TargetFixture fixture(Always(kWholeResponse));
+  asio::ip::tcp::acceptor acceptor(fixture.loop, {asio::ip::make_address("127.0.0.1"), 0});
+  TargetRequest request = fixture.Request("DELETE");
+  request.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::optional<Result> result;
+  fixture.client->Send(request, [&](Result ended) { result = std::move(ended); });
+  // The kernel has connected; the client sees it only when the loop runs.
+  asio::ip::tcp::socket far_end = acceptor.accept();
+  asio::write(far_end, asio::buffer(std::string(kWholeResponse)));
+  ASSERT_TRUE(RunUntil(fixture.loop, [&] { return result.has_value(); }));
+  ASSERT_FALSE(result->has_value());
+  EXPECT_EQ(result->error().kind, ClientErrorKind::kNotSent);
+  asio::error_code error;
+  std::string received;
+  asio::read(far_end, asio::dynamic_buffer(received), error);
+  EXPECT_EQ(received, "");
+}
+
 TEST(TargetClientReuseTest, IdleConnectionIsWatched) {
   TargetFixture fixture(Always(kWholeResponse));
   ASSERT_TRUE(fixture.Fetch());
