Calls that must run at most once outwait a silent node

Cause: a link gave up all calls handed over once nothing had come for 2 s, and the caller heard "unknown", though the target's node goes on with such a call and keeps its answer, and nobody else may run it.

Change: where the node may only be silent (connecting hangs, or nothing answers), such a call waits until its deadline; where nothing listens any more, or another incarnation answers, it ends as before. Calls that may be repeated are given up as before, so that they can go elsewhere.

--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -29,6 +29,7 @@
   if (this->calls.empty()) this->pending_since = now;
   this->last_used = now;
   PendingCall& pending = this->calls[call_id];
+  pending.at_most_once = call.head.at_most_once();
   pending.call = std::make_unique<Call>(std::move(call));
   pending.sent_at = now;
   pending.deadline = deadline;
@@ -297,8 +298,8 @@
   if (since_tick > this->options.heartbeat_period * 2) this->pending_since = now;
   const Duration silence = now - std::max(this->LastReceived(), this->pending_since);
   if (this->state != State::kOpen) {
-    if (silence < this->options.give_up_timeout) return;
-    return this->FinishAll(LinkErrorKind::kUnknown, "the remote node is unreachable");
+    if (silence >= this->options.give_up_timeout) this->GiveUpSentCalls();
+    return;
   }
   if (silence >= this->options.silence_timeout) {
     ++this->counters->links_replaced;
@@ -342,12 +343,21 @@
   this->Finish(call, tl::make_unexpected(ErrorOf(kind, std::move(message))));
 }
 
-void Link::FinishAll(LinkErrorKind kind, const std::string& message) {
+/// A call that must run at most once cannot be repeated elsewhere, so its answer is waited for
+/// until its deadline, as long as the node that runs it may only be silent.
+void Link::GiveUpSentCalls() {
+  const bool may_answer = !this->node_ended;
+  this->FinishAll(
+      LinkErrorKind::kUnknown, "the remote node is unreachable",
+      [may_answer](const PendingCall& call) { return call.at_most_once && may_answer; });
+}
+
+void Link::FinishAll(LinkErrorKind kind, const std::string& message, const CallFilter& keeps) {
   const bool ends_sent_calls = kind == LinkErrorKind::kUnknown;
   std::vector<LinkPool::AnswerHandler> handlers;
   for (auto call = this->calls.begin(); call != this->calls.end();) {
     const bool sent = call->second.phase == PendingCall::Phase::kHandedOver;
-    if (sent != ends_sent_calls) {
+    if (sent != ends_sent_calls || (keeps && keeps(call->second))) {
       ++call;
       continue;
     }
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -93,10 +93,14 @@
 
   void Finish(Calls::iterator call, Result result);
   void FinishError(Calls::iterator call, LinkErrorKind kind, std::string message);
+  using CallFilter = std::function<bool(const PendingCall&)>;
+
   /// Ends all calls to which `kind` applies: those handed over to the kernel if it is kUnknown,
   /// otherwise those not handed over. The former are cancelled if the remote node is reached again
-  /// before their deadlines.
-  void FinishAll(LinkErrorKind kind, const std::string& message);
+  /// before their deadlines. Calls for which `keeps` holds go on.
+  void FinishAll(LinkErrorKind kind, const std::string& message, const CallFilter& keeps = nullptr);
+  /// Ends the calls sent to a node that has been silent for the give-up timeout.
+  void GiveUpSentCalls();
 
   TimerService& timers;
   const LinkOptions& options;
@@ -120,6 +124,7 @@
   RemoteClock remote_clock;
   BootTime hello_sent_at;
   bool tick_running = false;
+  bool node_ended = false;  ///< Nothing listens at the address, by the latest attempt to connect.
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_connecting.cc
+++ b/src/peer/link_connecting.cc
@@ -38,11 +38,13 @@
   this->connecting_socket = socket;
   BindToOwnAddress(*socket, ip, this->options.ip);
   this->connect_timer = this->timers.After(this->options.connect_timeout, [this] {
+    this->node_ended = false;
     this->OnConnectFailed("the connection attempt timed out");
   });
   socket->async_connect({ip, this->address.port}, [weak, socket](const asio::error_code& failure) {
     const auto self = weak.lock();
     if (!self || self->connecting_socket != socket) return;
+    self->node_ended = failure == asio::error::connection_refused;
     if (failure) return self->OnConnectFailed(failure.message());
     self->OnConnected(std::move(*socket));
   });
--- a/src/peer/pending_call.h
+++ b/src/peer/pending_call.h
@@ -20,6 +20,7 @@
 
   Phase phase = Phase::kWaiting;
   std::unique_ptr<Call> call;
+  bool at_most_once = false;
   SteadyTime sent_at;
   SteadyTime deadline;
   LinkPool::AnswerHandler handler;
--- a/tests/peer/link_faults_test.cc
+++ b/tests/peer/link_faults_test.cc
@@ -196,6 +196,48 @@
   EXPECT_EQ(harness.cancelled, std::vector{held.sent->id});
 }
 
+/// Nobody else may run it, so giving it up would only lose its answer.
+TEST(LinkFaultsTest, AtMostOnceCallAwaitsASilentNodeUntilItsDeadline) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  LinkServer::Reply reply;
+  harness.on_call = [&](const Call&, LinkServer::Reply kept) { reply = std::move(kept); };
+  const auto expires = harness.Send("x", 3 * harness.options.give_up_timeout, true);
+  ASSERT_TRUE(harness.RunUntil([&] { return reply != nullptr; }));
+  const auto answered = harness.Send("y", seconds(20), true);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.ran.size() == 3; }));
+  const auto hold = [&](bool on) {
+    for (const auto direction : {Direction::kToServer, Direction::kToClient}) {
+      harness.proxy->SetFaults(direction, Scope::kAll, {.hold = on});
+    }
+  };
+  hold(true);
+  reply(AnswerWith("y"));
+  const SteadyTime start = SteadyClock::now();
+  ASSERT_TRUE(harness.RunUntilDone(expires));
+  EXPECT_EQ(expires->Error(), LinkErrorKind::kUnknown);
+  EXPECT_GE(SteadyClock::now() - start, 2 * harness.options.give_up_timeout);
+  EXPECT_EQ(answered->results, 0);
+  hold(false);
+  ASSERT_TRUE(harness.RunUntilDone(answered));
+  EXPECT_TRUE(answered->Answered("y"));
+  EXPECT_EQ(harness.ran.size(), 3U);
+}
+
+/// Nothing listens at its address any more, so no answer can come.
+TEST(LinkFaultsTest, AtMostOnceCallIsGivenUpWhenItsNodeHasEnded) {
+  PeerHarness harness;
+  ASSERT_TRUE(harness.WarmUp());
+  harness.on_call = [](const Call&, const LinkServer::Reply&) {};
+  const auto sent = harness.Send("x", seconds(20), true);
+  ASSERT_TRUE(harness.RunUntil([&] { return harness.ran.size() == 2; }));
+  const SteadyTime start = SteadyClock::now();
+  harness.proxy.reset();
+  ASSERT_TRUE(harness.RunUntilDone(sent));
+  EXPECT_EQ(sent->Error(), LinkErrorKind::kUnknown);
+  EXPECT_LT(SteadyClock::now() - start, seconds(5));
+}
+
 TEST(LinkFaultsTest, CallThatWasGivenUpAtItsDeadlineIsCancelled) {
   PeerHarness harness;
   ASSERT_TRUE(harness.WarmUp());
--- a/tests/peer/peer_harness.cc
+++ b/tests/peer/peer_harness.cc
@@ -62,11 +62,12 @@
   return true;
 }
 
-std::shared_ptr<SentCall> PeerHarness::Send(std::string body, Duration limit) {
+std::shared_ptr<SentCall> PeerHarness::Send(std::string body, Duration limit, bool at_most_once) {
   auto sent = std::make_shared<SentCall>();
   sent->id = Id128::Random();
   Call call;
   call.head.set_call_id(sent->id.ToBytes());
+  call.head.set_at_most_once(at_most_once);
   call.body = std::move(body);
   this->pool->Send(this->address, std::move(call), SteadyClock::now() + limit,
                    [sent](tl::expected<Answer, LinkError> result) {
--- a/tests/peer/peer_harness.h
+++ b/tests/peer/peer_harness.h
@@ -40,7 +40,8 @@
   static LinkOptions ShortLimits();
   /// Runs the event loop until `condition` holds or `limit` has passed; returns whether it held.
   bool RunUntil(const std::function<bool()>& condition, Duration limit = std::chrono::seconds(10));
-  std::shared_ptr<SentCall> Send(std::string body, Duration limit = std::chrono::seconds(20));
+  std::shared_ptr<SentCall> Send(std::string body, Duration limit = std::chrono::seconds(20),
+                                 bool at_most_once = false);
   bool RunUntilDone(const std::shared_ptr<SentCall>& call) {
     return this->RunUntil([&] { return call->results > 0; });
   }
