A node restarted after its host's clock went back replaces its earlier run

Cause: incarnations come from the time of day. After a step back a new run's incarnation is lower than the ended one's, so every other node kept the ended run's entry (its state, its stop, its target) until the clock had caught up, and the node itself reported a namesake.

Change: entries are ordered by (generation, incarnation, version). A node that hears of an entry of its name at its own address with a higher run raises its generation above it: it holds the address, so the other run has ended. After eight such runs it is a conflict, as two hosts may share an advertised address. Nodes of older versions ignore the field and order as before.

TestFleet restarts a node at its address, as a host does.

--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -24,9 +24,13 @@
 });
 
 /// The entry that one incarnation of a node publishes about itself. Only that incarnation raises
-/// `version`; of two entries the one with the higher (incarnation, version) is current.
+/// `version` and `generation`; of two entries the one with the higher (generation, incarnation,
+/// version) is current.
 struct Member {
   std::string node;
+  /// 0, unless the node learned of an earlier run with a higher incarnation, as after a step back
+  /// of the host's clock. An ended run's entry would stay current otherwise.
+  std::uint32_t generation = 0;
   std::uint64_t incarnation = 0;
   std::uint64_t version = 0;
   std::string region;
--- a/src/membership/member_codec.cc
+++ b/src/membership/member_codec.cc
@@ -34,6 +34,7 @@
   entry.set_target_state(EncodeTargetState(member.target_state));
   entry.set_ticket_window(member.ticket_window);
   entry.set_stopped(member.stopped);
+  entry.set_generation(member.generation);
   return entry;
 }
 
@@ -55,6 +56,7 @@
   member.target_state = DecodeTargetState(entry.target_state());
   member.ticket_window = entry.ticket_window();
   member.stopped = entry.stopped();
+  member.generation = entry.generation();
   return member;
 }
 
--- a/src/membership/view.cc
+++ b/src/membership/view.cc
@@ -13,7 +13,9 @@
 
 namespace {
 
-auto VersionOf(const Member& member) { return std::tuple(member.incarnation, member.version); }
+auto VersionOf(const Member& member) {
+  return std::tuple(member.generation, member.incarnation, member.version);
+}
 
 bool HaveSameAddress(const Member& left, const Member& right) {
   return left.ip == right.ip && left.control_port == right.control_port;
@@ -25,7 +27,8 @@
 }
 
 std::uint64_t ComputeFingerprint(std::uint64_t name_hash, const Member& member) {
-  return MixBits(MixBits(name_hash + member.incarnation) + member.version);
+  const auto mixed = MixBits(MixBits(name_hash + member.incarnation) + member.version);
+  return member.generation == 0 ? mixed : MixBits(mixed + member.generation);
 }
 
 }  // namespace
@@ -59,16 +62,35 @@
 
 MergeResult View::MergeSelf(const Member& received, SteadyTime now) {
   const Member& own = this->Self();
-  if (received.incarnation < own.incarnation) return MergeResult::kStale;
-  const bool is_own_incarnation = received.incarnation == own.incarnation;
-  if (!is_own_incarnation || !HaveSameAddress(own, received)) {
+  const auto run_of = [](const Member& member) {
+    return std::tuple(member.generation, member.incarnation);
+  };
+  if (run_of(received) < run_of(own)) return MergeResult::kStale;
+  if (!HaveSameAddress(own, received)) {
     this->AddConflict(own.node, DescribeNameConflict(own, received));
     return MergeResult::kConflict;
   }
-  if (received.version > own.version) this->RaiseSelfAbove(received.version, now);
+  if (received.incarnation != own.incarnation) {
+    if (++this->outranked_runs > kMaxOutrankedRuns) {
+      this->AddConflict(own.node, "several nodes use this name and the address " +
+                                      ControlAddressOf(own) + "; each node needs its own");
+      return MergeResult::kConflict;
+    }
+    this->RaiseSelfAboveRun(received, now);
+  } else if (received.version > own.version) {
+    this->RaiseSelfAbove(received.version, now);
+  }
   return MergeResult::kStale;
 }
 
+/// This process holds the address, so the other run has ended, however its incarnation compares.
+void View::RaiseSelfAboveRun(const Member& ended, SteadyTime now) {
+  Member next = this->Self();
+  next.generation = ended.generation + (ended.incarnation > next.incarnation ? 1 : 0);
+  next.version += 1;
+  this->Replace(*this->self, next, now);
+}
+
 MergeResult View::Insert(const Member& received, SteadyTime now) {
   auto state = std::make_unique<MemberState>();
   state->member = received;
@@ -105,6 +127,7 @@
   Member next = own;
   change(next);
   next.node = own.node;
+  next.generation = own.generation;
   next.incarnation = own.incarnation;
   next.version = own.version + 1;
   this->Replace(*this->self, next, now);
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -20,8 +20,8 @@
 
 /// All members known to this node. Does no I/O; the caller passes the current time.
 ///
-/// Of two entries of a node the one with the higher (incarnation, version) is kept, so the order of
-/// arrival does not matter and an older entry never replaces a newer one.
+/// Of two entries of a node the one with the higher (generation, incarnation, version) is kept, so
+/// the order of arrival does not matter and an older entry never replaces a newer one.
 class View {
  public:
   using Hook = std::function<void(ViewChange, const MemberState&)>;
@@ -32,6 +32,8 @@
   /// How long a member may be unreachable before it is removed.
   static constexpr Duration kMaxUnreachableTime = std::chrono::hours(24);
   static constexpr std::size_t kMaxConflicts = 64;
+  /// Runs of this node with a higher incarnation that are taken for ended ones.
+  static constexpr std::size_t kMaxOutrankedRuns = 8;
 
   View(Member own_entry, SteadyTime now);
   ~View() = default;
@@ -40,7 +42,8 @@
 
   /// Merges an entry received from any node. A received entry of this node itself is never adopted:
   /// one with this incarnation and a higher version makes this node raise its version above it, one
-  /// with a newer incarnation is a conflict.
+  /// of another run at this node's address its generation; one from another address that isn't
+  /// older is a conflict.
   MergeResult Merge(const Member& received, SteadyTime now);
 
   const Member& Self() const { return this->self->member; }
@@ -65,7 +68,7 @@
 
   /// XOR of the fingerprints of the zone's present members; 0 for an unknown zone.
   std::uint64_t DigestOf(const std::string& zone) const;
-  /// A 64-bit hash of (node, incarnation, version).
+  /// A 64-bit hash of (node, generation, incarnation, version).
   static std::uint64_t FingerprintOf(const Member& member);
   /// The fingerprints of the zone's present members.
   std::vector<std::uint64_t> FingerprintsIn(const std::string& zone) const;
@@ -105,6 +108,7 @@
   };
 
   MergeResult MergeSelf(const Member& received, SteadyTime now);
+  void RaiseSelfAboveRun(const Member& ended, SteadyTime now);
   MergeResult Insert(const Member& received, SteadyTime now);
   void Replace(MemberState& state, const Member& entry, SteadyTime now);
   void AddToIndexes(MemberState& state);
@@ -117,6 +121,7 @@
   std::map<std::string, Zone> zones;
   std::unordered_map<std::string, StatePointers> services;
   MemberState* self = nullptr;
+  std::size_t outranked_runs = 0;
   Findings conflicts;
   std::map<std::size_t, Hook> hooks;
   std::size_t next_hook = 0;
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -108,6 +108,18 @@
   EXPECT_TRUE(fleet.All([](const TestNode& node) { return node.membership->Problems().empty(); }));
 }
 
+/// The incarnation comes from the host's clock, which may have gone back between two runs.
+TEST(Membership, RestartAfterTheClockWentBackReplacesTheEndedRun) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b"}, 3);
+  ASSERT_TRUE(fleet.RunUntilConverged());
+  for (const std::uint64_t incarnation : {9, 5, 7}) {
+    fleet.Start("a-1", "a", incarnation);
+    EXPECT_TRUE(fleet.RunUntilConverged()) << incarnation;
+  }
+  EXPECT_TRUE(fleet.All([](const TestNode& node) { return node.membership->Problems().empty(); }));
+}
+
 TEST(Membership, UpdatesCrossZonesWhileDelegatesFailOneByOne) {
   TestFleet fleet;
   fleet.StartZones({"a", "b"}, 8);
--- a/tests/membership/test_fleet.h
+++ b/tests/membership/test_fleet.h
@@ -39,7 +39,7 @@
   using Link = std::function<bool(const TestNode&, const TestNode&)>;
 
   /// Starts a node whose only contact is the first node started. A name used before restarts that
-  /// node.
+  /// node at its address.
   TestNode& Start(const std::string& node, const std::string& zone, std::uint64_t incarnation = 1,
                   const std::string& cluster = "test");
   /// Starts `count` nodes ZONE-0, ZONE-1 and so on in each of the zones.
