target_watcher: one late announcement doesn't bring back a run found not serving

Cause: after a restart a node knows no departures. Its probe finds the departed target not serving, yet a single announcement from before the departure, delivered late, made it serve again.

Change: after such a probe an announcement of that run counts once another, newer one arrives a second later. Copies that were held up together don't. WaitsForAnnouncementOfDrainingTarget expected one to be enough; it now needs the second, and LateAnnouncementsOfARunFoundNotServingDoNotCount shows the fault.

Beside it, a test that a node restarted while the store's reads are stale is not ready with the earlier configuration.

--- a/src/node/target_watcher.cc
+++ b/src/node/target_watcher.cc
@@ -23,6 +23,9 @@
 /// call within `kRecentAnswerTime`.
 constexpr Duration kFailureProbePeriod = std::chrono::seconds(2);
 constexpr Duration kRecentAnswerTime = std::chrono::milliseconds(250);
+/// Announcements of a run that a probe found not serving count once one arrives so long after the
+/// first. Late copies of earlier announcements arrive together.
+constexpr Duration kDoubtTime = std::chrono::seconds(1);
 /// Slots of a target found by a probe, until it or other targets of its service announce theirs.
 constexpr std::uint32_t kPresumedSlots = 8;
 
@@ -53,11 +56,28 @@
     if (same_run && leaves && this->last_seen) this->SetLeaving();
     return {};
   }
+  if (this->IsDoubted(announcement)) return {};
   this->AcceptAnnouncement(announcement);
   this->PublishState();
   return {};
 }
 
+bool TargetWatcher::IsDoubted(const TargetAnnouncement& announcement) {
+  const bool concerned = !this->doubted_id.empty() && announcement.target.id == this->doubted_id;
+  if (!concerned || announcement.state == TargetState::kLeaving || announcement.seq == 0) {
+    return false;
+  }
+  const SteadyTime now = SteadyClock::now();
+  if (this->doubted_seq == 0) {
+    this->doubted_seq = announcement.seq;
+    this->doubted_since = now;
+  }
+  const bool shown =
+      announcement.seq > this->doubted_seq && now - this->doubted_since >= kDoubtTime;
+  if (shown) this->doubted_id.clear();
+  return !shown;
+}
+
 Findings TargetWatcher::FindMismatches(const TargetAnnouncement& announcement) const {
   Findings findings;
   const auto& given = announcement.target;
@@ -200,7 +220,11 @@
 void TargetWatcher::OnSearchResult(const ProbeResult& result) {
   if (!this->searching || this->node_stopping) return;
   // A draining target announces itself; a failing one may recover without another probe.
-  if (result.outcome == ProbeOutcome::kNotServing) this->searching = false;
+  if (result.outcome == ProbeOutcome::kNotServing) {
+    this->searching = false;
+    this->doubted_id = result.id;
+    this->doubted_seq = 0;
+  }
   const bool id_missing = result.id.empty() && !this->settings.wire.expected_target.empty();
   if (result.outcome != ProbeOutcome::kServing || id_missing) return;
   TargetAnnouncement found = this->latest;
--- a/src/node/target_watcher.h
+++ b/src/node/target_watcher.h
@@ -71,6 +71,9 @@
   Findings FindMismatches(const TargetAnnouncement& announcement) const;
   /// From an earlier run of the target, or older than the latest announcement of this run.
   bool IsStale(const TargetAnnouncement& announcement) const;
+  /// From a run that a probe found not serving and that hasn't shown since then that it serves: one
+  /// announcement may be a late copy from before its departure, which this process may not know of.
+  bool IsDoubted(const TargetAnnouncement& announcement);
   /// From a leaving target that another target on this host has already replaced.
   bool IsReplaced(const TargetAnnouncement& announcement) const;
   void AcceptAnnouncement(const TargetAnnouncement& announcement);
@@ -102,6 +105,9 @@
   TargetAnnouncement latest;    ///< From the current run.
   bool known_by_probe = false;  ///< That run is known from a probe only.
   DepartedRuns departed;
+  std::string doubted_id;         ///< Of a run that a search found not serving; empty for none.
+  std::uint64_t doubted_seq = 0;  ///< Of the first announcement since then; 0 before it.
+  SteadyTime doubted_since;       ///< Its arrival.
   bool serving = false;
   bool node_stopping = false;
   bool searching = true;    ///< No target was found since the start, a suspension or a move.
--- a/tests/node/target_watcher_test.cc
+++ b/tests/node/target_watcher_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <asio/io_context.hpp>
+#include <thread>
 
 #include "common/timer_service.h"
 #include "http/target_client.h"
@@ -214,7 +215,22 @@
   EXPECT_EQ(this->target.Target()->slots, 10U);
 }
 
-TEST_F(TargetWatcherTest, WaitsForAnnouncementOfDrainingTarget) {
+/// The node was restarted after the run's departure, so it doesn't know of it; an announcement from
+/// before the departure arrives late.
+TEST_F(TargetWatcherTest, LateAnnouncementsOfARunFoundNotServingDoNotCount) {
+  this->ConfigureTarget();
+  this->watcher.Check();
+  ASSERT_EQ(this->probes.size(), 1U);
+  this->probes[0]({ProbeOutcome::kNotServing, "i-1"});
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  EXPECT_TRUE(this->watcher.OnAnnouncement(RunAnnouncement("i-1", 100, 4)).empty());
+  EXPECT_TRUE(this->watcher.OnAnnouncement(RunAnnouncement("i-1", 100, 5)).empty());
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  this->watcher.OnAnnouncement(RunAnnouncement("i-1", 100, 6, TargetState::kLeaving));
+  EXPECT_EQ(this->State(), TargetState::kLeaving);
+}
+
+TEST_F(TargetWatcherTest, WaitsForAnnouncementsOfTargetFoundNotServing) {
   this->ConfigureTarget();
   this->watcher.Check();
   ASSERT_EQ(this->probes.size(), 1U);
@@ -222,6 +238,20 @@
   EXPECT_EQ(this->State(), TargetState::kAbsent);
   EXPECT_FALSE(this->loop.stopped());
   this->watcher.OnAnnouncement(RunAnnouncement("i-1", 100, 4));
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'050));
+  this->watcher.OnAnnouncement(RunAnnouncement("i-1", 100, 4));
+  EXPECT_EQ(this->State(), TargetState::kAbsent);
+  this->watcher.OnAnnouncement(RunAnnouncement("i-1", 100, 5));
+  EXPECT_EQ(this->State(), TargetState::kServing);
+}
+
+/// Another run at the address needs no such proof.
+TEST_F(TargetWatcherTest, NextRunServesAtOnceAfterOneFoundNotServing) {
+  this->ConfigureTarget();
+  this->watcher.Check();
+  ASSERT_EQ(this->probes.size(), 1U);
+  this->probes[0]({ProbeOutcome::kNotServing, "i-1"});
+  this->watcher.OnAnnouncement(RunAnnouncement("i-2", 200, 1));
   EXPECT_EQ(this->State(), TargetState::kServing);
 }
 
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -298,6 +298,22 @@
   this->fleet.OnModel([](auto& model) { model.FreezeReads(false); });
 }
 
+/// The store shows a node that starts what it held before the latest change.
+TEST_F(PlatformNodeTest, RestartedNodeIsNotReadyWithAnEarlierVersionFromAStaleRead) {
+  this->StartServing();
+  this->fleet.OnModel([](auto& model) { model.FreezeReads(true); });
+  this->fleet.Configure(Configuration(5, "front"));
+  ASSERT_TRUE(WaitUntil(kApplyTimeout, [this] { return this->AllNodesRouteTo("front"); }));
+  this->fleet.KillNode(kZoneAShopNode);
+  this->fleet.StartNode(kZoneAShopNode);
+  ASSERT_TRUE(
+      WaitUntil(kRestartTimeout, [this] { return this->fleet.Health(kZoneAShopNode) == 200; }));
+  EXPECT_TRUE(HoldsFor(kStableDuration, [this] {
+    return ServiceOf(this->Send(kZoneAShopNode, "/safe/x")) == "front";
+  }));
+  this->fleet.OnModel([](auto& model) { model.FreezeReads(false); });
+}
+
 TEST_F(PlatformNodeTest, AppliesRouteWeightsAndTimeouts) {
   this->StartServing();
   constexpr int kCalls = 600;
