--- a/tests/integration/stop_test.cc
+++ b/tests/integration/stop_test.cc
@@ -151,6 +151,20 @@
   EXPECT_NE(call.get().status, 200);
 }
 
+/// Not cut off: whoever waits hears that the outcome is unknown.
+TEST_F(StopTest, CallersOfCallsThatOutlastTheStopAreAnswered) {
+  for (const auto* target : {"a2", "a3"}) {
+    this->fleet.SetTargetFault(target, R"({"hang": true})");
+  }
+  auto call = this->CallInBackground();
+  ASSERT_TRUE(HoldsFor(kMoment, [&] { return this->IsReady(); }));
+  this->fleet.NodeProcess("a1").Signal(SIGTERM);
+  const HttpAnswer answer = call.get();
+  EXPECT_EQ(answer.status, 502) << answer.error;
+  EXPECT_EQ(answer.Header("firefly-outcome"), "unknown");
+  EXPECT_EQ(this->fleet.NodeProcess("a1").WaitForExit(kGrace), 0);
+}
+
 /// The time to the kill counts from the signal, not from when a busy event loop sees it.
 TEST_F(StopTest, EndsBeforeTheKillAlthoughItSeesTheSignalLate) {
   constexpr milliseconds kHeldUp{800};
