--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -250,8 +250,8 @@
     return;
   }
   if (!connection.IsQuiet()) {
-    this->Fail(exchange,
-               ClientError{ClientErrorKind::kNotSent, "the target sent before a request"});
+    this->Fail(exchange, ClientError{ClientErrorKind::kNotSent,
+                                     "the target sent or closed before a request"});
     return;
   }
   connection.WatchReads();
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -53,6 +53,7 @@
   enum class State { kClosed, kConnecting, kHandshaking, kOpen, kBackingOff };
   using Calls = std::unordered_map<Id128, PendingCall>;
   using Result = tl::expected<Answer, LinkError>;
+  using CallFilter = std::function<bool(const PendingCall&)>;
 
   void Connect();
   void OnConnected(asio::ip::tcp::socket socket);
@@ -93,8 +94,6 @@
 
   void Finish(Calls::iterator call, Result result);
   void FinishError(Calls::iterator call, LinkErrorKind kind, std::string message);
-  using CallFilter = std::function<bool(const PendingCall&)>;
-
   /// Ends all calls to which `kind` applies: those handed over to the kernel if it is kUnknown,
   /// otherwise those not handed over. The former are cancelled if the remote node is reached again
   /// before their deadlines. Calls for which `keeps` holds go on.
