A zone learns of any number of hosts that it lacks

Cause: a node that lacks more than 16 entries of another zone asks a member of its own zone for them. Where all of the zone lack them (hosts that started during a cut; a start through one busy contact), its delegates asked there, too, and nobody asked the other zone, ever.

Change: a delegate asks the sender of the digest. TestFleet says what each node lacks when it doesn't converge; that showed the cause.

--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -13,8 +13,9 @@
 
 namespace {
 
-// Above this number of missing entries a node asks a random member of its own zone for another
-// zone's entries, at most once per exchange period and zone.
+// Above this number of missing entries a node asks at most once per exchange period and zone. For
+// another zone's entries it then asks a random member of its own zone, which gets them from its
+// zone's delegates; only these ask the other zone.
 constexpr std::size_t kManyMissingEntries = 16;
 // Entries of the joining node's zone in the reply to a join request.
 constexpr std::size_t kMaxJoinReplyEntries = 256;
@@ -144,8 +145,9 @@
     if (now - last_request < this->context.options.exchange_period) return;
     last_request = now;
     const bool is_own_zone = zone == this->context.view.Self().zone;
+    const bool asks_sender = is_own_zone || this->context.picker.SelfIsDelegate();
     const auto peers = this->context.picker.PickInZone(1);
-    if (!is_own_zone && !peers.empty()) peer = ControlAddressOf(peers.front()->member);
+    if (!asks_sender && !peers.empty()) peer = ControlAddressOf(peers.front()->member);
   }
   pb::Part part;
   part.mutable_marks()->set_zone(zone);
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -48,6 +48,23 @@
   EXPECT_GT(fleet["a-0"].membership->Counters().parts_received.at("join"), 50U);
 }
 
+/// More than a node asks another zone for at once, and no node of its own zone holds them.
+TEST(Membership, ZoneLearnsOfManyHostsThatStartedWhileItWasCutOff) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b"}, 3);
+  ASSERT_TRUE(fleet.RunUntilConverged());
+  fleet.is_cut = [](const TestNode& from, const TestNode& to) {
+    return from.self.zone != to.self.zone;
+  };
+  constexpr int kStarted = 30;
+  for (int i = 0; i < kStarted; ++i) fleet.Start("a-new-" + std::to_string(i), "a");
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] { return fleet["a-0"].membership->GetView().CountPresent("a") == 3 + kStarted; }));
+  fleet.RunFor(std::chrono::milliseconds(200));
+  fleet.is_cut = nullptr;
+  EXPECT_TRUE(fleet.RunUntilConverged());
+}
+
 TEST(Membership, AnnouncementReachesAllNodesDespiteMessageLoss) {
   TestFleet fleet;
   fleet.StartZones({"a", "b", "c"}, 8);
--- a/tests/membership/test_fleet.cc
+++ b/tests/membership/test_fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
+#include <iostream>
 
 #include "common/random.h"
 #include "membership/control.pb.h"
@@ -149,7 +150,30 @@
 }
 
 bool TestFleet::RunUntilConverged() {
-  return this->RunUntil([this] { return this->IsConverged(); });
+  const bool converged = this->RunUntil([this] { return this->IsConverged(); });
+  if (!converged) std::cerr << this->DescribeGaps();
+  return converged;
+}
+
+std::string TestFleet::DescribeGaps() const {
+  std::string text;
+  for (const auto& [name, node] : this->nodes) {
+    std::string gaps;
+    for (const auto& [other, started] : this->nodes) {
+      const MemberState* state = node->Find(other);
+      if (state == nullptr) {
+        gaps += " lacks " + other;
+      } else if (state->member.incarnation != started->self.incarnation) {
+        gaps += " has an earlier run of " + other;
+      } else if (!state->IsPresent() || state->reachability != Reachability::kReachable) {
+        gaps += " doesn't reach " + other;
+      }
+    }
+    const std::size_t present = node->membership->GetView().CountPresent();
+    if (present > this->nodes.size()) gaps += " knows others";
+    if (!gaps.empty()) text += name + ":" + gaps + "\n";
+  }
+  return text;
 }
 
 bool TestFleet::All(const std::function<bool(const TestNode&)>& holds) const {
--- a/tests/membership/test_fleet.h
+++ b/tests/membership/test_fleet.h
@@ -52,8 +52,11 @@
   /// the condition held.
   bool RunUntil(const Condition& condition, Duration limit = std::chrono::seconds(15));
   void RunFor(Duration time);
-  /// Runs until every node considers all nodes of the fleet reachable and knows no others.
+  /// Runs until every node considers all nodes of the fleet reachable and knows no others. Says on
+  /// the standard error what is missing when that doesn't come about.
   bool RunUntilConverged();
+  /// A line for each node that lacks or doesn't reach others.
+  std::string DescribeGaps() const;
   bool IsConverged() const;
   bool All(const std::function<bool(const TestNode&)>& holds) const;
 
