--- a/tests/integration/planned_stop_test.cc
+++ b/tests/integration/planned_stop_test.cc
@@ -101,6 +101,7 @@
 
   std::vector<StreamResult> Collect() {
     std::vector<StreamResult> collected;
+    collected.reserve(this->results.size());
     for (auto& result : this->results) collected.push_back(result.get());
     return collected;
   }
@@ -323,6 +324,7 @@
   EXPECT_EQ(this->fleet.NodeProcess("a1").WaitForExit(kLimit), 0);
   EXPECT_LT(Clock::now() - start, kGrace);
   std::vector<StreamResult> results;
+  results.reserve(uploads.size());
   for (auto& result : uploads) results.push_back(result.get());
   EXPECT_EQ(this->Lost(results), "");
   EXPECT_EQ(Unclear(results), "");
@@ -344,7 +346,8 @@
   }
   const auto run = this->RunTags();
   for (const auto& result : results) {
-    if (result.SaysNotRun()) EXPECT_FALSE(run.contains(result.tag)) << result.Describe();
+    const bool ran = run.contains(result.tag);
+    EXPECT_FALSE(result.SaysNotRun() && ran) << result.Describe();
   }
 }
 
