--- a/tests/membership/test_fleet.cc
+++ b/tests/membership/test_fleet.cc
@@ -171,7 +171,8 @@
     }
     const std::size_t present = node->membership->GetView().CountPresent();
     if (present > this->nodes.size()) gaps += " knows others";
-    if (!gaps.empty()) text += name + ":" + gaps + "\n";
+    if (gaps.empty()) continue;
+    text.append(name).append(":").append(gaps).append("\n");
   }
   return text;
 }
