The concurrency limit tells a queue in the target from another mix of calls

Cause: the limit compared the mean time of a window with a baseline. The deepest services of the sites mix calls of 15 and 240 ms.

Change: the limit falls only if the time of the fastest tenth of the calls has risen as well as the mean: a queue delays them all. While up to half of the limit is in use, it doesn't fall. Where only the mean rose, its baseline follows. How the limit grows and is probed stays as it was.

Tried before: growing by the smaller ratio, too (limits up to the slots after a slow period); the mean's baseline following whenever the fastest are on time (the same, slowly).

--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <utility>
 
 namespace fireflyrun::policy {
 namespace {
@@ -75,8 +76,34 @@
 /// Up to this share of the limit, the calls in flight can't be the cause of a slower target.
 constexpr double kLowUseShare = 0.5;
 
+/// Service times kept of a window; later ones don't count for the fastest tenth.
+constexpr std::size_t kMaxTimesKept = 1000;
+
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
+/// The longest of the fastest tenth of `times`, which must not be empty.
+double FastestTenth(std::vector<double> times) {
+  const auto rank = static_cast<std::ptrdiff_t>(times.size() / 10);
+  std::nth_element(times.begin(), times.begin() + rank, times.end());
+  return times[rank];
+}
+
+double SmoothTime(double smoothed, double current) {
+  const double ratio = smoothed > 0 ? current / smoothed : 0;
+  if (ratio < 1 / kSuddenChangeRatio || ratio > kSuddenChangeRatio) return current;
+  return smoothed + kWindowWeight * (current - smoothed);
+}
+
+/// Moves a baseline towards the current time.
+void AdaptTime(double* baseline, double current, double rise_weight) {
+  if (current < *baseline * kBaselineResetRatio) {
+    *baseline = current;
+  } else {
+    const double weight = current < *baseline ? kBaselineFallWeight : rise_weight;
+    *baseline += weight * (current - *baseline);
+  }
+}
+
 }  // namespace
 
 void ConcurrencyLimit::SetCeiling(std::uint32_t slots, const WarmUp& warm_up, SteadyTime now) {
@@ -85,8 +112,8 @@
     this->ramp_start = now;
     this->ramp = warm_up;
     this->limit = slots;
-    this->baseline_seconds = 0;
-    this->smoothed_seconds = 0;
+    this->baseline = {};
+    this->smoothed = {};
     this->reduction = {};
     this->measuring_reference = false;
     this->recovery_limit = 0;
@@ -107,6 +134,9 @@
   if (current.Count() == 0) current.start = now;
   (ok ? current.ok_seconds : current.failed_seconds) += Seconds(service_time);
   (ok ? current.ok_count : current.failed_count) += 1;
+  if (ok && current.ok_times.size() < kMaxTimesKept) {
+    current.ok_times.push_back(Seconds(service_time));
+  }
   current.in_flight_sum += in_flight;
   current.max_in_flight = std::max(current.max_in_flight, in_flight);
   if (this->WindowComplete(now)) this->CloseWindow(now);
@@ -122,8 +152,7 @@
 }
 
 Duration ConcurrencyLimit::Baseline() const {
-  return std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(this->baseline_seconds));
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(this->baseline.mean));
 }
 
 double ConcurrencyLimit::SampleFactor() const {
@@ -144,40 +173,39 @@
 }
 
 void ConcurrencyLimit::CloseWindow(SteadyTime now) {
-  const Window closed_window = this->window;
-  this->StartWindow(now);
+  const Window closed_window = std::exchange(this->window, {.start = now});
   if (closed_window.ok_count == 0) {
     this->Collapse();
     return;
   }
   if (this->Recover(closed_window)) return;
   this->closed_ok_seconds = closed_window.ok_seconds / closed_window.ok_count;
-  const double window_seconds = this->SecondsPerSuccess(closed_window);
+  const Times window_times = this->TimesPerSuccess(closed_window);
   const double in_flight = closed_window.in_flight_sum / closed_window.Count();
-  if (this->baseline_seconds == 0) {
-    this->baseline_seconds = window_seconds;
-    this->verified_seconds = window_seconds;
+  if (this->baseline.mean == 0) {
+    this->baseline = window_times;
+    this->verified_seconds = window_times.mean;
   }
   const bool unsmoothed =
       this->settled_windows == 0 || this->reduction.pending || this->measuring_reference;
-  const double seconds = unsmoothed ? window_seconds : this->Smooth(window_seconds);
+  this->smoothed = unsmoothed ? window_times : this->Smooth(window_times);
   this->settled_windows += 1;
-  this->smoothed_seconds = seconds;
-  if (this->EvaluateReduction(seconds, in_flight, now)) return;
-  this->AdaptBaseline(seconds, in_flight, now);
+  const Times times = this->smoothed;
+  if (this->EvaluateReduction(times, in_flight, now)) return;
+  this->AdaptBaseline(times, in_flight, now);
   const bool in_use = closed_window.max_in_flight >= kInUseShare * std::floor(this->limit);
   const bool saturated = in_flight >= kProbeInUseShare * std::floor(this->limit);
-  if ((saturated || this->measuring_reference) && this->Probe(seconds, in_flight, now)) return;
-  const double ratio = seconds / this->baseline_seconds;
-  if (ratio > kReduceAboveRatio && this->settled_windows < kWindowsToReduce) return;
+  if ((saturated || this->measuring_reference) && this->Probe(times.mean, in_flight, now)) return;
+  const double ratio = this->DelayRatio(times);
   if (ratio > kReduceAboveRatio) {
+    if (this->settled_windows < kWindowsToReduce || this->IsLittleUsed(in_flight)) return;
     const double share =
         std::clamp(kReduceAboveRatio / ratio, kMinReductionFactor, kMaxReductionFactor);
-    this->Reduce(share, false, seconds, in_flight, now);
+    this->Reduce(share, false, times.mean, in_flight, now);
     return;
   }
   this->reduction = {};
-  if (in_use) this->Grow(ratio, now);
+  if (in_use) this->Grow(times.mean / this->baseline.mean, now);
 }
 
 void ConcurrencyLimit::Collapse() {
@@ -200,40 +228,45 @@
   return true;
 }
 
-double ConcurrencyLimit::Smooth(double seconds) const {
-  const double ratio = this->smoothed_seconds > 0 ? seconds / this->smoothed_seconds : 0;
-  if (ratio < 1 / kSuddenChangeRatio || ratio > kSuddenChangeRatio) return seconds;
-  return this->smoothed_seconds + kWindowWeight * (seconds - this->smoothed_seconds);
+ConcurrencyLimit::Times ConcurrencyLimit::Smooth(const Times& current) const {
+  return {SmoothTime(this->smoothed.mean, current.mean),
+          SmoothTime(this->smoothed.fastest, current.fastest)};
 }
 
-double ConcurrencyLimit::SecondsPerSuccess(const Window& closed_window) const {
+ConcurrencyLimit::Times ConcurrencyLimit::TimesPerSuccess(const Window& closed_window) const {
   // Fast failures count with at least the baseline, so that they don't make the target look fast.
   const double failed_seconds =
-      std::max(closed_window.failed_seconds, closed_window.failed_count * this->baseline_seconds);
+      std::max(closed_window.failed_seconds, closed_window.failed_count * this->baseline.mean);
   const double count = closed_window.Count();
   const double success_share = std::max(closed_window.ok_count / count, kMinSuccessShare);
-  return (closed_window.ok_seconds + failed_seconds) / count / success_share;
+  const double mean = (closed_window.ok_seconds + failed_seconds) / count;
+  return {mean / success_share, FastestTenth(closed_window.ok_times) / success_share};
 }
 
-void ConcurrencyLimit::AdaptBaseline(double seconds, double mean_in_flight, SteadyTime now) {
-  if (seconds * kVerifiedRatio < this->verified_seconds) this->verified_seconds = 0;
-  if (seconds < this->baseline_seconds * kBaselineResetRatio) {
-    this->baseline_seconds = seconds;
+double ConcurrencyLimit::DelayRatio(const Times& current) const {
+  return std::min(current.mean / this->baseline.mean, current.fastest / this->baseline.fastest);
+}
+
+void ConcurrencyLimit::AdaptBaseline(const Times& current, double mean_in_flight, SteadyTime now) {
+  if (current.mean * kVerifiedRatio < this->verified_seconds) this->verified_seconds = 0;
+  if (current.mean < this->baseline.mean * kBaselineResetRatio) {
     this->probe_at = now + kProbeDelayAfterChange;
-    return;
-  }
-  const double change = seconds - this->baseline_seconds;
-  if (change < 0) {
-    this->baseline_seconds += kBaselineFallWeight * change;
-    return;
-  }
-  if (mean_in_flight <= 1) {
-    // A single call doesn't queue behind others.
-    this->baseline_seconds = seconds;
-    return;
   }
-  if (mean_in_flight <= kLowUseShare * this->limit)
-    this->baseline_seconds += kBaselineRiseWeight * change;
+  const double weight = this->RiseWeight(mean_in_flight);
+  AdaptTime(&this->baseline.fastest, current.fastest, weight);
+  const bool mix_changed = current.mean > kReduceAboveRatio * this->baseline.mean &&
+                           current.fastest <= kGrowthBelowRatio * this->baseline.fastest;
+  const double mean_weight = mix_changed ? std::max(weight, kBaselineRiseWeight) : weight;
+  AdaptTime(&this->baseline.mean, current.mean, mean_weight);
+}
+
+double ConcurrencyLimit::RiseWeight(double mean_in_flight) const {
+  if (mean_in_flight <= 1) return 1;  // A single call doesn't queue behind others.
+  return this->IsLittleUsed(mean_in_flight) ? kBaselineRiseWeight : 0;
+}
+
+bool ConcurrencyLimit::IsLittleUsed(double mean_in_flight) const {
+  return mean_in_flight <= kLowUseShare * this->limit;
 }
 
 void ConcurrencyLimit::Reduce(double share, bool probing, double seconds, double mean_in_flight,
@@ -249,19 +282,20 @@
   this->StartSettling(now);
 }
 
-bool ConcurrencyLimit::EvaluateReduction(double seconds, double mean_in_flight, SteadyTime now) {
+bool ConcurrencyLimit::EvaluateReduction(const Times& current, double mean_in_flight,
+                                         SteadyTime now) {
   const Reduction evaluated = this->reduction;
   if (!evaluated.pending) return false;
   const double in_flight_share = mean_in_flight / evaluated.in_flight;
   if (in_flight_share > kEvaluationInFlightShare) return false;
   this->reduction = {};
   const double max_seconds = evaluated.seconds * (1 - kMinResponseShare * (1 - in_flight_share));
-  if (seconds > max_seconds) {
+  if (current.mean > max_seconds) {
     this->limit = std::min<double>(evaluated.limit, this->ceiling);
-    this->baseline_seconds = seconds;
+    this->baseline = current;
     this->StartSettling(now);
     if (evaluated.probing) {
-      this->EndProbe(seconds, now);
+      this->EndProbe(current.mean, now);
     } else {
       // Comparing two noisy windows once is not enough evidence for a higher baseline.
       this->verified_seconds = 0;
@@ -270,11 +304,12 @@
     return true;
   }
   if (!evaluated.probing) return false;
-  this->baseline_seconds = std::min(this->baseline_seconds, seconds);
+  this->baseline.mean = std::min(this->baseline.mean, current.mean);
+  this->baseline.fastest = std::min(this->baseline.fastest, current.fastest);
   if (this->limit < kMinProbedLimit) {
-    this->EndProbe(seconds, now);
+    this->EndProbe(current.mean, now);
   } else {
-    this->Reduce(kProbeStepFactor, true, seconds, mean_in_flight, now);
+    this->Reduce(kProbeStepFactor, true, current.mean, mean_in_flight, now);
   }
   return true;
 }
@@ -314,8 +349,9 @@
   }
   this->reduction = {};
   this->measuring_reference = false;
-  this->baseline_seconds = std::min(this->baseline_seconds, this->recent_seconds);
-  this->smoothed_seconds = this->recent_seconds;
+  this->baseline.mean = std::min(this->baseline.mean, this->recent_seconds);
+  this->baseline.fastest *= std::min(ratio, 1.0);
+  this->smoothed.mean = this->recent_seconds;
   this->verified_seconds = 0;
   this->probe_at = now + kProbeDelayAfterChange;
   this->StartSettling(now);
@@ -325,7 +361,7 @@
 
 void ConcurrencyLimit::StartSettling(SteadyTime now) {
   this->settled_at = now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-                               kSettleServiceTimes * this->smoothed_seconds));
+                               kSettleServiceTimes * this->smoothed.mean));
   this->settled_windows = 0;
 }
 
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 #include "common/clock.h"
 
@@ -18,9 +19,14 @@
 /// The maximum number of concurrent calls to a target, adapted to the observed service times.
 ///
 /// The algorithm belongs to the delay-gradient family (TCP Vegas, Brakmo and Peterson 1995). For
-/// each window of samples, the mean time per success is compared with a baseline: the time per
-/// success without queueing in the target. While the ratio is low and the limit is in use, the
-/// limit grows by its square root; above a tolerance, it shrinks by the ratio.
+/// each window of samples, the time per success is compared with a baseline: the time per success
+/// without queueing in the target. While the ratio is low and the limit is in use, the limit grows
+/// by its square root; above a tolerance, it shrinks by the ratio.
+///
+/// Calls of several kinds may take very different times, and their shares change. So two times are
+/// compared, the mean and that of the fastest tenth, and the smaller ratio counts: a queue delays
+/// all calls, a different mix only the mean. Then the mean's baseline follows the mix. While up to
+/// half of the limit is in use, it isn't reduced.
 ///
 /// A slow target is not necessarily overloaded. After each reduction, the next window is compared
 /// with the one before: if the time did not fall with the calls in flight, concurrency was not the
@@ -48,7 +54,7 @@
   /// Maximum number of calls in flight; at least 1 unless the ceiling is 0.
   std::uint32_t Limit(SteadyTime now) const;
   std::uint32_t Ceiling() const { return this->ceiling; }
-  /// Time per success without queueing; zero before the end of the first window.
+  /// Mean time per success without queueing; zero before the end of the first window.
   Duration Baseline() const;
 
  private:
@@ -60,9 +66,15 @@
     std::uint32_t ok_count = 0;
     std::uint32_t failed_count = 0;
     std::uint32_t max_in_flight = 0;
+    std::vector<double> ok_times;  ///< Service times of successes; at most kMaxTimesKept.
 
     std::uint32_t Count() const { return this->ok_count + this->failed_count; }
   };
+  /// Times per success, in seconds.
+  struct Times {
+    double mean = 0;
+    double fastest = 0;  ///< Of the fastest tenth.
+  };
   /// State before the latest reduction, to compare with.
   struct Reduction {
     bool pending = false;
@@ -76,17 +88,22 @@
   double SampleFactor() const;
   bool WindowComplete(SteadyTime now) const;
   void CloseWindow(SteadyTime now);
-  /// The time per success, smoothed over windows of the same limit.
-  double Smooth(double seconds) const;
-  double SecondsPerSuccess(const Window& closed_window) const;
+  /// `current` smoothed over windows of the same limit.
+  Times Smooth(const Times& current) const;
+  Times TimesPerSuccess(const Window& closed_window) const;
+  /// How much longer calls take than without queueing in the target.
+  double DelayRatio(const Times& current) const;
   /// Reduces the limit after a window without success.
   void Collapse();
   /// Raises the limit after a collapse; true while that is in progress.
   bool Recover(const Window& closed_window);
-  void AdaptBaseline(double seconds, double mean_in_flight, SteadyTime now);
+  void AdaptBaseline(const Times& current, double mean_in_flight, SteadyTime now);
+  /// Weight with which a longer time raises its baseline.
+  double RiseWeight(double mean_in_flight) const;
+  bool IsLittleUsed(double mean_in_flight) const;
   void Reduce(double share, bool probing, double seconds, double mean_in_flight, SteadyTime now);
   /// Evaluates the pending reduction; true if that determined the limit.
-  bool EvaluateReduction(double seconds, double mean_in_flight, SteadyTime now);
+  bool EvaluateReduction(const Times& current, double mean_in_flight, SteadyTime now);
   void EndProbe(double verified, SteadyTime now);
   /// True if a probe is due or in progress and used the window.
   bool Probe(double seconds, double mean_in_flight, SteadyTime now);
@@ -101,8 +118,8 @@
 
   std::uint32_t ceiling = 0;
   double limit = 0;
-  double baseline_seconds = 0;
-  double smoothed_seconds = 0;
+  Times baseline;
+  Times smoothed;
   std::uint32_t settled_windows = 0;  ///< Windows since the last change of the limit.
   SteadyTime ramp_start;
   WarmUp ramp;
--- a/tests/standins/target_standin_service.cc
+++ b/tests/standins/target_standin_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/crc.hpp>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -14,6 +15,7 @@
 constexpr std::size_t kMaxBodyBytes = std::size_t{64} << 20;
 constexpr std::chrono::seconds kCallTimeout(60);
 constexpr std::string_view kRequestIdHeader = "X-Request-Id";
+constexpr std::string_view kServiceTimeHeader = "X-Service-Time-Ms";
 constexpr std::string_view kNotRunHeader = "X-Not-Run";
 constexpr int kOk = 200;
 constexpr int kFirstErrorStatus = 300;
@@ -176,13 +178,22 @@
   run->number = this->log.Begin(run->key, run->tag);
   if (this->faults.hang) return;
   const auto time = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(this->options.service_time) * this->faults.slow_factor);
+      std::chrono::duration<double>(this->ServiceTime(run->request)) * this->faults.slow_factor);
   const std::weak_ptr<Run> weak = run;
   run->timer = this->timers.After(time, [this, weak] {
     if (const auto served = weak.lock()) this->CallNext(served);
   });
 }
 
+Duration TargetService::ServiceTime(const http::Request& request) const {
+  const std::string given = HeaderOr(request.headers, kServiceTimeHeader);
+  int milliseconds = 0;
+  const auto end = given.data() + given.size();
+  const auto [rest, error] = std::from_chars(given.data(), end, milliseconds);
+  const bool is_number = error == std::errc() && rest == end && milliseconds >= 0;
+  return is_number ? std::chrono::milliseconds(milliseconds) : this->options.service_time;
+}
+
 void TargetService::CallNext(const RunPointer& run) {
   if (this->faults.fail) {
     this->Finish(run, http::MakeProblem(kInternalError, "told-to-fail", "Told to fail", ""));
--- a/tests/standins/target_standin_service.h
+++ b/tests/standins/target_standin_service.h
@@ -18,7 +18,8 @@
 namespace fireflyrun::standins {
 
 /// The target itself: a server with slots and a first-in, first-out queue before them. A request
-/// holds its slot for the service time and for its downstream calls, made one after another.
+/// holds its slot for the service time and for its downstream calls, made one after another. A
+/// request may name its own service time, `X-Service-Time-Ms`.
 class TargetService {
  public:
   TargetService(asio::io_context& event_loop, const TargetOptions& target_options,
@@ -46,6 +47,7 @@
   http::Response Health() const;
   void StartNext();
   void Begin(const RunPointer& run);
+  Duration ServiceTime(const http::Request& request) const;
   void CallNext(const RunPointer& run);
   void SendCall(const RunPointer& run);
   http::ClientRequest MakeCall(const Run& run) const;
