--- a/tests/store/roster_test.cc
+++ b/tests/store/roster_test.cc
@@ -7,6 +7,9 @@
 namespace fireflyrun::store {
 namespace {
 
+/// The store stand-in numbers its leases from here.
+constexpr LeaseId kFirstLease = 7001;
+
 class RosterTest : public StoreFixture {
  protected:
   std::unique_ptr<Roster> Join(const std::string& zone, const std::string& node) {
@@ -65,5 +68,39 @@
   EXPECT_FALSE(roster->HoldsSlot());
 }
 
+TEST_F(RosterTest, EarlierRunThatLeavesLateLeavesTheSlotToItsSuccessor) {
+  const auto earlier = this->Join("z", "n");
+  this->RunUntil([&] { return earlier->HoldsSlot(); });
+  const auto later = this->Join("z", "n");
+  this->RunUntil([&] { return later->HoldsSlot(); });
+  bool left = false;
+  earlier->Leave([&] { left = true; });
+  this->RunUntil([&] { return left; });
+  const auto entries = this->Read();
+  ASSERT_EQ(entries.size(), 1U);
+  EXPECT_EQ(entries[0].admin_address, "127.0.0.1:3");
+}
+
+TEST_F(RosterTest, HolderWhoseLeaseEndedTakesNothingFromTheNextHolder) {
+  std::vector<std::unique_ptr<Roster>> rosters;
+  for (int i = 0; i < kRosterSlotsPerZone; ++i) {
+    rosters.push_back(this->Join("z", "n" + std::to_string(i)));
+    this->RunUntil([&] { return rosters.back()->HoldsSlot(); });
+  }
+  // As if the first holder had stood still for longer than its lease.
+  const auto ended = this->Await<tl::expected<LeaseId, StoreError>>(
+      [&](auto handler) { this->store->RevokeLease(kFirstLease, handler); });
+  ASSERT_TRUE(ended.has_value());
+  const auto next = this->Join("z", "next");
+  this->RunUntil([&] { return next->HoldsSlot(); });
+  bool left = false;
+  rosters.front()->Leave([&] { left = true; });
+  this->RunUntil([&] { return left; });
+  const auto entries = this->Read();
+  EXPECT_EQ(entries.size(), static_cast<std::size_t>(kRosterSlotsPerZone));
+  const auto is_next = [](const RosterEntry& entry) { return entry.node == "next"; };
+  EXPECT_EQ(std::count_if(entries.begin(), entries.end(), is_next), 1);
+}
+
 }  // namespace
 }  // namespace fireflyrun::store
