--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -76,12 +76,12 @@
 /// Up to this share of the limit, the calls in flight can't be the cause of a slower target.
 constexpr double kLowUseShare = 0.5;
 
-/// Service times kept of a window; later ones don't count for the fastest tenth.
+/// Successes of a window whose times are kept; later ones count for the mean only.
 constexpr std::size_t kMaxTimesKept = 1000;
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 
-/// The longest of the fastest tenth of `times`, which must not be empty.
+/// The time that a tenth of `times` stay below; `times` must not be empty.
 double FastestTenth(std::vector<double> times) {
   const auto rank = static_cast<std::ptrdiff_t>(times.size() / 10);
   std::nth_element(times.begin(), times.begin() + rank, times.end());
