--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -53,8 +53,8 @@
     call.deadline = SteadyClock::now() + limit;
     call.transit_time = this->transit_time;
     if (ticket) *head.mutable_ticket() = ToMessage(*ticket);
-    this->service.OnCall(std::move(call), [this, id](const peer::Answer& answer) {
-      this->answers[id].push_back(answer.head.outcome());
+    this->service.OnCall(std::move(call), [this, id](const peer::Answer& given) {
+      this->answers[id].push_back(given.head.outcome());
     });
     return id;
   }
