--- a/src/policy/concurrency_limit.cc
+++ b/src/policy/concurrency_limit.cc
@@ -76,7 +76,8 @@
 /// Up to this share of the limit, the calls in flight can't be the cause of a slower target.
 constexpr double kLowUseShare = 0.5;
 
-/// Successes of a window whose times are kept; later ones count for the mean only.
+/// Successes of a window whose times are kept, which bounds the memory at any rate; later ones
+/// count for the mean only.
 constexpr std::size_t kMaxTimesKept = 1000;
 
 double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
@@ -173,7 +174,8 @@
 }
 
 void ConcurrencyLimit::CloseWindow(SteadyTime now) {
-  const Window closed_window = std::exchange(this->window, {.start = now});
+  const Window closed_window = std::exchange(this->window, {});
+  this->StartWindow(now);
   if (closed_window.ok_count == 0) {
     this->Collapse();
     return;
--- a/src/policy/concurrency_limit.h
+++ b/src/policy/concurrency_limit.h
@@ -66,7 +66,7 @@
     std::uint32_t ok_count = 0;
     std::uint32_t failed_count = 0;
     std::uint32_t max_in_flight = 0;
-    std::vector<double> ok_times{};  ///< Service times of successes; at most kMaxTimesKept.
+    std::vector<double> ok_times{};  ///< Service times of the first successes.
 
     std::uint32_t Count() const { return this->ok_count + this->failed_count; }
   };
--- a/tests/integration/fleet.cc
+++ b/tests/integration/fleet.cc
@@ -332,4 +332,15 @@
   ])";
 }
 
+std::string RecordsWithoutRetries(const std::string& service, int deadline_ms) {
+  return R"([
+    {"kind": "priority", "schema": 1, "name": "status", "rank": 9, "may_leave_region": false},
+    {"kind": "retry_allowance", "schema": 1, "name": "none", "retries_per_request": 0,
+     "success_ratio": 0, "burst": 0},
+    {"kind": "service", "schema": 1, "name": ")" +
+         service + R"(", "priority": "status", "retry_allowance": "none", "idempotent": true,
+     "deadline_ms": )" +
+         std::to_string(deadline_ms) + "}]";
+}
+
 }  // namespace fireflyrun::integration
--- a/tests/integration/fleet.h
+++ b/tests/integration/fleet.h
@@ -112,4 +112,7 @@
 /// `middle`, `deep`, and `filings` and `postings` (not idempotent, class `critical`).
 std::string ChainRecords();
 
+/// Records for one idempotent service (class `status`, which stays in its region) without retries.
+std::string RecordsWithoutRetries(const std::string& service, int deadline_ms);
+
 }  // namespace fireflyrun::integration
--- a/tests/integration/gate_test.cc
+++ b/tests/integration/gate_test.cc
@@ -17,16 +17,6 @@
 constexpr std::uint16_t kPeerPort = 7402;
 constexpr seconds kAnswerLimit{5};
 
-std::string Records() {
-  return R"([
-    {"kind": "priority", "schema": 1, "name": "status", "rank": 9, "may_leave_region": false},
-    {"kind": "retry_allowance", "schema": 1, "name": "none", "retries_per_request": 0,
-     "success_ratio": 0, "burst": 0},
-    {"kind": "service", "schema": 1, "name": "quick", "priority": "status",
-     "retry_allowance": "none", "deadline_ms": 20000, "idempotent": true}
-  ])";
-}
-
 /// A node that goes on believing that a target serves: it has a link and no membership.
 class BelievingNode {
  public:
@@ -104,7 +94,8 @@
  protected:
   void SetUp() override { ASSERT_TRUE(this->fleet.WaitReady()); }
 
-  Fleet fleet{{{"q1", "east", "east-a", "quick", 20, 2, ""}}, Records()};
+  Fleet fleet{{{"q1", "east", "east-a", "quick", 20, 2, ""}},
+              RecordsWithoutRetries("quick", 20'000)};
 };
 
 /// Whatever other nodes believe, the target's own node lets no call through once it has confirmed
--- a/tests/integration/load_move_test.cc
+++ b/tests/integration/load_move_test.cc
@@ -26,17 +26,6 @@
 const std::vector<std::string> kFlags = {"--request-id-header", "X-Request-Id", "--log-lines",
                                          "100000"};
 
-/// Without retries, so that every call sent to a second target is a move.
-std::string Records() {
-  return R"([
-    {"kind": "priority", "schema": 1, "name": "status", "rank": 9, "may_leave_region": false},
-    {"kind": "retry_allowance", "schema": 1, "name": "no", "retries_per_request": 0,
-     "success_ratio": 0, "burst": 0},
-    {"kind": "service", "schema": 1, "name": "entry", "priority": "status",
-     "retry_allowance": "no", "deadline_ms": 2000, "idempotent": true}
-  ])";
-}
-
 using ValuesByRequest = std::map<std::string, std::vector<std::string>>;
 
 std::string ValueOf(const std::string& line, const std::string& name) {
@@ -49,6 +38,7 @@
 /// A fleet whose callers' nodes get more calls than the nearest targets can run.
 class LoadMoveTest : public testing::Test {
  protected:
+  /// Without retries, so that every call sent to a second target is a move.
   void StartFleet(std::vector<std::string> callers_nodes, std::vector<HostLayout> targets) {
     this->caller_nodes = std::move(callers_nodes);
     std::vector<HostLayout> layouts;
@@ -59,7 +49,8 @@
       this->target_nodes.push_back(target.node);
       layouts.push_back(std::move(target));
     }
-    this->fleet = std::make_unique<Fleet>(std::move(layouts), Records());
+    this->fleet =
+        std::make_unique<Fleet>(std::move(layouts), RecordsWithoutRetries("entry", 2'000));
     ASSERT_TRUE(this->fleet->WaitReady());
   }
 
--- a/tests/integration/mixed_load_test.cc
+++ b/tests/integration/mixed_load_test.cc
@@ -1,7 +1,6 @@
 #include <gtest/gtest.h>
 
 #include <array>
-#include <atomic>
 #include <chrono>
 #include <mutex>
 #include <random>
@@ -18,16 +17,6 @@
 constexpr std::chrono::seconds kLoad{18};
 constexpr std::array<int, 3> kServiceTimesMs{100, 600, 1400};
 
-std::string Records() {
-  return R"([
-    {"kind": "priority", "schema": 1, "name": "status", "rank": 9, "may_leave_region": false},
-    {"kind": "retry_allowance", "schema": 1, "name": "no", "retries_per_request": 0,
-     "success_ratio": 0, "burst": 0},
-    {"kind": "service", "schema": 1, "name": "entry", "priority": "status",
-     "retry_allowance": "no", "deadline_ms": 5000, "idempotent": true}
-  ])";
-}
-
 /// Callers in a loop, each call of a service time drawn at random, and one target that has many
 /// more slots than callers.
 class MixedLoadTest : public testing::TestWithParam<int> {
@@ -41,7 +30,7 @@
     for (auto& thread : threads) thread.join();
   }
 
-  std::vector<std::string> refusals;
+  std::vector<std::string> failures;  ///< What callers got instead of an answer.
   int calls = 0;
 
  private:
@@ -55,11 +44,12 @@
       const std::lock_guard lock(this->mutex);
       ++this->calls;
       if (answer.status == kOk) continue;
-      this->refusals.push_back(std::to_string(answer.status) + " " + answer.body + answer.error);
+      this->failures.push_back(std::to_string(answer.status) + " " + answer.body + answer.error);
     }
   }
 
-  Fleet fleet{{{"a0", "east", "east-a"}, {"a1", "east", "east-a", "entry", 400, 0}}, Records()};
+  Fleet fleet{{{"a0", "east", "east-a"}, {"a1", "east", "east-a", "entry", 400, 0}},
+              RecordsWithoutRetries("entry", 5'000)};
   std::mutex mutex;
 };
 
@@ -68,8 +58,8 @@
 TEST_P(MixedLoadTest, ATargetWithManyFreeSlotsRefusesNoCall) {
   this->Run(GetParam());
   EXPECT_GT(this->calls, 0);
-  EXPECT_EQ(this->refusals.size(), 0U)
-      << "of " << this->calls << ", the first: " << this->refusals.front();
+  EXPECT_EQ(this->failures.size(), 0U)
+      << "of " << this->calls << ", the first: " << this->failures.front();
 }
 
 }  // namespace
--- a/tests/integration/planned_stop_test.cc
+++ b/tests/integration/planned_stop_test.cc
@@ -34,7 +34,7 @@
 constexpr milliseconds kLimit{10'000};
 constexpr milliseconds kMoment{300};
 /// A request that is read in this time before the process ends may go unanswered.
-constexpr milliseconds kLossSlack{200};
+constexpr milliseconds kCrossingTime{200};
 constexpr int kServiceTimeMs = 800;
 constexpr int kOk = 200;
 constexpr int kInternalError = 500;
@@ -200,7 +200,7 @@
     std::string cut;
     for (const auto& result : results) {
       const bool connected = result.answer.error.find("connect to server") == std::string::npos;
-      const bool crossed_end = result.sent + kLossSlack >= this->ended;
+      const bool crossed_end = result.sent + kCrossingTime >= this->ended;
       const bool answered = result.answer.status != kNoAnswer;
       if (connected && !answered && !crossed_end) cut += result.Describe();
     }
