A node that is ready doesn't take that back when it learns of others

Cause: a node that reads the list of nodes before the others entered themselves takes itself for alone and is ready; with the next reading, a second later, it counted as not having discovered the fleet until its join was answered, though it may have served through the others already.

Change: HasDiscoveredFleet stays true once it was. The test now names the fault that it finds.

--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -215,6 +215,7 @@
     const auto& seeds = this->settings.seeds;
     this->seems_alone = !this->roster && std::all_of(seeds.begin(), seeds.end(),
                                                      [&](const auto& seed) { return seed == own; });
+    this->seemed_alone = this->seems_alone;
     for (const auto& seed : seeds) this->membership->AddContact(seed);
     this->membership->SetTicketWindow(this->current_window());
     this->membership->Start();
@@ -258,6 +259,7 @@
       this->membership->AddContact(entry.control_address);
     }
     this->seems_alone = others.empty();
+    if (this->seems_alone) this->seemed_alone = true;
     this->roster_nodes = std::move(others);
   });
 }
@@ -270,7 +272,7 @@
 
 bool ControlPlane::HasDiscoveredFleet() const {
   const bool limit_passed = SteadyClock::now() - this->started >= kDiscoveryLimit;
-  return this->membership->HasJoined() || this->seems_alone || limit_passed;
+  return this->membership->HasJoined() || this->seemed_alone || limit_passed;
 }
 
 bool ControlPlane::AllRosterNodesPresent() const {
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -58,7 +58,8 @@
   void AddMetrics(NodeMetrics* metrics) const;
 
   membership::Membership& Fleet() { return *this->membership; }
-  /// True once another node answered, none seems to exist, or the discovery limit has passed.
+  /// True once another node answered, none seemed to exist, or the discovery limit has passed; it
+  /// stays true, so that a node that is ready doesn't take that back.
   bool HasDiscoveredFleet() const;
   /// True while this node knows of no undiscovered member: another node answered or none exists,
   /// and all nodes that the roster last named are members.
@@ -104,6 +105,7 @@
   std::optional<std::vector<std::string>> roster_nodes;
   /// The roster names no other node; without a roster, the seeds name none.
   bool seems_alone = false;
+  bool seemed_alone = false;  ///< At any time since the start.
   bool left_roster = false;
   SteadyTime started;
 };
--- a/tests/node/control_plane_test.cc
+++ b/tests/node/control_plane_test.cc
@@ -119,6 +119,18 @@
   EXPECT_TRUE(plane->HasDiscoveredAllMembers());
 }
 
+/// As when all nodes start at once: the roster names the others only after the first reading.
+TEST_F(ControlPlaneTest, StaysDiscoveredWhenTheRosterNamesAnotherNodeLater) {
+  this->settings.store_endpoints = {"127.0.0.1:1"};
+  const auto plane = this->Start(this->settings);
+  this->store->Answer({RosterEntry(this->settings)});
+  ASSERT_TRUE(plane->HasDiscoveredFleet());
+  ASSERT_TRUE(this->RunUntil([&] { return !this->store->queries.empty(); }));
+  this->store->Answer({RosterEntry(this->settings), RosterEntry(this->other)});
+  EXPECT_TRUE(plane->HasDiscoveredFleet()) << "a node that is ready doesn't take that back";
+  EXPECT_FALSE(plane->HasDiscoveredAllMembers());
+}
+
 TEST_F(ControlPlaneTest, DiscoversAllMembersOnceAllRosterNodesAreMembers) {
   const auto plain = this->Start(this->other);
   this->settings.store_endpoints = {"127.0.0.1:1"};
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -104,13 +104,26 @@
     ASSERT_TRUE(WaitUntil(kStartTimeout, [this] { return this->AllNodesServe(); }));
   }
 
-  bool AllNodesServe() {
+  /// What is wrong with the first node that isn't ready or doesn't serve; empty if all do.
+  std::string FirstFault() {
     for (const std::size_t host : {kFrontNode, kZoneAShopNode, kZoneBShopNode}) {
-      if (this->fleet.Health(host) != 200) return false;
-      if (ServiceOf(this->Send(host, "/safe/x")) != "shop") return false;
-      if (ServiceOf(this->Send(host, "/front/x")) != "front") return false;
+      const std::string place = "node " + std::to_string(host) + " ";
+      const int health = this->fleet.Health(host);
+      if (health != 200) return place + "health " + std::to_string(health);
+      for (const std::string service : {"shop", "front"}) {
+        const std::string path = service == "shop" ? "/safe/x" : "/front/x";
+        const HttpAnswer answer = this->Send(host, path);
+        if (ServiceOf(answer) == service) continue;
+        return place + path + " " + std::to_string(answer.status) + " " + answer.body +
+               answer.error;
+      }
     }
-    return true;
+    return {};
+  }
+
+  bool AllNodesServe() {
+    this->fault = this->FirstFault();
+    return this->fault.empty();
   }
 
   void WaitForHealthPorts() {
@@ -141,6 +154,7 @@
     return true;
   }
 
+  std::string fault;  ///< What AllNodesServe() found last.
   PlatformFleet fleet{{{"n1", "a", "front"}, {"n2", "a", "shop"}, {"n3", "b", "shop"}}};
 };
 
@@ -368,7 +382,7 @@
     const int status = this->fleet.Announce(kZoneAShopNode, "i-odd", entry);
     EXPECT_EQ(status, 400) << entry.substr(0, 100);
   }
-  EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesServe(); }));
+  EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesServe(); })) << this->fault;
 }
 
 TEST_F(PlatformNodeTest, OddEntriesAmongTheNodesListedInTheStoreLeaveTheOthersAlone) {
@@ -382,7 +396,7 @@
   this->fleet.KillNode(kZoneAShopNode);
   this->fleet.StartNode(kZoneAShopNode);
   EXPECT_TRUE(WaitUntil(kStartTimeout, [this] { return this->AllNodesServe(); }));
-  EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesServe(); }));
+  EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesServe(); })) << this->fault;
 }
 
 TEST_F(PlatformNodeTest, RestartedNodeIsReadyOnceItServes) {
