--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -150,6 +150,9 @@
   const auto counters = [this]() -> const auto& { return this->membership->Counters(); };
   metrics->AddGauge("fireflyrun_records_revision", "Revision of the records in force.",
                     [this] { return static_cast<double>(this->records->Book().Revision()); });
+  metrics->AddGauge("fireflyrun_records_problems",
+                    "Findings about the newest records, which are not in force as written.",
+                    [this] { return static_cast<double>(this->records->Problems().size()); });
   metrics->AddGauge("fireflyrun_members", "Known nodes, including this one.", [this] {
     return static_cast<double>(this->membership->GetView().CountPresent());
   });
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "common/log.h"
+#include "common/log_event.h"
 #include "common/random.h"
 #include "common/timer_service.h"
 #include "http/call_server.h"
@@ -219,6 +220,11 @@
 }
 
 void Node::Implementation::ApplyLimits(const records::CallerLimits& limits) {
+  if (limits.max_body_bytes > this->settings.max_body_bytes) {
+    LogEvent(LogLevel::kWarning, "node", "body-limit")
+        .Add("records_bytes", limits.max_body_bytes)
+        .Add("in_force_bytes", this->settings.max_body_bytes);
+  }
   http::CallServerLimits new_limits;
   new_limits.max_header_bytes = limits.max_header_bytes;
   new_limits.max_body_bytes = std::min(limits.max_body_bytes, this->settings.max_body_bytes);
--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -142,6 +142,14 @@
   }
 }
 
+Findings RecordKeeper::Problems() const {
+  Findings problems = this->source == nullptr ? Findings() : this->source->Problems();
+  if (!this->configuration) return problems;
+  const Findings& more = this->configuration->Problems();
+  problems.insert(problems.end(), more.begin(), more.end());
+  return problems;
+}
+
 std::string RecordKeeper::Describe() const {
   nlohmann::json document;
   document["revision"] = this->book.Revision();
@@ -152,8 +160,7 @@
                                    {"retired", entry.retired},
                                    {"body", nlohmann::json::parse(entry.body, nullptr, false)}});
   }
-  document["problems"] =
-      FormatFindings(this->configuration ? this->configuration->Problems() : Findings());
+  document["problems"] = FormatFindings(this->Problems());
   return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "common/clock.h"
+#include "common/finding.h"
 #include "common/timer_subscription.h"
 #include "membership/record_hooks.h"
 #include "records/change_set.h"
@@ -49,6 +50,9 @@
   }
   const records::RecordBook& Book() const { return this->book; }
 
+  /// What the source or the records in force contain that can't be used as it is written there.
+  Findings Problems() const;
+
   /// `{"revision", "records": [{"key", "schema", "revision", "retired", "body"}], "problems"}`.
   std::string Describe() const;
 
--- a/src/records/record_limits.h
+++ b/src/records/record_limits.h
@@ -10,6 +10,14 @@
 inline constexpr std::int64_t kMinDeadlineMs = 10;
 inline constexpr std::int64_t kMaxDeadlineMs = 600'000;
 inline constexpr std::size_t kMaxPathBytes = 512;
+/// Of a route's services; the sum of as many weights as a route may have is finite.
+inline constexpr double kMaxWeight = 1e300;
+inline constexpr std::size_t kMaxServicesOfRoute = 1000;
+/// The same in the first schema of routes, whose weights are whole.
+inline constexpr std::int64_t kMaxWholeWeight = 1000;
+inline constexpr std::size_t kMaxServicesOfFirstSchema = 16;
+/// The schema of routes from which on a weight may be any number.
+inline constexpr int kAnyWeightSchema = 2;
 
 /// True for a path that starts with "/", has at most 512 bytes, and fits into a request line
 /// without a query or fragment.
--- a/src/records/route_entry.h
+++ b/src/records/route_entry.h
@@ -12,7 +12,7 @@
   std::string name;
   std::vector<WeightedPolicy> policies;  ///< One per service in force.
   /// Weights of `policies`, in the same order, for policy::WeightedRoundRobin.
-  std::vector<int> weights;
+  std::vector<double> weights;
 };
 
 }  // namespace fireflyrun::records
--- a/src/records/route_record_parser.cc
+++ b/src/records/route_record_parser.cc
@@ -17,10 +17,8 @@
 
 using Json = nlohmann::json;
 
-constexpr std::int64_t kMaxWeight = 1000;
 constexpr std::int64_t kMaxAttempts = 10;
 constexpr std::int64_t kMinTargetLatencyMs = 1;
-constexpr std::size_t kMaxServices = 16;
 
 bool IsLetterOrDigit(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
@@ -60,24 +58,33 @@
   route.prefix = std::move(*prefix);
 }
 
-WeightedService ParseWeightedService(const Json& value, const std::string& place,
+/// The weight is 1 if it was reported, so that the sum isn't reported too.
+double ParseWeight(FieldReader& reader, int schema) {
+  if (schema >= kAnyWeightSchema) return reader.Number("weight", 0, kMaxWeight).value_or(1);
+  const auto whole = reader.Integer("weight", 0, kMaxWholeWeight, Presence::kRequired);
+  return static_cast<double>(whole.value_or(1));
+}
+
+WeightedService ParseWeightedService(const Json& value, const std::string& place, int schema,
                                      Findings& findings) {
   FieldReader reader(value, place, findings);
   WeightedService weighted_service;
   weighted_service.service = reader.Name("service", Presence::kRequired).value_or("");
-  weighted_service.weight =
-      static_cast<int>(reader.Integer("weight", 0, kMaxWeight, Presence::kRequired).value_or(1));
+  weighted_service.weight = ParseWeight(reader, schema);
   reader.RejectUnknownFields();
   return weighted_service;
 }
 
-std::vector<WeightedService> ParseWeightedServices(FieldReader& reader, Findings& findings) {
+std::vector<WeightedService> ParseWeightedServices(FieldReader& reader, int schema,
+                                                   Findings& findings) {
   std::vector<WeightedService> services;
   const Json* values = reader.Array("services", Presence::kRequired);
   if (values == nullptr) return services;
-  if (values->empty() || values->size() > kMaxServices) {
+  const std::size_t most =
+      schema >= kAnyWeightSchema ? kMaxServicesOfRoute : kMaxServicesOfFirstSchema;
+  if (values->empty() || values->size() > most) {
     reader.Report("services", "has " + std::to_string(values->size()) +
-                                  " elements; allowed are 1 to " + std::to_string(kMaxServices));
+                                  " elements; allowed are 1 to " + std::to_string(most));
     return services;
   }
   std::set<std::string> seen;
@@ -90,7 +97,7 @@
       has_weight = true;  // Its weight is unknown, so the sum isn't checked.
       continue;
     }
-    services.push_back(ParseWeightedService(value, place, findings));
+    services.push_back(ParseWeightedService(value, place, schema, findings));
     has_weight = has_weight || services.back().weight > 0;
     if (!seen.insert(services.back().service).second) {
       findings.push_back({place, "repeats an earlier service; allowed is each service once"});
@@ -107,7 +114,7 @@
   route.name = key.name;
   ReadHost(reader, route);
   ReadPrefix(reader, route);
-  route.services = ParseWeightedServices(reader, findings);
+  route.services = ParseWeightedServices(reader, key.schema, findings);
   route.priority = reader.Name("priority", Presence::kRequired).value_or("");
   route.retry_allowance = reader.Name("retry_allowance", Presence::kRequired).value_or("");
   route.idempotent = reader.Boolean("idempotent", Presence::kRequired).value_or(false);
--- a/src/records/weighted_policy.h
+++ b/src/records/weighted_policy.h
@@ -6,7 +6,7 @@
 
 /// One service of a route, with its weight and the policy for calls to it.
 struct WeightedPolicy {
-  int weight = 0;
+  double weight = 0;
   CallPolicy policy;
 };
 
--- a/src/store/record_source.h
+++ b/src/store/record_source.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <tl/expected.hpp>
 
+#include "common/finding.h"
 #include "records/change_set.h"
 #include "records/transfer.h"
 #include "store/key_value.h"
@@ -34,6 +35,9 @@
                          TransferHook on_transfer) = 0;
 
   virtual void StopWatch() = 0;
+
+  /// What the newest state of the source contains that can't be used as it is written there.
+  virtual Findings Problems() const { return {}; }
 };
 
 }  // namespace fireflyrun::store
--- a/tests/platform/configuration_translator_test.cc
+++ b/tests/platform/configuration_translator_test.cc
@@ -1,13 +1,21 @@
 #include "platform/configuration_translator.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cmath>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "platform/record_names.h"
+#include "policy/weighted_round_robin.h"
+#include "records/configuration.h"
+#include "records/record_book.h"
 #include "records/record_key.h"
 #include "records/record_parser.h"
+#include "records/transfer.h"
 
 namespace fireflyrun::platform {
 namespace {
@@ -129,6 +137,171 @@
   EXPECT_EQ(translated->notices.size(), 4U) << FormatFindings(translated->notices);
 }
 
+Json Split(const std::vector<std::pair<std::string, double>>& services) {
+  Json list = Json::array();
+  for (const auto& [service, weight] : services) {
+    list.push_back({{"service", service}, {"weight", weight}});
+  }
+  return list;
+}
+
+/// The weight by service of a translated route.
+std::map<std::string, double> WeightsOf(const Json& route) {
+  std::map<std::string, double> weights;
+  for (const Json& item : route["services"]) weights[item["service"]] = item["weight"];
+  return weights;
+}
+
+/// Guards against weights that are rounded or clamped: the whole version was refused, or a service
+/// got another share, or none.
+TEST(ConfigurationTranslatorTest, KeepsWeightsThatAreNotWholeOrNotSmall) {
+  Json configuration = GoodConfiguration();
+  Json& routes = configuration["routes"];
+  for (const char* name : {"thirds", "halves", "wide", "twice"}) {
+    routes[name] = routes["r-ctnfzs9"];
+    routes[name]["prefix"] = std::string("/") + name + "/";
+  }
+  routes["thirds"]["weightedServices"] = Split({{"a", 0.4}, {"b", 0.35}, {"c", 0.25}});
+  routes["halves"]["weightedServices"] = Split({{"a", 0.6}, {"b", 0.4}});
+  routes["wide"]["weightedServices"] = Split({{"a", 5000}, {"b", 1000}, {"c", 1e-9}});
+  routes["twice"]["weightedServices"] = Split({{"a", 0.5}, {"b", 1}, {"a", 0.5}});
+  const auto translated = Translate(configuration);
+  ASSERT_TRUE(translated.has_value()) << FormatFindings(translated.error());
+  ExpectParsable(*translated);
+  using Weights = std::map<std::string, double>;
+  EXPECT_EQ(WeightsOf(Body(*translated, "route/thirds/v2")),
+            (Weights{{"a", 0.4}, {"b", 0.35}, {"c", 0.25}}));
+  EXPECT_EQ(WeightsOf(Body(*translated, "route/halves/v2")), (Weights{{"a", 0.6}, {"b", 0.4}}));
+  EXPECT_EQ(WeightsOf(Body(*translated, "route/wide/v2")),
+            (Weights{{"a", 5000}, {"b", 1000}, {"c", 1e-9}}));
+  EXPECT_EQ(WeightsOf(Body(*translated, "route/twice/v1")), (Weights{{"a", 1}, {"b", 1}}));
+  EXPECT_FALSE(Body(*translated, "route/r-ctnfzs9/v1").is_null()) << "whole weights stay as before";
+}
+
+/// Guards against priorities above the highest rank that are merged.
+TEST(ConfigurationTranslatorTest, KeepsTheOrderOfPrioritiesThatAreNoRanks) {
+  Json configuration = GoodConfiguration();
+  Json& routes = configuration["routes"];
+  routes["r-89anu6w"]["priority"] = 100;
+  routes["r-ctnfzs9"]["priority"] = 70.5;
+  routes["first"] = routes["r-ctnfzs9"];
+  routes["first"]["prefix"] = "/first/";
+  routes["first"]["priority"] = nullptr;
+  const auto translated = Translate(configuration);
+  ASSERT_TRUE(translated.has_value());
+  ExpectParsable(*translated);
+  EXPECT_EQ(Body(*translated, "route/first/v1")["priority"], "rank-0");
+  EXPECT_EQ(Body(*translated, "route/r-ctnfzs9/v1")["priority"], "rank-1");
+  EXPECT_EQ(Body(*translated, "route/r-89anu6w/v1")["priority"], "rank-2");
+  EXPECT_FALSE(translated->notices.empty());
+}
+
+/// Guards against a service, and all its routes, that is left out for the path of its health.
+TEST(ConfigurationTranslatorTest, KeepsServicesWhoseHealthPathIsNotUsable) {
+  Json configuration = GoodConfiguration();
+  configuration["services"]["huvo11a"]["healthPath"] = "/healthz?full=1";
+  const auto translated = Translate(configuration);
+  ASSERT_TRUE(translated.has_value());
+  ExpectParsable(*translated);
+  EXPECT_FALSE(Body(*translated, "service/huvo11a/v3").contains("health_path"));
+  ASSERT_EQ(translated->notices.size(), 1U);
+  EXPECT_EQ(translated->notices[0].place, "op/config:/services/huvo11a/healthPath");
+}
+
+rc::Gen<double> GenWeight() {
+  const auto fraction =
+      rc::gen::map(rc::gen::inRange(1, 1'000'001), [](int millionths) { return millionths / 1e6; });
+  const auto whole = rc::gen::cast<double>(rc::gen::inRange(0, 2'000'000));
+  const auto scaled = rc::gen::apply(
+      [](double mantissa, int exponent) { return mantissa * std::pow(10, exponent); }, fraction,
+      rc::gen::inRange(-30, 30));
+  return rc::gen::oneOf(fraction, whole, scaled);
+}
+
+/// A route of one to forty services, at least one with a weight above 0.
+Json GenRoute(int number) {
+  const auto count = *rc::gen::inRange(1, 41);
+  Json list = Split({{"s0", *rc::gen::suchThat(GenWeight(), [](double w) { return w > 0; })}});
+  for (int i = 1; i < count; ++i) {
+    const std::string service = "s" + std::to_string(*rc::gen::inRange(0, 40));
+    list.push_back({{"service", service}, {"weight", *GenWeight()}});
+  }
+  const double timeout = *rc::gen::inRange(1, 4'000'000) / 1000.0;
+  const double priority = *rc::gen::oneOf(rc::gen::cast<double>(rc::gen::inRange(0, 5)),
+                                          rc::gen::cast<double>(rc::gen::inRange(0, 5000)));
+  return {{"host", "h.example"},
+          {"prefix", "/p" + std::to_string(number) + "/"},
+          {"kind", *rc::gen::element<std::string>("safe", "unsafe", "upload")},
+          {"timeoutS", timeout},
+          {"targetLatencyS", timeout / 2},
+          {"priority", priority},
+          {"maxAttempts", *rc::gen::inRange(1, 100)},
+          {"weightedServices", list}};
+}
+
+/// The records of a translated version, in force.
+std::shared_ptr<const records::Configuration> InForce(const TranslatedConfiguration& translated) {
+  records::Transfer transfer{0, 1, {}};
+  for (const TranslatedRecord& record : translated.records) {
+    transfer.entries.push_back({*records::ParseRecordKey(record.key), record.body, 1, false, ""});
+  }
+  records::RecordBook book;
+  book.MergeTransfer(transfer);
+  return records::Configuration::Build(book);
+}
+
+/// Picks `calls` services for a route and checks that each is picked in proportion.
+void CheckShares(const records::RouteEntry& route, const Json& list, int calls) {
+  std::map<std::string, double> weights;
+  double total = 0;
+  for (const Json& item : list) {
+    weights[item["service"]] += item["weight"].get<double>();
+    total += item["weight"].get<double>();
+  }
+  std::map<std::string, int> counts;
+  policy::WeightedRoundRobin round_robin([](std::uint64_t bound) { return bound / 2; });
+  for (int call = 0; call < calls; ++call) {
+    counts[route.policies[round_robin.Pick(route.name, route.weights)].policy.service] += 1;
+  }
+  for (const auto& [service, weight] : weights) {
+    RC_ASSERT(std::abs(counts[service] - weight / total * calls) <= 0.01 * calls);
+  }
+}
+
+/// Guards against the whole family: a valid version that isn't in force whole, or with other
+/// proportions or another order than the operator wrote.
+RC_GTEST_PROP(ConfigurationTranslatorTest, ValidVersionsAreInForceWhole, ()) {
+  constexpr int kCalls = 10'000;
+  Json configuration = {{"version", *rc::gen::inRange(1, 1'000'000)},
+                        {"routes", Json::object()},
+                        {"services", Json::object()}};
+  for (int i = 0; i < 40; ++i) {
+    configuration["services"]["s" + std::to_string(i)] = {
+        {"healthPath", "/healthz"}, {"maxConns", *rc::gen::inRange(1, 200'000)}};
+  }
+  const int count = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < count; ++i) {
+    configuration["routes"]["r" + std::to_string(i)] = GenRoute(i);
+  }
+  const auto translated = Translate(configuration);
+  RC_ASSERT(translated.has_value());
+  const auto in_force = InForce(*translated);
+  RC_ASSERT(in_force->Problems().empty());
+  std::map<double, std::set<int>> ranks;
+  for (const Json& route : configuration["routes"]) {
+    const auto* entry = in_force->FindRoute("h.example", route["prefix"].get<std::string>() + "x");
+    RC_ASSERT(entry != nullptr);
+    CheckShares(*entry, route["weightedServices"], kCalls);
+    ranks[route["priority"].get<double>()].insert(entry->policies[0].policy.rank);
+  }
+  int highest = -1;
+  for (const auto& [priority, rank] : ranks) {
+    RC_ASSERT(rank.size() == 1U);
+    RC_ASSERT(*rank.begin() > highest);
+    highest = *rank.begin();
+  }
+}
+
 TEST(ConfigurationTranslatorTest, AcceptsVersionWithInvalidRecordNames) {
   Json configuration = GoodConfiguration();
   Json& routes = configuration["routes"];
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -350,6 +350,23 @@
   }
 }
 
+/// Guards against a version that never comes into force for its weights: 0.4 and 0.1 were read as
+/// 0, and every route kept the version before.
+TEST_F(PlatformNodeTest, VersionWithFractionalWeightsComesIntoForceInTime) {
+  this->StartServing();
+  Json changed = Configuration(5, "front");
+  changed["routes"]["r-split"]["weightedServices"] = {{{"service", "front"}, {"weight", 0.4}},
+                                                      {{"service", "shop"}, {"weight", 0.1}}};
+  this->fleet.Configure(changed);
+  ASSERT_TRUE(WaitUntil(kApplyTimeout, [this] { return this->AllNodesRouteTo("front"); }));
+  constexpr int kCalls = 600;
+  int at_front = 0;
+  for (int call = 0; call < kCalls; ++call) {
+    at_front += ServiceOf(this->Send(call % 3, "/split/x")) == "front" ? 1 : 0;
+  }
+  EXPECT_NEAR(at_front, 0.8 * kCalls, 0.01 * kCalls);
+}
+
 /// What another writer may leave in place of a target or a node; `depth` is that of nested values.
 std::vector<std::string> OddEntries(int depth) {
   std::string nested_objects;
--- a/tests/policy/weighted_round_robin_test.cc
+++ b/tests/policy/weighted_round_robin_test.cc
@@ -4,6 +4,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <string>
 #include <vector>
@@ -14,7 +15,7 @@
 std::uint64_t ZeroHook(std::uint64_t /*bound*/) { return 0; }
 
 std::string Picks(WeightedRoundRobin& round_robin, const std::string& route,
-                  const std::vector<int>& weights, int count) {
+                  const std::vector<double>& weights, int count) {
   std::string picks;
   for (int i = 0; i < count; ++i)
     picks += static_cast<char>('a' + round_robin.Pick(route, weights));
@@ -28,25 +29,38 @@
   return sum;
 }
 
-rc::Gen<std::vector<int>> GenWeights() {
+rc::Gen<std::vector<double>> GenWeights(const rc::Gen<double>& weight) {
   return rc::gen::suchThat(rc::gen::mapcat(rc::gen::inRange<std::size_t>(1, 17),
-                                           [](std::size_t parts) {
-                                             return rc::gen::container<std::vector<int>>(
-                                                 parts, rc::gen::inRange(0, 1001));
+                                           [weight](std::size_t parts) {
+                                             return rc::gen::container<std::vector<double>>(parts,
+                                                                                            weight);
                                            }),
-                           [](const std::vector<int>& weights) {
-                             return std::ranges::any_of(weights, std::identity{});
+                           [](const std::vector<double>& weights) {
+                             return std::ranges::any_of(weights, [](double w) { return w > 0; });
                            });
 }
 
+/// Whole numbers of 0 to 1000.
+rc::Gen<double> GenWholeWeight() { return rc::gen::cast<double>(rc::gen::inRange(0, 1001)); }
+
+/// Equal, fractional, tiny and huge numbers, and 0.
+rc::Gen<double> GenAnyWeight() {
+  const auto fraction =
+      rc::gen::map(rc::gen::inRange(0, 1'000'001), [](int millionths) { return millionths / 1e6; });
+  const auto scaled = rc::gen::apply(
+      [](double mantissa, int exponent) { return mantissa * std::pow(10.0, exponent); }, fraction,
+      rc::gen::inRange(-300, 300));
+  return rc::gen::oneOf(fraction, fraction, scaled, GenWholeWeight(), rc::gen::just(1.0 / 3));
+}
+
 RC_GTEST_PROP(WeightedRoundRobinTest, StaysWithinItsBoundsAfterEachCall, ()) {
   constexpr double kRounding = 1e-9;
-  const auto weights = *GenWeights();
+  const auto weights = *GenWeights(GenWholeWeight());
   const auto start = *rc::gen::arbitrary<std::uint64_t>();
   const bool starts_at_zero = *rc::gen::arbitrary<bool>();
   WeightedRoundRobin round_robin(
       [&](std::uint64_t bound) { return starts_at_zero ? 0 : start % bound; });
-  const double total = std::accumulate(weights.begin(), weights.end(), 0);
+  const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
   const double max_deficit = MaxDeficit(weights.size());
   std::vector<int> counts(weights.size(), 0);
   for (int calls = 1; calls <= 500; ++calls) {
@@ -64,7 +78,8 @@
 }
 
 RC_GTEST_PROP(WeightedRoundRobinTest, TwoPartsStayWithinOneCallOfTheirShares, ()) {
-  const std::vector<int> weights = {*rc::gen::inRange(1, 1001), *rc::gen::inRange(1, 1001)};
+  const std::vector<double> weights = {*rc::gen::cast<double>(rc::gen::inRange(1, 1001)),
+                                       *rc::gen::cast<double>(rc::gen::inRange(1, 1001))};
   const auto start = *rc::gen::arbitrary<std::uint64_t>();
   WeightedRoundRobin round_robin([&](std::uint64_t bound) { return start % bound; });
   const double share = static_cast<double>(weights[0]) / (weights[0] + weights[1]);
@@ -75,6 +90,33 @@
   }
 }
 
+/// Guards against weights that are rounded: 0.4, 0.35 and 0.25 once counted as 0, and a version
+/// with them never came into force.
+RC_GTEST_PROP(WeightedRoundRobinTest, AnyWeightsGetTheirSharesOfManyCalls, ()) {
+  constexpr int kCalls = 10'000;
+  const auto weights = *GenWeights(GenAnyWeight());
+  const auto start = *rc::gen::arbitrary<std::uint64_t>();
+  WeightedRoundRobin round_robin([&](std::uint64_t bound) { return start % bound; });
+  const double largest = *std::ranges::max_element(weights);
+  double total = 0;
+  for (const double weight : weights) total += weight / largest;
+  std::vector<int> counts(weights.size(), 0);
+  for (int call = 0; call < kCalls; ++call) counts[round_robin.Pick("r", weights)] += 1;
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    const double share = weights[i] / largest / total;
+    RC_ASSERT(std::abs(counts[i] - share * kCalls) <= 0.01 * kCalls);
+    RC_ASSERT(std::abs(counts[i] - share * kCalls) <= 2 + 2 * MaxDeficit(weights.size()));
+  }
+}
+
+TEST(WeightedRoundRobinTest, OnlyTheProportionsOfTheWeightsMatter) {
+  WeightedRoundRobin round_robin(ZeroHook);
+  const std::string whole = Picks(round_robin, "whole", {8, 7, 5}, 40);
+  EXPECT_EQ(Picks(round_robin, "halves", {4, 3.5, 2.5}, 40), whole);
+  EXPECT_EQ(Picks(round_robin, "tiny", {8e-300, 7e-300, 5e-300}, 40).size(), whole.size());
+  EXPECT_EQ(Picks(round_robin, "huge", {0x8p1000, 0x7p1000, 0x5p1000}, 40), whole);
+}
+
 TEST(WeightedRoundRobinTest, InterleavesTheCallsOfTheParts) {
   WeightedRoundRobin round_robin(ZeroHook);
   EXPECT_EQ(Picks(round_robin, "r", {5, 1, 1}, 14), "aabacaaaabacaa");
--- a/tests/records/configuration_test.cc
+++ b/tests/records/configuration_test.cc
@@ -134,7 +134,7 @@
   EXPECT_TRUE(configuration->Problems().empty()) << FormatFindings(configuration->Problems());
   const RouteEntry* split = configuration->FindRoute("a.EXAMPLE:8080", "/p/x?q=/");
   ASSERT_NE(split, nullptr);
-  EXPECT_EQ(split->weights, (std::vector<int>{90, 10}));
+  EXPECT_EQ(split->weights, (std::vector<double>{90, 10}));
   ASSERT_EQ(split->policies.size(), 2U);
   EXPECT_EQ(split->policies[1].weight, 10);
   const CallPolicy& policy = split->policies[0].policy;
@@ -155,6 +155,23 @@
   EXPECT_EQ(configuration->FindCallPolicy("proclaim", "GET", "/")->max_attempts, 0);
 }
 
+/// Guards against a route that is left out because its weights are no whole numbers.
+TEST_F(ConfigurationTest, SecondSchemaOfRoutesTakesAnyWeights) {
+  const std::string services =
+      R"({"service":"calendar","weight":0.4},{"service":"proclaim","weight":1e300})";
+  RecordEntry second = Route("split", R"("prefix":"/p/",)", services);
+  second.key.schema = 2;
+  second.body.replace(second.body.find(R"("schema":1)"), 10, R"("schema":2)");
+  const auto configuration =
+      this->Build({Service("calendar", 1, 100), Service("proclaim", 1, 200), second,
+                   Route("split", R"("prefix":"/old/",)", R"({"service":"calendar","weight":1})")});
+  EXPECT_TRUE(configuration->Problems().empty()) << FormatFindings(configuration->Problems());
+  const RouteEntry* split = configuration->FindRoute("h", "/p/");
+  ASSERT_NE(split, nullptr);
+  EXPECT_EQ(split->weights, (std::vector<double>{0.4, 1e300}));
+  EXPECT_EQ(configuration->FindRoute("h", "/old/"), nullptr);
+}
+
 TEST_F(ConfigurationTest, FindsServicePolicyOfServicesWithoutPathAccess) {
   const auto configuration = this->Build(
       {Service("hidden", 3, 100, R"(,"by_path":false,"health_path":"/up","max_connections":64)"),
@@ -182,7 +199,7 @@
   const RouteEntry* kept = configuration->FindRoute("h", "/b/");
   ASSERT_NE(kept, nullptr);
   EXPECT_EQ(kept->name, "b");
-  EXPECT_EQ(kept->weights, std::vector<int>{2});
+  EXPECT_EQ(kept->weights, std::vector<double>{2});
   EXPECT_EQ(configuration->FindRoute("h", "/c/"), nullptr);
   EXPECT_EQ(configuration->FindRoute("h", "/e/"), nullptr);
   const std::string report = FormatFindings(configuration->Problems());
