The bodies that a node holds are bounded together, by the host's memory (bytes without end)

What operators reported: an upstream sent bytes without end, the machine that called it ran out of memory, and other clients' requests ended with it.

Cause: answers in progress were bounded by their length (64 MB on every host), not by the memory that they took: a growing string is up to twice as large and copied while it grows, and the allocator keeps ever larger freed blocks. Requests that are read, answers that arrive by links and answers that callers don't read were not counted at all.

Requests give way first (503, not run, Retry-After), then answers. Bodies count by the memory that they take, requests by their announced length. Blocks of 256 KiB or more are returned when freed.

Not covered: the kernel's buffers, answers of the store.

--- a/src/cli/node_command.cc
+++ b/src/cli/node_command.cc
@@ -19,6 +19,7 @@
 #include "common/log_event.h"
 #include "common/log_flusher.h"
 #include "common/log_options.h"
+#include "common/process_memory.h"
 #include "common/timer_service.h"
 #include "node/node.h"
 #include "node/node_setting_table.h"
@@ -151,6 +152,7 @@
   // the settings have not been read yet.
   std::signal(SIGHUP, SIG_IGN);
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnLargeBlocks();
   const CommandLine command{argc, argv};
   auto parsed = command.Parse(ReadWholeFile);
   if (parsed.help) {
--- a/src/common/process_memory.cc
+++ b/src/common/process_memory.cc
@@ -1,5 +1,6 @@
 #include "common/process_memory.h"
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <fstream>
@@ -14,4 +15,10 @@
   return resident_pages * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
+void ReturnLargeBlocks() {
+  constexpr int kLargeBytes = 1 << 18;
+  mallopt(M_MMAP_THRESHOLD, kLargeBytes);
+  mallopt(M_TRIM_THRESHOLD, 4 * kLargeBytes);
+}
+
 }  // namespace fireflyrun
--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -261,6 +261,10 @@
   if (piece.size() > this->request.max_response_bytes - body.size()) {
     return this->Reject(ClientErrorKind::kTooLarge, "the answer is too large");
   }
+  const std::size_t size = body.size() + piece.size();
+  if (size > body.capacity()) {
+    body.reserve(std::clamp(2 * body.capacity(), size, this->request.max_response_bytes));
+  }
   body.append(piece);
   return true;
 }
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -53,8 +53,11 @@
 
   std::size_t StrayAnswers() const { return this->stray_answers; }
 
-  /// Bytes of the answer's body that were received so far.
-  std::size_t HeldBytes() const { return this->response.body.size(); }
+  /// Bytes of memory that the answer's body takes so far, beside the reader itself.
+  std::size_t HeldBytes() const {
+    const std::size_t bytes = this->response.body.capacity();
+    return bytes > std::string().capacity() ? bytes : 0;
+  }
 
   /// The complete answer, without headers of its connection or its framing.
   Response TakeResponse();
--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -52,6 +52,8 @@
       socket(std::move(connected)),
       remote_address(std::move(address)),
       id(connection_id),
+      held_request(this->core->Held()),
+      held_response(this->core->Held()),
       limits(this->core->Limits()) {
   asio::error_code ignored;
   this->socket.non_blocking(true, ignored);
@@ -65,6 +67,8 @@
 void CallConnection::Refuse(std::string text) {
   if (this->continue_pending) return this->Close();
   LogRejection(this->remote_address, text);
+  this->reader.Begin(this->limits);
+  this->held_request.Set(0);
   this->response_head = std::move(text);
   this->response_body.clear();
   this->close_after = true;
@@ -81,6 +85,7 @@
   WriteResponseHead(response, framing, this->response_head);
   const bool has_body = !this->head_only && !NeverHasBody(response.status);
   this->response_body = has_body ? std::move(response.body) : std::string();
+  this->held_response.Set(this->response_body.size());
   this->Write();
 }
 
@@ -152,6 +157,8 @@
   if (std::exchange(this->open_exchange, false)) this->core->EndExchange();
   asio::error_code ignored;
   this->socket.close(ignored);
+  this->held_request.Set(0);
+  this->held_response.Set(0);
   this->core->Remove(*this);
   this->caller_gone = caller_left;
   if (!caller_left) return;
@@ -267,14 +274,21 @@
       if (this->deadline == SteadyTime::max()) this->SetDeadline(this->limits.header_timeout);
       return;
     case RequestReader::Progress::kNeedsBody:
+      if (!this->held_request.GrowRequest(this->reader.BodyBytes())) return this->RefuseForRoom();
       this->SetDeadline(this->limits.body_timeout);
       if (this->reader.Head().expects_continue) this->SendContinue();
       return;
     case RequestReader::Progress::kComplete:
+      if (!this->held_request.GrowRequest(this->reader.BodyBytes())) return this->RefuseForRoom();
       return this->Dispatch();
   }
 }
 
+/// It has not run: the handler never sees it.
+void CallConnection::RefuseForRoom() {
+  this->Refuse(RejectionText(kServiceUnavailable, {{"Retry-After", "1"}}));
+}
+
 /// Asks for the body, once, if the caller has not begun to send it.
 void CallConnection::SendContinue() {
   if (std::exchange(this->continue_sent, true)) return;
@@ -344,6 +358,8 @@
   if (this->phase == Phase::kClosed) return;
   if (std::exchange(this->open_exchange, false)) this->core->EndExchange();
   this->response_body = std::string();
+  this->held_request.Set(0);
+  this->held_response.Set(0);
   if (error) return this->Close();
   if (this->close_after || this->input_ended) return this->BeginClosing();
   this->BecomeIdle();
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "common/clock.h"
+#include "common/held_bytes.h"
 #include "http/input_buffer.h"
 #include "http/request_reader.h"
 #include "http/response.h"
@@ -91,6 +92,7 @@
   void Advance();
   void BeginRequest();
   void ContinueRequest(RequestReader::Progress progress);
+  void RefuseForRoom();
   void SendContinue();
   void Dispatch();
   void Write();
@@ -116,6 +118,8 @@
   std::uint64_t id;
   InputBuffer input;
   RequestReader reader;
+  HeldBytesShare held_request;  ///< From the first bytes of the body to the end of the response.
+  HeldBytesShare held_response;
   CallServerLimits limits;  ///< Of the current message.
   std::string response_head;
   std::string response_body;
--- a/src/http/call_server_options.h
+++ b/src/http/call_server_options.h
@@ -3,9 +3,11 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include "common/clock.h"
+#include "common/held_bytes.h"
 #include "http/call_server_limits.h"
 
 namespace fireflyrun::http {
@@ -21,6 +23,9 @@
   /// reader is cut off early.
   Duration unacknowledged_timeout = std::chrono::seconds(10);
   CallServerLimits limits;
+  /// Counts the bodies of requests and responses; may be null. Without room for a request's body,
+  /// the request is answered 503 before it is read in full.
+  std::shared_ptr<HeldBytes> held_bytes;
 };
 
 }  // namespace fireflyrun::http
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -10,13 +10,12 @@
 namespace {
 
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
-constexpr std::size_t kMaxReservedBytes = std::size_t{256} << 10;
 
 }  // namespace
 
 void RequestReader::Begin(const CallServerLimits& message_limits) {
   this->limits = message_limits;
-  this->body.clear();
+  this->body = std::string();
   this->chunks.reset();
   this->scanned = 0;
   this->head_complete = false;
@@ -71,13 +70,17 @@
   if (this->chunks) return this->chunks->Consume(input, this->body);
   const std::size_t size = std::min(this->head.content_length - this->body.size(), input.size());
   if (size == 0) return 0;
-  if (this->body.empty()) {
-    this->body.reserve(std::min(this->head.content_length, kMaxReservedBytes));
-  }
+  // Growing by steps would copy what was read, and hold it twice meanwhile.
+  if (this->body.empty()) this->body.reserve(this->head.content_length);
   this->body.append(input.substr(0, size));
   return size;
 }
 
+std::size_t RequestReader::BodyBytes() const {
+  if (this->head_complete && !this->chunks) return this->head.content_length;
+  return this->body.empty() ? 0 : this->body.capacity();
+}
+
 bool RequestReader::Complete() const {
   if (!this->head_complete) return false;
   if (this->chunks) return this->chunks->Complete();
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -38,6 +38,8 @@
   Request Take();
 
   bool HeadComplete() const { return this->head_complete; }
+  /// Bytes of memory that the body takes, or will take by the length that the head announces.
+  std::size_t BodyBytes() const;
   bool BodyBegun() const { return !this->body.empty(); }
 
   /// What the head says, once it was read.
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -58,6 +58,8 @@
   void OnReadable(TargetConnection& connection);
   void OnWritable(TargetConnection& connection);
   bool ReadOnce(TargetConnection& connection);
+  bool HoldsTooMuch() const;
+  void CountHeld(std::size_t before, std::size_t after);
   bool FailLargestAnswer(const TargetConnection& reading);
   void OnIdleEnd(TargetConnection& connection);
 
@@ -80,6 +82,7 @@
   std::unordered_map<RequestId, std::unique_ptr<TargetExchange>> exchanges;
   RequestId last_id = 0;
   std::size_t held_bytes = 0;  ///< Of answers in progress.
+  HeldBytesShare held_share;   ///< The same.
   TimerSubscription timer;
   SteadyTime next_wake = SteadyTime::max();
   std::vector<char> read_buffer;
@@ -89,7 +92,10 @@
 
 TargetClient::Implementation::Implementation(TimerService& timer_service,
                                              TargetClientOptions client_options)
-    : timers(timer_service), options(client_options), read_buffer(kReadBufferBytes) {
+    : timers(timer_service),
+      options(std::move(client_options)),
+      held_share(this->options.held_bytes),
+      read_buffer(kReadBufferBytes) {
   TargetConnection::Hooks made;
   made.on_connected = [this](TargetConnection& connection, const asio::error_code& error) {
     this->OnConnected(connection, error);
@@ -290,7 +296,7 @@
   auto complete = error ? exchange.Reader().ConsumeEnd()
                         : exchange.Reader().Consume({this->read_buffer.data(), size});
   this->counters.stray_answers_skipped += exchange.Reader().StrayAnswers() - strays;
-  this->held_bytes += exchange.Reader().HeldBytes() - held;
+  this->CountHeld(held, exchange.Reader().HeldBytes());
   if (!complete) {
     this->Fail(exchange, std::move(complete.error()));
     return false;
@@ -299,18 +305,28 @@
     this->Succeed(exchange);
     return false;
   }
-  const bool too_much = this->held_bytes > this->options.max_held_bytes;
-  if (too_much && !this->FailLargestAnswer(connection)) return false;
+  if (this->HoldsTooMuch() && !this->FailLargestAnswer(connection)) return false;
   return this->WriteOn(connection) && size == this->read_buffer.size();
 }
 
-/// Returns false if that ended the request that `reading` serves, which its handler may cancel, or
-/// the client.
+bool TargetClient::Implementation::HoldsTooMuch() const {
+  if (this->held_bytes > this->options.max_held_bytes) return true;
+  return this->options.held_bytes != nullptr && this->options.held_bytes->Exceeded();
+}
+
+void TargetClient::Implementation::CountHeld(std::size_t before, std::size_t after) {
+  this->held_bytes += after - before;
+  this->held_share.Set(this->held_bytes);
+}
+
+/// Small answers are left alone. Returns false if that ended the request that `reading` serves,
+/// which its handler may cancel, or the client.
 bool TargetClient::Implementation::FailLargestAnswer(const TargetConnection& reading) {
   const auto largest = std::max_element(
       this->exchanges.begin(), this->exchanges.end(), [](const auto& one, const auto& other) {
         return one.second->Reader().HeldBytes() < other.second->Reader().HeldBytes();
       });
+  if (largest->second->Reader().HeldBytes() <= HeldBytes::kSmallBody) return true;
   const std::weak_ptr<bool> guard = this->alive;
   this->Fail(*largest->second, ClientError{ClientErrorKind::kTooLarge,
                                            "the answers in progress are too large together"});
@@ -333,7 +349,7 @@
     return;
   }
   connection->exchange = nullptr;
-  this->held_bytes -= exchange.Reader().HeldBytes();
+  this->CountHeld(exchange.Reader().HeldBytes(), 0);
   if (end == ConnectionEnd::kKeep) {
     this->WakeAt(address.KeepIdle(connection, exchange.Reader().KeepAliveTimeout()));
     return;
@@ -436,7 +452,7 @@
 }
 
 TargetClient::TargetClient(TimerService& timers, TargetClientOptions options)
-    : implementation(std::make_unique<Implementation>(timers, options)) {}
+    : implementation(std::make_unique<Implementation>(timers, std::move(options))) {}
 
 TargetClient::~TargetClient() = default;
 
--- a/src/http/target_client_options.h
+++ b/src/http/target_client_options.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 
 #include "common/clock.h"
+#include "common/held_bytes.h"
 
 namespace fireflyrun::http {
 
@@ -18,6 +20,8 @@
   std::size_t max_idle_connections = 128;  ///< Per address.
   /// Bytes of answers in progress, in all. Beyond, the request with the largest one fails.
   std::size_t max_held_bytes = std::size_t{64} << 20;
+  /// Counts them with what else the process holds, and fails the largest beyond that limit, too.
+  std::shared_ptr<HeldBytes> held_bytes;
 };
 
 }  // namespace fireflyrun::http
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -60,9 +60,11 @@
 
 CallPlane::CallPlane(TimerService& timer_service, http::TargetClient& http_client,
                      const NodeSettings& node_settings, std::uint64_t own_incarnation,
-                     ControlPlane& control_plane, NodeMetrics& node_metrics)
+                     std::shared_ptr<HeldBytes> body_bytes, ControlPlane& control_plane,
+                     NodeMetrics& node_metrics)
     : timers(timer_service),
       settings(node_settings),
+      held_bytes(std::move(body_bytes)),
       control(control_plane),
       metrics(node_metrics),
       fleet_retry_share(control_plane.Fleet(), MakeRetryBound(node_settings),
@@ -107,6 +109,7 @@
   options.admit_all = this->settings.decisions_off;
   options.wire = this->settings.wire;
   options.admission.queue_target = this->settings.queue_target;
+  options.held_bytes = this->held_bytes;
   this->target = std::make_unique<TargetService>(this->timers, client, this->contexts, options,
                                                  this->TargetHooks());
   this->target_probe = std::make_unique<TargetProbe>(client, this->settings.wire);
@@ -166,7 +169,8 @@
 }
 
 void CallPlane::CreateLinks(std::uint64_t incarnation) {
-  const auto link_options = MakeLinkOptions(this->settings, incarnation);
+  auto link_options = MakeLinkOptions(this->settings, incarnation);
+  link_options.held_bytes = this->held_bytes;
   this->links = std::make_unique<peer::LinkPool>(this->timers, link_options);
   this->link_server = std::make_unique<peer::LinkServer>(
       this->timers, link_options,
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/finding.h"
+#include "common/held_bytes.h"
 #include "common/timer_subscription.h"
 #include "node/attempt_sender.h"
 #include "node/caller_service.h"
@@ -54,7 +55,8 @@
  public:
   CallPlane(TimerService& timer_service, http::TargetClient& http_client,
             const NodeSettings& node_settings, std::uint64_t own_incarnation,
-            ControlPlane& control_plane, NodeMetrics& node_metrics);
+            std::shared_ptr<HeldBytes> body_bytes, ControlPlane& control_plane,
+            NodeMetrics& node_metrics);
   ~CallPlane();
   CallPlane(const CallPlane&) = delete;
   CallPlane& operator=(const CallPlane&) = delete;
@@ -111,6 +113,7 @@
 
   TimerService& timers;
   const NodeSettings& settings;
+  std::shared_ptr<HeldBytes> held_bytes;
   ControlPlane& control;
   NodeMetrics& metrics;
   ContextTable contexts;
--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "common/clock.h"
+#include "common/held_bytes.h"
 #include "common/id128.h"
 #include "http/target_client.h"
 #include "peer/call.h"
@@ -29,6 +30,7 @@
 
   Id128 id;
   peer::Call call;
+  HeldBytesShare held;  ///< The call's body.
   peer::LinkServer::Reply reply;
   SteadyTime arrived;
   SteadyTime started;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <utility>
 
+#include "common/held_bytes.h"
 #include "common/log.h"
 #include "common/log_event.h"
 #include "common/random.h"
@@ -36,8 +37,9 @@
 /// Added to the header timeout: a pause in a body may last longer than a whole header may take.
 constexpr Duration kBodyTimeoutMargin = std::chrono::seconds(7);
 constexpr unsigned kIncarnationRandomBits = 20;
-/// Limit of the answers of the target that are in progress together, in units of the largest one.
-constexpr std::size_t kMaxAnswersHeld = 8;
+/// The share of the node's memory that bodies may take. While a body is passed on it is held twice,
+/// and the allocator and the rest of the node need room, too.
+constexpr std::size_t kBodyShareDivisor = 4;
 
 /// Milliseconds since the epoch, then random bits: later starts of a host get higher incarnations
 /// while its clock is roughly right, and two starts in one millisecond still differ.
@@ -52,18 +54,21 @@
   return {settings.address, settings.admin_port, kMaxAdminBodyBytes, kAdminConnections};
 }
 
-http::TargetClientOptions MakeTargetClientOptions(const NodeSettings& settings) {
+http::TargetClientOptions MakeTargetClientOptions(const std::shared_ptr<HeldBytes>& held_bytes) {
   http::TargetClientOptions options;
-  options.max_held_bytes = kMaxAnswersHeld * settings.max_body_bytes;
+  options.max_held_bytes = held_bytes->Limit();
+  options.held_bytes = held_bytes;
   return options;
 }
 
-http::CallServerOptions CallerServerOptions(const NodeSettings& settings) {
+http::CallServerOptions CallerServerOptions(const NodeSettings& settings,
+                                            const std::shared_ptr<HeldBytes>& held_bytes) {
   http::CallServerOptions options;
   options.address = settings.address;
   options.port = settings.caller_port;
   options.max_connections = settings.max_connections;
   options.limits.max_body_bytes = settings.max_body_bytes;
+  options.held_bytes = held_bytes;
   return options;
 }
 
@@ -91,6 +96,7 @@
   // Members are destroyed in reverse order: users of a member are declared after it.
   NodeSettings settings;
   std::uint64_t incarnation;
+  std::shared_ptr<HeldBytes> held_bytes;  ///< Of the bodies of requests and answers.
   TimerService timers;
   NodeMetrics metrics;
   http::Client client;
@@ -116,17 +122,18 @@
                                      const PlatformAdapter& platform)
     : settings(std::move(node_settings)),
       incarnation(NewIncarnation()),
+      held_bytes(std::make_shared<HeldBytes>(settings.memory_limit / kBodyShareDivisor)),
       timers(loop),
       client(loop, kIdleStoreConnections),
-      target_client(timers, MakeTargetClientOptions(settings)),
+      target_client(timers, MakeTargetClientOptions(held_bytes)),
       control(timers, client, settings, incarnation, platform),
-      calls(timers, target_client, settings, incarnation, control, metrics),
+      calls(timers, target_client, settings, incarnation, held_bytes, control, metrics),
       admin_service(AdminHooks()),
       admin_server(loop, AdminServerOptions(settings),
                    [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
                      this->admin_service.OnRequest(request, exchange);
                    }),
-      caller_server(loop, CallerServerOptions(settings),
+      caller_server(loop, CallerServerOptions(settings, held_bytes),
                     [this](http::Request request, std::shared_ptr<http::Exchange> exchange) {
                       this->calls.OnRequest(std::move(request), exchange);
                     }),
@@ -264,6 +271,9 @@
   this->metrics.AddGauge(
       "fireflyrun_open_connections", "Callers' connections that are open.",
       [this] { return static_cast<double>(this->caller_server.OpenConnections()); });
+  this->metrics.AddGauge("fireflyrun_held_body_bytes",
+                         "Bytes of the bodies of requests and answers that are held.",
+                         [this] { return static_cast<double>(this->held_bytes->Held()); });
   constexpr const char* kCallersGone = "fireflyrun_callers_gone_total";
   constexpr const char* kCallersGoneHelp =
       "Callers that left before they were answered, by what had become of their requests.";
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -81,6 +81,15 @@
   return std::nullopt;
 }
 
+/// Parses megabytes; fractions are allowed.
+Problem StoreMegabytes(std::string_view value, double lowest, double highest, std::size_t* bytes) {
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  double megabytes = 0;
+  auto problem = StoreDecimal(value, lowest, highest, &megabytes);
+  if (!problem) *bytes = static_cast<std::size_t>(megabytes * kBytesPerMegabyte);
+  return problem;
+}
+
 Problem StoreEndpoints(std::string_view value, std::vector<std::string>* endpoints) {
   endpoints->clear();
   while (!value.empty()) {
@@ -221,6 +230,11 @@
        [](std::string_view value, NodeSettings& settings) {
          return StoreNumber(value, 1024, 67108864, " bytes", &settings.max_body_bytes);
        }},
+      {"memory-limit", "FIREFLYRUN_MEMORY_LIMIT", "MEGABYTES",
+       "memory that the node may use; it bounds the bodies that it holds, 64 to 65536 [256]",
+       [](std::string_view value, NodeSettings& settings) {
+         return StoreMegabytes(value, 64, 65536, &settings.memory_limit);
+       }},
       {"max-connections", "FIREFLYRUN_MAX_CONNECTIONS", "COUNT",
        "callers' connections accepted at the same time, 1 to 20000 [700]",
        [](std::string_view value, NodeSettings& settings) {
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -32,6 +32,7 @@
   std::uint32_t log_lines = 200;   ///< Maximum log lines per second.
   std::uint16_t metrics_port = 0;  ///< 0: metrics are served on the admin port only.
   std::size_t max_body_bytes = std::size_t{8} << 20;
+  std::size_t memory_limit = std::size_t{256} << 20;  ///< Bytes that the process may have.
   std::size_t max_connections = 700;
   Duration announcement_limit = std::chrono::seconds(5);
   Duration stop_limit = std::chrono::seconds(60);
--- a/src/node/target_request.cc
+++ b/src/node/target_request.cc
@@ -52,7 +52,6 @@
   if (!wire.expected_target.empty() && !target.id.empty()) {
     request.headers.push_back({wire.expected_target, target.id});
   }
-  request.body = call.body;
   request.deadline = deadline;
   request.deadline_header = wire.deadline;
   request.repeatable = !call.head.at_most_once();
--- a/src/node/target_request.h
+++ b/src/node/target_request.h
@@ -14,7 +14,8 @@
 struct WireNames;
 
 /// Builds the HTTP request that passes a call to the target: the caller's own headers, the handle,
-/// the deadline and, where the site uses it, the intended target's id.
+/// the deadline and, where the site uses it, the intended target's id. The body is left to be moved
+/// in.
 http::TargetRequest BuildTargetRequest(const peer::Call& call, const TargetAddress& target,
                                        const Id128& handle, SteadyTime deadline,
                                        const WireNames& wire);
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -144,6 +144,8 @@
   inbound->arrived = SteadyClock::now();
   inbound->deadline = call.deadline;
   inbound->call = std::move(call);
+  inbound->held = HeldBytesShare(this->options.held_bytes);
+  inbound->held.Set(inbound->call.body.size());
   inbound->reply = std::move(reply);
   this->calls[inbound->id] = inbound;
   const auto& head = inbound->call.head;
@@ -281,6 +283,7 @@
   this->contexts.Add(inbound->context);
   auto request = BuildTargetRequest(inbound->call, *this->target, inbound->context->handle,
                                     inbound->deadline, this->options.wire);
+  request.body = std::move(inbound->call.body);
   request.max_response_bytes = this->options.max_body_bytes;
   inbound->request = this->client.Send(
       std::move(request), [this, inbound](tl::expected<http::Response, http::ClientError> ended) {
--- a/src/peer/inbound_link.h
+++ b/src/peer/inbound_link.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "common/clock.h"
+#include "common/held_bytes.h"
 #include "common/id128.h"
 #include "common/timer_subscription.h"
 #include "peer/body_assembly.h"
@@ -22,6 +23,7 @@
     Call call;
     BodyAssembly assembly;
     std::size_t body_length = 0;
+    HeldBytesShare held;
   };
 
   std::shared_ptr<Connection> connection;
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -168,6 +168,13 @@
     this->Acknowledge(*call_id);
     return this->FinishError(call, LinkErrorKind::kUnknown, "the answer's body is too long");
   }
+  const auto& held_bytes = this->options.held_bytes;
+  if (held_bytes && !held_bytes->HasRoomForAnswer(answer_head.body_length())) {
+    this->Acknowledge(*call_id);
+    return this->FinishError(call, LinkErrorKind::kUnknown, "no room for the answer's body");
+  }
+  pending.held = HeldBytesShare(held_bytes);
+  pending.held.Set(answer_head.body_length());
   pending.assembly = BodyAssembly(answer_head.body_length(), answer_head.body_crc32());
   if (answer_head.body_length() > 0) return;
   this->Acknowledge(*call_id);
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -28,6 +28,7 @@
 constexpr std::string_view kBodyDamaged = "body-damaged";
 constexpr std::string_view kBodyTooLarge = "body-too-large";
 constexpr std::string_view kAnswerTooLarge = "answer-too-large";
+constexpr std::string_view kOverload = "overload";
 
 /// Returns the answer sent in place of one over a size limit.
 Answer MakeTooLargeAnswer(const pb::AnswerHead& head) {
@@ -286,7 +287,13 @@
     call.transit_time = transit_time;
     return this->Run(link, *call_id, std::move(call));
   }
+  const auto& held_bytes = this->options.held_bytes;
+  if (held_bytes && !held_bytes->HasRoomForRequest(length)) {
+    return this->Refuse(link, *call_id, kOverload);
+  }
   InboundLink::PartialCall partial;
+  partial.held = HeldBytesShare(held_bytes);
+  partial.held.Set(length);
   partial.call.head.Swap(&head);
   partial.call.deadline = deadline;
   partial.call.transit_time = transit_time;
