--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -27,12 +27,12 @@
 using policy::RefusalReason;
 
 constexpr Duration kTicketWindowPeriod = std::chrono::seconds(1);
-constexpr Duration kContactPeriod = std::chrono::seconds(1);
+constexpr Duration kContactPeriod = std::chrono::milliseconds(500);
 /// A node that reaches no other node for this long becomes ready alone.
 constexpr Duration kDiscoveryLimit = std::chrono::seconds(5);
 /// Contact periods between searches for parts of the fleet that were never contacted. Delegates and
 /// nodes that miss members of the roster search.
-constexpr unsigned kRediscoveryPeriods = 30;
+constexpr unsigned kRediscoveryPeriods = 60;
 
 std::string Endpoint(const std::string& ip, std::uint16_t port) {
   return ip + ':' + std::to_string(port);
@@ -256,12 +256,15 @@
   store::ReadRoster(*this->store, this->settings.cluster, [this](auto entries) {
     if (!entries) return;
     std::vector<std::string> others;
+    bool is_entered = false;
     for (const auto& entry : *entries) {
+      is_entered = is_entered || entry.node == this->settings.node;
       if (entry.node == this->settings.node) continue;
       others.push_back(entry.node);
       this->membership->AddContact(entry.control_address);
     }
-    this->seems_alone = others.empty();
+    // An empty roster tells nothing: others may not have come to enter it yet, either.
+    this->seems_alone = is_entered && others.empty();
     if (this->seems_alone) this->seemed_alone = true;
     this->roster_nodes = std::move(others);
   });
--- a/src/store/etcd_store.cc
+++ b/src/store/etcd_store.cc
@@ -14,17 +14,19 @@
 constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusRequestTimeout = 408;
+constexpr int kStatusTooManyRequests = 429;
 constexpr int kStatusClientClosed = 499;
 constexpr int kFirstClientErrorStatus = 400;
 constexpr int kFirstServerErrorStatus = 500;
 
 /// The store rejects a request with a 4xx status before executing it, except for 408 and 499, which
 /// report a request aborted during execution. With any other status the request may have taken
-/// effect.
+/// effect, also with 503, which the gateway gives for a time-out within the store.
 StoreErrorKind KindOfStatus(int status) {
   if (status == kStatusRequestTimeout || status == kStatusClientClosed) {
     return StoreErrorKind::kUnknown;
   }
+  if (status == kStatusTooManyRequests) return StoreErrorKind::kNotNow;
   const bool refused = status >= kFirstClientErrorStatus && status < kFirstServerErrorStatus;
   return refused ? StoreErrorKind::kRejected : StoreErrorKind::kUnknown;
 }
--- a/src/store/key_binding.cc
+++ b/src/store/key_binding.cc
@@ -75,6 +75,10 @@
     this->RetryLater();
     return;
   }
+  if (result.error().kind == StoreErrorKind::kNotNow) {
+    this->RetryLater();
+    return;
+  }
   if (result.error().kind == StoreErrorKind::kRejected && this->attempts_left > 1) {
     this->lease->Discard(used_lease);
     this->RetryLater();
--- a/src/store/observed_store.cc
+++ b/src/store/observed_store.cc
@@ -16,6 +16,8 @@
       return StoreCallResult::kUnknown;
     case StoreErrorKind::kRejected:
       return StoreCallResult::kRejected;
+    case StoreErrorKind::kNotNow:
+      return StoreCallResult::kNotNow;
     case StoreErrorKind::kCompacted:
       break;
   }
--- a/src/store/record_watch.cc
+++ b/src/store/record_watch.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(250);
-constexpr Duration kMaxRetryDelay = std::chrono::seconds(15);
+/// So long after the store's return the records are followed again.
+constexpr Duration kMaxRetryDelay = std::chrono::seconds(1);
 /// A watch that was open for at least this long resets the retry delay.
 constexpr Duration kStableWatchDuration = std::chrono::seconds(10);
 
--- a/src/store/roster.cc
+++ b/src/store/roster.cc
@@ -5,21 +5,19 @@
 #include <optional>
 #include <utility>
 
-#include "common/clock.h"
 #include "common/random.h"
 #include "common/timer_service.h"
 #include "common/timer_subscription.h"
 #include "store/store.h"
+#include "store/store_backoff.h"
 
 namespace fireflyrun::store {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr std::chrono::seconds kLeaseTimeToLive{30};
-constexpr Duration kKeepAlivePeriod = std::chrono::seconds(10);
-/// Maximum delay between attempts while all slots are taken or the store is unreachable; each delay
-/// is random, at least half of this.
+/// Maximum delay between attempts while all slots are taken; each delay is random, at least half of
+/// this.
 constexpr Duration kAttemptPeriod = std::chrono::minutes(5);
 
 std::string RosterPrefix(const std::string& cluster) {
@@ -75,11 +73,12 @@
 class Roster::Implementation : public std::enable_shared_from_this<Roster::Implementation> {
  public:
   Implementation(Store& key_value_store, TimerService& timer_service, const std::string& cluster,
-                 RosterEntry self_entry)
+                 RosterEntry self_entry, RosterTimes roster_times)
       : store(key_value_store),
         timers(timer_service),
         prefix(RosterPrefix(cluster) + self_entry.zone + "/"),
-        self(std::move(self_entry)) {}
+        self(std::move(self_entry)),
+        times(roster_times) {}
 
   void Attempt() {
     this->store.List(this->prefix, this->IgnoreWhenStopped<Listing>([this](auto listing) {
@@ -110,16 +109,16 @@
 
   void OnSlotsRead(tl::expected<Listing, StoreError> listing) {
     if (!listing) {
-      this->AttemptLater();
+      this->AttemptSoon();
       return;
     }
     if (!this->ChooseSlot(*listing)) {
       this->AttemptLater();
       return;
     }
-    this->store.GrantLease(kLeaseTimeToLive, this->IgnoreWhenStopped<LeaseId>([this](auto granted) {
-      this->OnLeaseGranted(std::move(granted));
-    }));
+    this->store.GrantLease(this->times.lease_time_to_live,
+                           this->IgnoreWhenStopped<LeaseId>(
+                               [this](auto granted) { this->OnLeaseGranted(std::move(granted)); }));
   }
 
   /// Prefers the slot still held by an earlier incarnation of this node, then a random free one.
@@ -144,7 +143,7 @@
 
   void OnLeaseGranted(tl::expected<LeaseId, StoreError> granted) {
     if (!granted) {
-      this->AttemptLater();
+      this->AttemptSoon();
       return;
     }
     this->lease = *granted;
@@ -158,40 +157,51 @@
 
   void OnSlotWritten(tl::expected<TransactionResult, StoreError> result) {
     if (!result || !result->committed) {
-      // If the write took effect after all, its lease expires soon.
+      // If the write took effect after all, the next attempt finds it. Another node may have taken
+      // this slot, while others are free.
       this->lease = 0;
-      this->AttemptLater();
+      this->AttemptSoon();
       return;
     }
     this->holds_slot = true;
-    this->last_renewal = SteadyClock::now();
-    this->timer = this->timers.Every(kKeepAlivePeriod, [this] { this->KeepAlive(); });
+    this->backoff.Reset();
+    // Nodes that took their slots together renew them at different times.
+    const auto period = static_cast<std::uint64_t>(this->times.renewal_period.count());
+    this->RenewAfter(Duration(RandomBelow(period)));
+  }
+
+  void RenewAfter(Duration delay) {
+    this->timer = this->timers.After(delay, [this] { this->KeepAlive(); });
   }
 
   void KeepAlive() {
-    const SteadyTime requested_at = SteadyClock::now();
-    this->store.KeepLeaseAlive(this->lease, this->IgnoreWhenStopped<std::chrono::seconds>(
-                                                [this, requested_at](auto result) {
-                                                  this->OnKeptAlive(requested_at, result);
-                                                }));
+    this->store.KeepLeaseAlive(this->lease,
+                               this->IgnoreWhenStopped<std::chrono::seconds>(
+                                   [this](const auto& result) { this->OnKeptAlive(result); }));
   }
 
-  void OnKeptAlive(SteadyTime requested_at,
-                   const tl::expected<std::chrono::seconds, StoreError>& result) {
-    if (!this->holds_slot) return;
+  /// Only the store knows whether the lease has ended: while it is down, leases may be suspended.
+  void OnKeptAlive(const tl::expected<std::chrono::seconds, StoreError>& result) {
     if (result) {
-      this->last_renewal = requested_at;
+      this->backoff.Reset();
+      this->RenewAfter(this->times.renewal_period);
+      return;
+    }
+    if (result.error().kind != StoreErrorKind::kRejected) {
+      this->RenewAfter(this->backoff.Next());
       return;
     }
-    const bool expired = result.error().kind == StoreErrorKind::kRejected ||
-                         SteadyClock::now() - this->last_renewal > kLeaseTimeToLive;
-    if (!expired) return;
     this->holds_slot = false;
     this->lease = 0;
-    this->AttemptLater();
+    this->Attempt();
+  }
+
+  void AttemptSoon() {
+    this->timer = this->timers.After(this->backoff.Next(), [this] { this->Attempt(); });
   }
 
   void AttemptLater() {
+    this->backoff.Reset();
     const auto half = static_cast<std::uint64_t>(kAttemptPeriod.count() / 2);
     const Duration delay = kAttemptPeriod / 2 + Duration(RandomBelow(half));
     this->timer = this->timers.After(delay, [this] { this->Attempt(); });
@@ -201,16 +211,19 @@
   TimerService& timers;
   std::string prefix;
   RosterEntry self;
+  RosterTimes times;
   Condition slot;
   LeaseId lease = 0;
   bool holds_slot = false;
   bool stopped = false;
-  SteadyTime last_renewal;
+  StoreBackoff backoff;
   TimerSubscription timer;
 };
 
-Roster::Roster(Store& store, TimerService& timers, std::string cluster, RosterEntry self)
-    : implementation(std::make_shared<Implementation>(store, timers, cluster, std::move(self))) {}
+Roster::Roster(Store& store, TimerService& timers, std::string cluster, RosterEntry self,
+               RosterTimes times)
+    : implementation(
+          std::make_shared<Implementation>(store, timers, cluster, std::move(self), times)) {}
 
 Roster::~Roster() = default;
 
--- a/src/store/roster.h
+++ b/src/store/roster.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "common/clock.h"
 #include "store/roster_entry.h"
 #include "store/store_error.h"
 
@@ -19,21 +21,29 @@
 
 inline constexpr int kRosterSlotsPerZone = 4;
 
+/// When a node renews what it holds. Two renewals may fail before the lease ends.
+struct RosterTimes {
+  std::chrono::seconds lease_time_to_live{30};
+  Duration renewal_period = std::chrono::seconds(10);
+};
+
 /// Reads the roster of every zone.
 void ReadRoster(Store& store, const std::string& cluster,
                 std::function<void(tl::expected<std::vector<RosterEntry>, StoreError>)> handler);
 
 /// Tries to hold one of the leased roster slots of a zone for this node, so that others can contact
-/// it first. If all slots are taken or the store is unreachable, it waits until the next attempt;
-/// nothing depends on holding a slot.
+/// it first. While the store can't be reached, it tries again and again, so that the nodes of a
+/// fleet that starts without the store meet soon after the store's return. Only while all slots are
+/// taken it waits for minutes: then others can be contacted.
 class Roster {
  public:
-  Roster(Store& store, TimerService& timers, std::string cluster, RosterEntry self);
+  Roster(Store& store, TimerService& timers, std::string cluster, RosterEntry self,
+         RosterTimes times = {});
   ~Roster();
   Roster(const Roster&) = delete;
   Roster& operator=(const Roster&) = delete;
 
-  /// Tries immediately, and then periodically while it holds no slot.
+  /// Tries immediately, and then again while it holds no slot.
   void Start();
 
   /// Releases the slot; `done` runs once the revocation of its lease succeeded or failed.
--- a/src/store/store_call.h
+++ b/src/store/store_call.h
@@ -24,15 +24,16 @@
 });
 
 /// Result of a call; the failures correspond to StoreErrorKind.
-enum class StoreCallResult { kOk, kNotSent, kUnknown, kRejected, kCompacted };
+enum class StoreCallResult { kOk, kNotSent, kUnknown, kRejected, kNotNow, kCompacted };
 
-inline constexpr std::size_t kStoreCallResultCount = 5;
+inline constexpr std::size_t kStoreCallResultCount = 6;
 
 inline constexpr EnumNames kStoreCallResultNames(std::array{
     std::pair{StoreCallResult::kOk, std::string_view("ok")},
     std::pair{StoreCallResult::kNotSent, std::string_view("not-sent")},
     std::pair{StoreCallResult::kUnknown, std::string_view("unknown")},
     std::pair{StoreCallResult::kRejected, std::string_view("rejected")},
+    std::pair{StoreCallResult::kNotNow, std::string_view("not-now")},
     std::pair{StoreCallResult::kCompacted, std::string_view("compacted")},
 });
 
--- a/tests/platform/metadata_store_test.cc
+++ b/tests/platform/metadata_store_test.cc
@@ -74,7 +74,8 @@
   EXPECT_EQ(this->List("/k").error().kind, StoreErrorKind::kNotSent);
   for (const Mode mode : {Mode::kBusy, Mode::kThrottled}) {
     this->standin.SetFault({mode});
-    EXPECT_EQ(this->CommitError(write), StoreErrorKind::kRejected);
+    EXPECT_EQ(this->CommitError(write), StoreErrorKind::kNotNow);
+    EXPECT_EQ(this->List("/k").error().kind, StoreErrorKind::kNotNow);
   }
   for (const Mode mode : {Mode::kReset, Mode::kSilent}) {
     this->standin.SetFault({mode});
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -42,18 +42,22 @@
 
 }  // namespace
 
-PlatformFleet::PlatformFleet(std::vector<Host> layout)
+PlatformFleet::PlatformFleet(std::vector<Host> layout, Start start)
     : hosts(std::move(layout)),
       folder(MakeFolder()),
       ip_prefix(MakeAddressPrefix()),
       model(std::make_shared<standins::MetadataModel>(kPageItems)) {
   for (const Host& host : this->hosts) this->AddMember(host);
-  for (std::size_t host = 0; host < this->hosts.size(); ++host) this->StartNode(host);
+  for (std::size_t host = 0; start == Start::kAtOnce && host < this->hosts.size(); ++host) {
+    this->StartNode(host);
+  }
   this->thread = std::thread([this] { this->loop.run(); });
 }
 
 PlatformFleet::~PlatformFleet() {
-  for (Member& member : this->members) member.node->Kill();
+  for (Member& member : this->members) {
+    if (member.node) member.node->Kill();
+  }
   this->loop.stop();
   this->thread.join();
   if (std::getenv("FIREFLYRUN_KEEP_LOGS") == nullptr) std::filesystem::remove_all(this->folder);
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -29,7 +29,10 @@
     std::string service;
   };
 
-  explicit PlatformFleet(std::vector<Host> layout);
+  /// Whether the nodes start with the fleet, or by StartNode() only.
+  enum class Start { kAtOnce, kLater };
+
+  explicit PlatformFleet(std::vector<Host> layout, Start start = Start::kAtOnce);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
