--- a/src/node/admin_service.cc
+++ b/src/node/admin_service.cc
@@ -56,7 +56,8 @@
 
 void AdminService::OnAnnouncement(const http::Request& request, http::Exchange& exchange) {
   const auto open_calls =
-      ParseAnnouncement(TargetIdOf(request), request.body).and_then(this->hooks.on_announcement);
+      ParseAnnouncement(TargetIdOf(request), request.body, this->hooks.service_record_name)
+          .and_then(this->hooks.on_announcement);
   if (!open_calls) {
     exchange.Respond(http::MakeProblem(400, "bad-announcement", "The announcement is not valid",
                                        FormatFindings(open_calls.error())));
--- a/src/node/admin_service.h
+++ b/src/node/admin_service.h
@@ -29,6 +29,8 @@
     /// The targets in this node's membership view, as JSON.
     std::function<std::string()> describe_targets;
     std::function<bool()> ready;
+    /// See ParseAnnouncement(); may be empty.
+    ServiceRecordName service_record_name;
   };
 
   explicit AdminService(Hooks service_hooks);
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -377,6 +377,7 @@
 }
 
 std::string CallPlane::OwnService() const {
+  if (!this->settings.caller_service.empty()) return this->settings.caller_service;
   if (!this->settings.target_service.empty()) return this->settings.target_service;
   const TargetAddress* announced = this->target->Target();
   return announced == nullptr ? std::string() : announced->service;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -90,11 +90,13 @@
   template <typename Server>
   static Component ServerComponent(std::string name, Server& server);
   void ApplyLimits(const records::CallerLimits& limits);
+  void NameService(std::string service);
   Component DrainComponent();
   void AddServerMetrics();
 
   // Members are destroyed in reverse order: users of a member are declared after it.
   NodeSettings settings;
+  ServiceRecordName service_record_name;
   std::uint64_t incarnation;
   std::shared_ptr<HeldBytes> held_bytes;  ///< Of the bodies of requests and answers.
   TimerService timers;
@@ -121,6 +123,7 @@
 Node::Implementation::Implementation(asio::io_context& loop, NodeSettings node_settings,
                                      const PlatformAdapter& platform)
     : settings(std::move(node_settings)),
+      service_record_name(platform.service_record_name),
       incarnation(NewIncarnation()),
       held_bytes(std::make_shared<HeldBytes>(settings.memory_limit / kBodyShareDivisor)),
       timers(loop),
@@ -140,6 +143,7 @@
       drain(timers, settings, DrainHooks()),
       call_supervisor(timers, "calls"),
       root(timers, "node") {
+  this->NameService(this->settings.target_service);
   this->call_supervisor.Add(this->calls.LinksComponent());
   this->call_supervisor.Add(this->ServerComponent("caller-server", this->caller_server));
   this->root.Add(this->ServerComponent("admin-server", this->admin_server));
@@ -188,11 +192,18 @@
   this->settings.stop_limit = changed.stop_limit;
   this->settings.stop_grace = changed.stop_grace;
   this->settings.link_bytes_per_second = changed.link_bytes_per_second;
-  this->settings.target_service = changed.target_service;
+  this->NameService(changed.target_service);
   this->settings.target_address = changed.target_address;
   this->calls.OnSettingsChanged();
 }
 
+/// Sets the service of this host's target, given by the name that the site has for it.
+void Node::Implementation::NameService(std::string service) {
+  const bool translates = this->service_record_name && !service.empty();
+  this->settings.target_service = translates ? this->service_record_name(service) : service;
+  this->settings.caller_service = translates ? std::move(service) : std::string();
+}
+
 AdminService::Hooks Node::Implementation::AdminHooks() {
   AdminService::Hooks hooks;
   hooks.on_announcement = [this](const TargetAnnouncement& announcement) {
@@ -208,6 +219,7 @@
   };
   hooks.describe_records = [this] { return this->control.Records().Describe(); };
   hooks.describe_targets = [this] { return this->calls.DescribeTargets(); };
+  hooks.service_record_name = this->service_record_name;
   hooks.ready = [this] {
     const bool has_records = this->control.Records().InForce() != nullptr;
     return has_records && this->control.HasDiscoveredFleet() && !this->calls.Leaving();
--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -146,6 +146,20 @@
   return problem;
 }
 
+/// Sites may name services otherwise than records do.
+Problem StoreServiceName(std::string_view value, std::string* name) {
+  constexpr std::size_t kMaxServiceNameLength = 255;
+  const bool is_printable = std::ranges::all_of(value, [](char c) { return c > ' ' && c <= '~'; });
+  if (value.empty() || value.size() > kMaxServiceNameLength || !is_printable) {
+    return fmt::format(
+        "\"{}\" is not the name of a service; allowed are 1 to {} printable "
+        "characters without space",
+        value, kMaxServiceNameLength);
+  }
+  *name = std::string(value);
+  return std::nullopt;
+}
+
 Problem StoreStoreProtocol(std::string_view value, NodeSettings& settings) {
   const auto protocol = kStoreProtocolNames.ValueOf(value);
   if (!protocol) return fmt::format("\"{}\" is not a protocol; allowed are etcd, platform", value);
@@ -349,7 +363,7 @@
       {"target-service", "FIREFLYRUN_TARGET_SERVICE", "NAME",
        "service of this host's target [as announced]",
        [](std::string_view value, NodeSettings& settings) {
-         return StoreOptionalName(value, &settings.target_service);
+         return StoreServiceName(value, &settings.target_service);
        },
        kLive},
       {"target-address", "FIREFLYRUN_TARGET_ADDRESS", "IP:PORT",
--- a/src/node/node_settings.h
+++ b/src/node/node_settings.h
@@ -48,6 +48,8 @@
   bool decisions_off = false;
   WireNames wire;
   std::string target_service;  ///< Service of this host's target; empty: as announced.
+  /// What calls tell of the service that they come from; empty: its record's name.
+  std::string caller_service;
   std::string target_address;  ///< Its only allowed IP:PORT; empty: any.
 };
 
--- a/src/node/platform_adapter.h
+++ b/src/node/platform_adapter.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace fireflyrun {
 class TimerService;
@@ -26,6 +27,8 @@
   std::function<std::unique_ptr<store::RecordSource>(store::Store&, TimerService&,
                                                      const NodeSettings&)>
       make_record_source;
+  /// The name of a service's record, for the name by which the site and its targets call it.
+  std::function<std::string(const std::string& service)> service_record_name;
   /// Every node follows the record source; other nodes are queried only when the source fails.
   bool every_node_follows_source = false;
 };
--- a/src/node/target_announcement.cc
+++ b/src/node/target_announcement.cc
@@ -1,6 +1,7 @@
 #include "node/target_announcement.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "common/endpoint.h"
 #include "records/record_key.h"
@@ -16,14 +17,16 @@
 constexpr std::uint64_t kMaxSeq = std::uint64_t{1} << 53U;
 constexpr double kMaxColdSeconds = 86'400;
 
-void ReadService(const json& document, TargetAnnouncement* announcement, Findings* findings) {
+void ReadService(const json& document, const ServiceRecordName& service_record_name,
+                 TargetAnnouncement* announcement, Findings* findings) {
   const auto field = document.find("service");
-  if (field == document.end() || !field->is_string() ||
-      !records::IsRecordName(field->get<std::string>())) {
+  std::string name = field != document.end() && field->is_string() ? field->get<std::string>() : "";
+  if (service_record_name && !name.empty()) name = service_record_name(name);
+  if (!records::IsRecordName(name)) {
     findings->push_back({"/service", "is not the name of a service record"});
     return;
   }
-  announcement->target.service = field->get<std::string>();
+  announcement->target.service = std::move(name);
 }
 
 void ReadAddress(const json& document, TargetAnnouncement* announcement, Findings* findings) {
@@ -85,14 +88,14 @@
 
 }  // namespace
 
-tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view id,
-                                                             std::string_view text) {
+tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(
+    std::string_view id, std::string_view text, const ServiceRecordName& service_record_name) {
   const json document = json::parse(text, nullptr, false);
   if (!document.is_object()) return tl::unexpected(Findings{{"/", "is not a JSON object"}});
   TargetAnnouncement announcement;
   announcement.target.id = std::string(id);
   Findings findings;
-  ReadService(document, &announcement, &findings);
+  ReadService(document, service_record_name, &announcement, &findings);
   ReadAddress(document, &announcement, &findings);
   ReadSlots(document, &announcement, &findings);
   ReadState(document, &announcement, &findings);
--- a/src/node/target_announcement.h
+++ b/src/node/target_announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -22,9 +23,11 @@
 
 /// Parses `{"service", "address": "IP:PORT", "slots": 1..10000, "state": "serving"|"leaving"}`, of
 /// which `state` is optional, with the optional numbers `born`, `seq` and `cold_left`. `id` may be
-/// empty. Reports every problem, each with a JSON pointer to its field.
-tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(std::string_view id,
-                                                             std::string_view json);
+/// empty. Reports every problem, each with a JSON pointer to its field. `service_record_name` gives
+/// the record's name of a service; if it is empty, targets call services by that name.
+using ServiceRecordName = std::function<std::string(const std::string& service)>;
+tl::expected<TargetAnnouncement, Findings> ParseAnnouncement(
+    std::string_view id, std::string_view json, const ServiceRecordName& service_record_name = {});
 
 /// Returns `born` from the body of a departure; 0 when the body has none.
 std::uint64_t ParseDepartedBorn(std::string_view json);
--- a/tests/node/codec_test.cc
+++ b/tests/node/codec_test.cc
@@ -52,6 +52,14 @@
   EXPECT_FALSE(ParseAnnouncement("", "not json"));
 }
 
+TEST(TargetAnnouncementTest, ServiceIsTranslatedToItsRecordsName) {
+  const auto parsed =
+      ParseAnnouncement("", R"({"service":"Desk_1","address":"127.0.0.1:8080","slots":90})",
+                        [](const std::string& service) { return "of-" + service.substr(5); });
+  ASSERT_TRUE(parsed);
+  EXPECT_EQ(parsed->target.service, "of-1");
+}
+
 TEST(TargetAnnouncementTest, ParsesCompleteAnnouncement) {
   const auto parsed = ParseAnnouncement(
       "", R"({"service":"calendar","address":"127.0.0.1:8080","slots":90,"state":"leaving"})");
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -158,6 +158,24 @@
   PlatformFleet fleet{{{"n1", "a", "front"}, {"n2", "a", "shop"}, {"n3", "b", "shop"}}};
 };
 
+/// Guards against a service whose name is no record name: it was renamed in the configuration, and
+/// its targets' announcements were refused.
+TEST(PlatformServiceNamesTest, ServicesWithOddNamesAreServed) {
+  const std::string odd = "Front_A";
+  PlatformFleet fleet({{"n0", "za", odd}, {"n1", "za", "shop"}});
+  Json configuration = Configuration(1);
+  configuration["routes"]["r-front"]["service"] = odd;
+  configuration["services"][odd] = configuration["services"]["front"];
+  fleet.Configure(configuration);
+  const auto serves = [&](std::size_t host, const std::string& path, const std::string& service) {
+    return ServiceOf(fleet.Call(host, "GET", path, Headers(NewId()))) == service;
+  };
+  ASSERT_TRUE(WaitUntil(kStartTimeout, [&] {
+    return serves(1, "/front/x", odd) && serves(0, "/safe/x", "shop");
+  })) << fleet.Log(0);
+  EXPECT_EQ(fleet.Runs().back().Header("Caller-Service"), odd);
+}
+
 TEST_F(PlatformNodeTest, NodesAnswer503BeforeTheFirstConfiguration) {
   this->WaitForHealthPorts();
   EXPECT_TRUE(HoldsFor(kStableDuration, [this] { return this->AllNodesRefuse(); }));
