The regression test of the drain's estimate fails on the code before it

PlannedStopTest.CallsThatTakeFarLongerThanBeforeAreNotBrokenOff, as first written, passed on too: its long calls began before the notice ended, so the node had seen their length. Now calls take 0.16 s until the notice ends and 1.8 s after it.

--- a/tests/integration/planned_stop_test.cc
+++ b/tests/integration/planned_stop_test.cc
@@ -283,15 +283,19 @@
 }
 
 /// Guards against calls that a stopping node starts by an estimate of their time and breaks off:
-/// they took 0.16 s before the stop, and take 1.8 s in it.
+/// they take 0.16 s until the notice ends, and 1.8 s after it.
 TEST_F(PlannedStopTest, CallsThatTakeFarLongerThanBeforeAreNotBrokenOff) {
   const auto service_time = [](int ms) { return "X-Service-Time-Ms: " + std::to_string(ms); };
   const auto usual = this->CallerOf("GET", "/leaf/x", "", {service_time(kUsualServiceTimeMs)});
   for (int i = 0; i < 20; ++i) EXPECT_EQ(usual("usual" + std::to_string(i)).status, kOk);
   const std::string parent = this->StartParent();
   ASSERT_FALSE(parent.empty());
-  Stream reads("read",
-               this->CallerOf("GET", "/leaf/x", parent, {service_time(kLongServiceTimeMs)}));
+  const auto brief = this->CallerOf("GET", "/leaf/x", parent, {service_time(kUsualServiceTimeMs)});
+  const auto longer = this->CallerOf("GET", "/leaf/x", parent, {service_time(kLongServiceTimeMs)});
+  Stream reads("read", [&](const std::string& tag) {
+    const milliseconds sent = std::stoi(tag.substr(4)) * kGap;
+    return sent < kNotice ? brief(tag) : longer(tag);
+  });
   this->StopWhileSending({&reads}, kGrace - kGap);
   const auto results = reads.Collect();
   EXPECT_EQ(this->Lost(results), "");
