--- a/src/store/roster.cc
+++ b/src/store/roster.cc
@@ -157,13 +157,18 @@
 
   void OnSlotWritten(tl::expected<TransactionResult, StoreError> result) {
     if (!result || !result->committed) {
-      // If the write took effect after all, the next attempt finds it. Another node may have taken
-      // this slot, while others are free.
+      // If the write took effect after all, the next attempt finds it. A slot that was taken
+      // meanwhile is held by another node of the zone, which can be contacted.
       this->lease = 0;
-      this->AttemptSoon();
+      if (result) {
+        this->AttemptLater();
+      } else {
+        this->AttemptSoon();
+      }
       return;
     }
     this->holds_slot = true;
+    this->last_renewal = SteadyClock::now();
     this->backoff.Reset();
     // Nodes that took their slots together renew them at different times.
     const auto period = static_cast<std::uint64_t>(this->times.renewal_period.count());
@@ -175,20 +180,26 @@
   }
 
   void KeepAlive() {
-    this->store.KeepLeaseAlive(this->lease,
-                               this->IgnoreWhenStopped<std::chrono::seconds>(
-                                   [this](const auto& result) { this->OnKeptAlive(result); }));
+    const SteadyTime requested_at = SteadyClock::now();
+    this->store.KeepLeaseAlive(this->lease, this->IgnoreWhenStopped<std::chrono::seconds>(
+                                                [this, requested_at](const auto& result) {
+                                                  this->OnKeptAlive(requested_at, result);
+                                                }));
   }
 
   /// Only the store knows whether the lease has ended: while it is down, leases may be suspended.
-  void OnKeptAlive(const tl::expected<std::chrono::seconds, StoreError>& result) {
+  void OnKeptAlive(SteadyTime requested_at,
+                   const tl::expected<std::chrono::seconds, StoreError>& result) {
     if (result) {
+      this->last_renewal = requested_at;
       this->backoff.Reset();
       this->RenewAfter(this->times.renewal_period);
       return;
     }
     if (result.error().kind != StoreErrorKind::kRejected) {
-      this->RenewAfter(this->backoff.Next());
+      // There is no haste as long as the lease surely lives.
+      const bool lives = SteadyClock::now() - this->last_renewal < this->times.lease_time_to_live;
+      this->RenewAfter(lives ? this->times.renewal_period / 2 : this->backoff.Next());
       return;
     }
     this->holds_slot = false;
@@ -216,6 +227,7 @@
   LeaseId lease = 0;
   bool holds_slot = false;
   bool stopped = false;
+  SteadyTime last_renewal;
   StoreBackoff backoff;
   TimerSubscription timer;
 };
--- a/src/store/roster.h
+++ b/src/store/roster.h
@@ -21,7 +21,7 @@
 
 inline constexpr int kRosterSlotsPerZone = 4;
 
-/// When a node renews what it holds. Two renewals may fail before the lease ends.
+/// When a node renews what it holds. A renewal that fails is repeated after half of the period.
 struct RosterTimes {
   std::chrono::seconds lease_time_to_live{30};
   Duration renewal_period = std::chrono::seconds(10);
