--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -230,6 +230,16 @@
   };
 }
 
+/// Not every site tells; an empty value is none.
+Spec MemorySpec() {
+  return {"memory-limit", "FIREFLYRUN_MEMORY_LIMIT", "MEGABYTES",
+          "memory that the node may use; it bounds the bodies that it holds, 64 to 65536 [256]",
+          [](std::string_view value, NodeSettings& settings) {
+            if (value.empty()) return Problem();
+            return StoreMegabytes(value, 64, 65536, &settings.memory_limit);
+          }};
+}
+
 std::vector<Spec> LimitSpecs() {
   return {
       {"log-level", "FIREFLYRUN_LOG_LEVEL", "LEVEL",
@@ -244,11 +254,7 @@
        [](std::string_view value, NodeSettings& settings) {
          return StoreNumber(value, 1024, 67108864, " bytes", &settings.max_body_bytes);
        }},
-      {"memory-limit", "FIREFLYRUN_MEMORY_LIMIT", "MEGABYTES",
-       "memory that the node may use; it bounds the bodies that it holds, 64 to 65536 [256]",
-       [](std::string_view value, NodeSettings& settings) {
-         return StoreMegabytes(value, 64, 65536, &settings.memory_limit);
-       }},
+      MemorySpec(),
       {"max-connections", "FIREFLYRUN_MAX_CONNECTIONS", "COUNT",
        "callers' connections accepted at the same time, 1 to 20000 [700]",
        [](std::string_view value, NodeSettings& settings) {
--- a/tests/integration/memory_bound_test.cc
+++ b/tests/integration/memory_bound_test.cc
@@ -209,6 +209,7 @@
   void CallAtOnce() {
     std::atomic<int> open = kCalls;
     std::vector<std::thread> callers;
+    callers.reserve(kCalls);
     for (int i = 0; i < kCalls; ++i) {
       callers.emplace_back([&] {
         this->StatusOf("/faulty/x");
@@ -302,6 +303,7 @@
   const std::string body(kLargeBody, 'b');
   std::atomic<int> refused = 0;
   std::vector<std::thread> callers;
+  callers.reserve(kCalls / 2);
   for (int i = 0; i < kCalls / 2; ++i) {
     callers.emplace_back([&] {
       const auto answer = this->fleet.Call("a1", "POST", "/faulty/x", {}, body);
--- a/tests/node/node_setting_table_test.cc
+++ b/tests/node/node_setting_table_test.cc
@@ -57,6 +57,15 @@
   EXPECT_EQ(parsed.settings.admin_port, 9001);
 }
 
+TEST(NodeSettingTableTest, MemoryLimitIsInMegabytesAndMayBeLeftEmpty) {
+  EXPECT_EQ(Parse(Required(), {{"FIREFLYRUN_MEMORY_LIMIT", "160"}}).settings.memory_limit,
+            std::size_t{160} << 20);
+  const auto empty = Parse(Required(), {{"FIREFLYRUN_MEMORY_LIMIT", ""}});
+  EXPECT_TRUE(empty.findings.empty()) << FormatFindings(empty.findings);
+  EXPECT_EQ(empty.settings.memory_limit, NodeSettings().memory_limit);
+  EXPECT_EQ(Parse(Required(), {{"FIREFLYRUN_MEMORY_LIMIT", "63"}}).findings.size(), 1U);
+}
+
 TEST(NodeSettingTableTest, ReportsEveryInvalidValueWithItsSource) {
   const auto parsed =
       Parse({"--node", "Not A Name", "--caller-port", "70000", "--store", "nowhere"},
