--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -230,6 +230,14 @@
   };
 }
 
+Spec BodySpec() {
+  return {"max-body-bytes", "FIREFLYRUN_MAX_BODY_BYTES", "BYTES",
+          "largest request or answer body, 1024 to 67108864 [8388608]",
+          [](std::string_view value, NodeSettings& settings) {
+            return StoreNumber(value, 1024, 67108864, " bytes", &settings.max_body_bytes);
+          }};
+}
+
 /// Not every site tells; an empty value is none.
 Spec MemorySpec() {
   return {"memory-limit", "FIREFLYRUN_MEMORY_LIMIT", "MEGABYTES",
@@ -249,11 +257,7 @@
        [](std::string_view value, NodeSettings& settings) {
          return StoreNumber(value, 10, 100'000, "", &settings.log_lines);
        }},
-      {"max-body-bytes", "FIREFLYRUN_MAX_BODY_BYTES", "BYTES",
-       "largest request or answer body, 1024 to 67108864 [8388608]",
-       [](std::string_view value, NodeSettings& settings) {
-         return StoreNumber(value, 1024, 67108864, " bytes", &settings.max_body_bytes);
-       }},
+      BodySpec(),
       MemorySpec(),
       {"max-connections", "FIREFLYRUN_MAX_CONNECTIONS", "COUNT",
        "callers' connections accepted at the same time, 1 to 20000 [700]",
