A call without room for its body is refused by its target's node, which knows its ticket

A second delivery of a ticket whose first delivery runs would have been told "not run". Now the link passes the call on without its body, and the target's node refuses it after voiding its ticket, or joins it to the run. TargetServiceTest.CallWithoutRoomForItsBodyIsRefusedUnlessItsTicketRuns.

--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -250,6 +250,7 @@
   if (!has_target) return RefusalReason::kNoTarget;
   if (this->leaving && !this->options.admit_all) return RefusalReason::kLeaving;
   if (inbound.HasExpired(SteadyClock::now())) return RefusalReason::kDeadline;
+  if (inbound.call.body_dropped) return RefusalReason::kOverload;
   const bool held_up = inbound.call.transit_time > kMaxTransitTime;
   return held_up ? RefusalReason::kLinkSlow : RefusalReason::kNone;
 }
--- a/src/peer/call.h
+++ b/src/peer/call.h
@@ -14,6 +14,8 @@
   SteadyTime deadline;  ///< By this process's clock, at both ends of a link.
   /// At the called node: how long its head was on its way, at most; zero if that is not known.
   Duration transit_time{};
+  /// At the called node: there was no room for the body, so the call is only to be refused.
+  bool body_dropped = false;
 };
 
 /// A complete answer. If there is no answer from the target, the head holds the refusal.
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -28,7 +28,6 @@
 constexpr std::string_view kBodyDamaged = "body-damaged";
 constexpr std::string_view kBodyTooLarge = "body-too-large";
 constexpr std::string_view kAnswerTooLarge = "answer-too-large";
-constexpr std::string_view kOverload = "overload";
 
 /// Returns the answer sent in place of one over a size limit.
 Answer MakeTooLargeAnswer(const pb::AnswerHead& head) {
@@ -280,17 +279,16 @@
   if (length > this->options.max_body_bytes || link->partial_bytes + length > partial_limit) {
     return this->Refuse(link, *call_id, kBodyTooLarge);
   }
-  if (length == 0) {
+  const auto& held_bytes = this->options.held_bytes;
+  const bool no_room = held_bytes && !held_bytes->HasRoomForRequest(length);
+  if (length == 0 || no_room) {
     Call call;
     call.head.Swap(&head);
     call.deadline = deadline;
     call.transit_time = transit_time;
+    call.body_dropped = no_room;
     return this->Run(link, *call_id, std::move(call));
   }
-  const auto& held_bytes = this->options.held_bytes;
-  if (held_bytes && !held_bytes->HasRoomForRequest(length)) {
-    return this->Refuse(link, *call_id, kOverload);
-  }
   InboundLink::PartialCall partial;
   partial.held = HeldBytesShare(held_bytes);
   partial.held.Set(length);
--- a/tests/node/target_service_test.cc
+++ b/tests/node/target_service_test.cc
@@ -52,6 +52,7 @@
     head.set_at_most_once(ticket.has_value());
     call.deadline = SteadyClock::now() + limit;
     call.transit_time = this->transit_time;
+    call.body_dropped = this->body_dropped;
     if (ticket) *head.mutable_ticket() = ToMessage(*ticket);
     this->service.OnCall(std::move(call), [this, id](const peer::Answer& given) {
       this->answers[id].push_back(given.head.outcome());
@@ -75,6 +76,7 @@
   std::string answer;  ///< What the target writes after each request.
   std::function<void()> on_answered;
   Duration transit_time{};
+  bool body_dropped = false;
   asio::io_context loop;
   TimerService timers{loop};
   std::shared_ptr<http::RawConnection> connection;  ///< Of the latest request.
@@ -191,6 +193,26 @@
   EXPECT_TRUE(this->RunUntilReached(1));
 }
 
+/// Guards against "not run" for a ticket that runs: its second delivery has no room for the body.
+TEST_F(TargetServiceTest, CallWithoutRoomForItsBodyIsRefusedUnlessItsTicketRuns) {
+  const auto running = this->NewTicket();
+  const Id128 first = this->Call(running);
+  ASSERT_TRUE(this->RunUntilReached(1));
+  this->body_dropped = true;
+  const Id128 second = this->Call(running);
+  EXPECT_TRUE(this->answers[second].empty());
+  EXPECT_EQ(this->answers[this->Call()], kNotRunOnce);
+  const auto refused = this->NewTicket();
+  EXPECT_EQ(this->answers[this->Call(refused)], kNotRunOnce);
+  this->body_dropped = false;
+  EXPECT_EQ(this->answers[this->Call(refused)], kNotRunOnce) << "the ticket is void";
+  EXPECT_TRUE(this->NothingReachesTheTarget());
+  asio::write(this->connection->socket, asio::buffer(std::string_view(http::kWholeResponse)));
+  ASSERT_TRUE(http::RunUntil(this->loop, [&] { return !this->answers[second].empty(); }));
+  EXPECT_EQ(this->answers[second], std::vector{peer::pb::OUTCOME_ANSWERED});
+  EXPECT_EQ(this->answers[first], std::vector{peer::pb::OUTCOME_ANSWERED});
+}
+
 TEST_F(TargetServiceTest, QueuedCallWhoseCancelHasArrivedUnreadNeverStarts) {
   this->Call();
   ASSERT_TRUE(this->RunUntilReached(1));
