A roster slot that became free meanwhile is taken soon, not in minutes

Found by reading: any slot that had changed between reading and writing counted as another node's, also one whose lease had just ended, as after a restart of all. Now the store's answer tells whether another node holds it.

--- a/src/store/roster.cc
+++ b/src/store/roster.cc
@@ -1,5 +1,6 @@
 #include "store/roster.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -157,10 +158,9 @@
 
   void OnSlotWritten(tl::expected<TransactionResult, StoreError> result) {
     if (!result || !result->committed) {
-      // If the write took effect after all, the next attempt finds it. A slot that was taken
-      // meanwhile is held by another node of the zone, which can be contacted.
+      // If the write took effect after all, the next attempt finds it.
       this->lease = 0;
-      if (result) {
+      if (result && this->IsHeldByAnother(*result)) {
         this->AttemptLater();
       } else {
         this->AttemptSoon();
@@ -175,6 +175,15 @@
     this->RenewAfter(Duration(RandomBelow(period)));
   }
 
+  /// True if another node of the zone, which can be contacted, took the slot meanwhile. It may also
+  /// have become free, as its earlier holder's lease ended.
+  bool IsHeldByAnother(const TransactionResult& conflict) const {
+    return std::ranges::any_of(conflict.current_values, [this](const KeyValue& current) {
+      const auto entry = DecodeEntry(this->self.zone + "/0", current.value);
+      return !current.deleted && entry && entry->node != this->self.node;
+    });
+  }
+
   void RenewAfter(Duration delay) {
     this->timer = this->timers.After(delay, [this] { this->KeepAlive(); });
   }
--- a/tests/platform/roster_outage_test.cc
+++ b/tests/platform/roster_outage_test.cc
@@ -11,6 +11,8 @@
 
 /// So long after the store's return a node is in the roster again.
 constexpr seconds kReturnTime{2};
+/// The store stand-in numbers its leases from here.
+constexpr std::int64_t kFirstLease = 7001;
 constexpr store::RosterTimes kShortTimes{seconds(2), milliseconds(400)};
 
 /// A roster whose store is busy, down or silent for a while.
@@ -64,6 +66,21 @@
   }
 }
 
+/// Guards against a node that waits for minutes for a slot that nobody holds: its own earlier entry
+/// ends between the reading and the writing.
+TEST_F(RosterOutageTest, SlotThatBecomesFreeMeanwhileIsTakenSoon) {
+  auto earlier = this->Enter("n");
+  this->RunUntil([&] { return earlier->HoldsSlot(); });
+  earlier.reset();
+  const auto later = this->Enter("n");
+  this->RunUntil([&] { return this->standin.Calls("/kv-lease") == 2; });
+  this->standin.Model().EndLease(kFirstLease);
+  const SteadyTime freed = SteadyClock::now();
+  this->RunUntil([&] { return later->HoldsSlot(); });
+  EXPECT_LE(SteadyClock::now() - freed, kReturnTime);
+  EXPECT_EQ(this->standin.Calls("/kv-txn"), 3) << "the second write met the change";
+}
+
 /// Guards against a slot that is given up because one renewal met a busy store.
 TEST_F(RosterOutageTest, RenewalsThatFailForAMomentCostNothing) {
   const auto roster = this->Enter("n", kShortTimes);
