Whole answers that wait for their link are counted with the other bodies

Found by reading: the link's server bounded the answers that it retains, but those queued for writing were held by their messages, so with a slow link they could add up without a bound. Now each is counted until it is sent and acknowledged, and given up without room ("ran", answer too large).

--- a/src/peer/call.h
+++ b/src/peer/call.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <memory>
 #include <string>
 
 #include "common/clock.h"
+#include "common/held_bytes.h"
 #include "peer/peer.pb.h"
 
 namespace fireflyrun::peer {
@@ -22,6 +24,8 @@
 struct Answer {
   pb::AnswerHead head;
   std::string body;
+  /// At the called node: counts the body until it is sent and needed no more. Shared by copies.
+  std::shared_ptr<const HeldBytesShare> held;
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -395,9 +395,11 @@
 void LinkServer::Implementation::Finish(const Id128& call_id, Answer answer) {
   if (this->closed) return;
   const bool head_fits = answer.head.ByteSizeLong() <= kMaxHeadBytes;
-  if (!head_fits || answer.body.size() > this->options.max_body_bytes) {
+  const bool body_fits = answer.body.size() <= this->options.max_body_bytes;
+  if (!head_fits || !body_fits || !this->HasRoomFor(answer)) {
     answer = MakeTooLargeAnswer(answer.head);
   }
+  answer.held = this->CountBody(answer);
   answer.head.set_call_id(call_id.ToBytes());
   answer.head.set_body_length(answer.body.size());
   answer.head.set_body_crc32(Checksum(answer.body));
@@ -412,6 +414,20 @@
   this->Flush(connection);
 }
 
+/// Without room the answer is given up: a slow link would let whole answers pile up here.
+bool LinkServer::Implementation::HasRoomFor(const Answer& answer) const {
+  const auto& held_bytes = this->options.held_bytes;
+  return !held_bytes || held_bytes->HasRoomForAnswer(answer.body.size());
+}
+
+std::shared_ptr<const HeldBytesShare> LinkServer::Implementation::CountBody(
+    const Answer& answer) const {
+  if (answer.body.empty()) return nullptr;
+  auto share = std::make_shared<HeldBytesShare>(this->options.held_bytes);
+  share->Set(answer.body.size());
+  return share;
+}
+
 /// Answers that are given while calls are passed on are written together after it.
 void LinkServer::Implementation::Flush(const std::shared_ptr<Connection>& connection) {
   if (this->delivering) {
--- a/tests/integration/memory_bound_test.cc
+++ b/tests/integration/memory_bound_test.cc
@@ -162,10 +162,10 @@
 
 class MemoryBoundTest : public ::testing::Test {
  protected:
-  MemoryBoundTest()
+  explicit MemoryBoundTest(FleetOptions options = {})
       : fleet({{"a1", "east", "east-a", "sound", 50, 2, "", kNodeFlags, {}},
                {"a2", "east", "east-a", "", 0, 0, "", kNodeFlags, {}}},
-              Records()) {}
+              Records(), options) {}
 
   void SetUp() override {
     ASSERT_TRUE(this->fleet.WaitReady());
@@ -280,6 +280,20 @@
   EXPECT_TRUE(WaitUntil(kLimit, [this] { return this->StatusOf("/faulty/x") == kOk; }));
 }
 
+class MemoryBoundOnSlowLinksTest : public MemoryBoundTest {
+ protected:
+  MemoryBoundOnSlowLinksTest() : MemoryBoundTest(FleetOptions{.network = true}) {}
+};
+
+/// Guards against whole answers that add up at the gate, as their link takes them slowly.
+TEST_F(MemoryBoundOnSlowLinksTest, LargeAnswersAtOnce) {
+  this->target.SetScript(Whole(kLargeBody));
+  this->fleet.Network().LimitRate({"a1", "a2"}, kMegabyte);
+  this->CallAtOnce();
+  this->Report("large answers, slow link");
+  this->fleet.Network().Heal();
+}
+
 /// Guards against answers that add up at the entry because nobody reads them.
 TEST_F(MemoryBoundTest, CallersThatDoNotRead) {
   this->target.SetScript(Whole(kLargeBody));
@@ -288,8 +302,7 @@
     callers.push_back(this->Connect("GET /faulty/x HTTP/1.1\r\nHost: x\r\n\r\n"));
     if (i % 10 == 0) EXPECT_EQ(this->StatusOf("/sound/x"), kOk);
   }
-  std::this_thread::sleep_for(seconds(5));
-  EXPECT_EQ(this->StatusOf("/sound/x"), kOk);
+  EXPECT_TRUE(HoldsFor(seconds(5), [this] { return this->StatusOf("/sound/x") == kOk; }));
   this->Report("callers that don't read");
 }
 
@@ -311,10 +324,7 @@
       if (answer.status == 503 && not_run && !answer.Header("retry-after").empty()) ++refused;
     });
   }
-  for (int i = 0; i < 20; ++i) {
-    EXPECT_EQ(this->StatusOf("/sound/x"), kOk);
-    std::this_thread::sleep_for(milliseconds(50));
-  }
+  EXPECT_TRUE(HoldsFor(seconds(1), [this] { return this->StatusOf("/sound/x") == kOk; }));
   for (std::thread& caller : callers) caller.join();
   EXPECT_GT(refused, 0);
   this->Report("large requests");
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -265,5 +265,44 @@
   EXPECT_TRUE(harness.RunUntil([&] { return harness.server->RetainedAnswers() == 0; }));
 }
 
+/// Guards against whole answers that pile up at the called node while their link doesn't take them.
+TEST(LinkServerTest, AnswersThatWaitForTheirLinkAreBoundedTogether) {
+  constexpr std::size_t kBytes = 100'000;
+  constexpr std::uint64_t kCalls = 8;
+  LinkOptions options = PeerHarness::ShortLimits();
+  options.held_bytes = std::make_shared<HeldBytes>(3 * kBytes);
+  PeerHarness harness(options);
+  const std::string body(kBytes, 'x');
+  harness.on_call = [&](const Call&, const LinkServer::Reply& reply) {
+    Answer answer;
+    answer.head.set_outcome(pb::OUTCOME_ANSWERED);
+    answer.body = body;
+    reply(std::move(answer));
+  };
+  RawLink link(harness, harness.server->Port());
+  link.SendHello("c", 1, 1);
+  for (std::uint64_t number = 1; number <= kCalls; ++number) {
+    link.SendCall(Id128(9, number), "", Checksum(""));
+  }
+  int whole = 0;
+  int given_up = 0;
+  for (std::uint64_t number = 1; number <= kCalls; ++number) {
+    const auto answer = link.Await(pb::Frame::kAnswerHead);
+    ASSERT_TRUE(answer);
+    const auto& head = answer->answer_head();
+    whole += head.body_length() == kBytes ? 1 : 0;
+    given_up += head.outcome() == pb::OUTCOME_RAN && head.body_length() == 0 ? 1 : 0;
+  }
+  EXPECT_EQ(whole, 3);
+  EXPECT_EQ(given_up, 5);
+  EXPECT_LE(options.held_bytes->Held(), options.held_bytes->Limit());
+  for (std::uint64_t number = 1; number <= kCalls; ++number) {
+    pb::AnswerAck ack;
+    ack.set_call_id(Id128(9, number).ToBytes());
+    link.Send(pb::Frame::kAnswerAckFieldNumber, ack);
+  }
+  EXPECT_TRUE(harness.RunUntil([&] { return options.held_bytes->Held() == 0; }));
+}
+
 }  // namespace
 }  // namespace fireflyrun::peer
