--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -52,8 +52,8 @@
       socket(std::move(connected)),
       remote_address(std::move(address)),
       id(connection_id),
-      held_request(this->core->Held()),
-      held_response(this->core->Held()),
+      held_request(this->core->Held(), policy::BodyKind::kRequest),
+      held_response(this->core->Held(), policy::BodyKind::kAnswer),
       limits(this->core->Limits()) {
   asio::error_code ignored;
   this->socket.non_blocking(true, ignored);
@@ -274,12 +274,12 @@
       if (this->deadline == SteadyTime::max()) this->SetDeadline(this->limits.header_timeout);
       return;
     case RequestReader::Progress::kNeedsBody:
-      if (!this->held_request.GrowRequest(this->reader.BodyBytes())) return this->RefuseForRoom();
+      if (!this->held_request.Grow(this->reader.BodyBytes())) return this->RefuseForRoom();
       this->SetDeadline(this->limits.body_timeout);
       if (this->reader.Head().expects_continue) this->SendContinue();
       return;
     case RequestReader::Progress::kComplete:
-      if (!this->held_request.GrowRequest(this->reader.BodyBytes())) return this->RefuseForRoom();
+      if (!this->held_request.Grow(this->reader.BodyBytes())) return this->RefuseForRoom();
       return this->Dispatch();
   }
 }
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -11,10 +11,10 @@
 #include <string>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
 #include "http/input_buffer.h"
 #include "http/request_reader.h"
 #include "http/response.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::http {
 
@@ -118,8 +118,9 @@
   std::uint64_t id;
   InputBuffer input;
   RequestReader reader;
-  HeldBytesShare held_request;  ///< From the first bytes of the body to the end of the response.
-  HeldBytesShare held_response;
+  policy::HeldBytesShare
+      held_request;  ///< From the first bytes of the body to the end of the response.
+  policy::HeldBytesShare held_response;
   CallServerLimits limits;  ///< Of the current message.
   std::string response_head;
   std::string response_body;
--- a/src/http/call_server_core.h
+++ b/src/http/call_server_core.h
@@ -40,7 +40,7 @@
   asio::io_context& Loop() { return this->loop; }
   const CallServerLimits& Limits() const { return this->options.limits; }
   /// Null if bodies aren't counted.
-  const std::shared_ptr<HeldBytes>& Held() const { return this->options.held_bytes; }
+  const std::shared_ptr<policy::HeldBytes>& Held() const { return this->options.held_bytes; }
   bool Draining() const { return this->draining; }
   void Handle(Request request, std::shared_ptr<Exchange> exchange);
   void EndExchange() { --this->open_exchanges; }
--- a/src/http/call_server_options.h
+++ b/src/http/call_server_options.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
 #include "http/call_server_limits.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::http {
 
@@ -25,7 +25,7 @@
   CallServerLimits limits;
   /// Counts the bodies of requests and responses; may be null. Without room for a request's body,
   /// the request is answered 503 before it is read in full.
-  std::shared_ptr<HeldBytes> held_bytes;
+  std::shared_ptr<policy::HeldBytes> held_bytes;
 };
 
 }  // namespace fireflyrun::http
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -81,8 +81,8 @@
   std::unordered_map<std::string, TargetAddress> addresses;
   std::unordered_map<RequestId, std::unique_ptr<TargetExchange>> exchanges;
   RequestId last_id = 0;
-  std::size_t held_bytes = 0;  ///< Of answers in progress.
-  HeldBytesShare held_share;   ///< The same.
+  std::size_t held_bytes = 0;         ///< Of answers in progress.
+  policy::HeldBytesShare held_share;  ///< The same.
   TimerSubscription timer;
   SteadyTime next_wake = SteadyTime::max();
   std::vector<char> read_buffer;
@@ -94,7 +94,7 @@
                                              TargetClientOptions client_options)
     : timers(timer_service),
       options(std::move(client_options)),
-      held_share(this->options.held_bytes),
+      held_share(this->options.held_bytes, policy::BodyKind::kAnswer),
       read_buffer(kReadBufferBytes) {
   TargetConnection::Hooks made;
   made.on_connected = [this](TargetConnection& connection, const asio::error_code& error) {
@@ -311,7 +311,8 @@
 
 bool TargetClient::Implementation::HoldsTooMuch() const {
   if (this->held_bytes > this->options.max_held_bytes) return true;
-  return this->options.held_bytes != nullptr && this->options.held_bytes->Exceeded();
+  const auto& counted = this->options.held_bytes;
+  return counted != nullptr && counted->Exceeded(policy::BodyKind::kAnswer);
 }
 
 void TargetClient::Implementation::CountHeld(std::size_t before, std::size_t after) {
@@ -326,7 +327,7 @@
       this->exchanges.begin(), this->exchanges.end(), [](const auto& one, const auto& other) {
         return one.second->Reader().HeldBytes() < other.second->Reader().HeldBytes();
       });
-  if (largest->second->Reader().HeldBytes() <= HeldBytes::kSmallBody) return true;
+  if (largest->second->Reader().HeldBytes() <= policy::HeldBytes::kSmallBody) return true;
   const std::weak_ptr<bool> guard = this->alive;
   this->Fail(*largest->second, ClientError{ClientErrorKind::kTooLarge,
                                            "the answers in progress are too large together"});
--- a/src/http/target_client_options.h
+++ b/src/http/target_client_options.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::http {
 
@@ -21,7 +21,7 @@
   /// Bytes of answers in progress, in all. Beyond, the request with the largest one fails.
   std::size_t max_held_bytes = std::size_t{64} << 20;
   /// Counts them with what else the process holds, and fails the largest beyond that limit, too.
-  std::shared_ptr<HeldBytes> held_bytes;
+  std::shared_ptr<policy::HeldBytes> held_bytes;
 };
 
 }  // namespace fireflyrun::http
--- a/src/node/call_plane.cc
+++ b/src/node/call_plane.cc
@@ -60,7 +60,7 @@
 
 CallPlane::CallPlane(TimerService& timer_service, http::TargetClient& http_client,
                      const NodeSettings& node_settings, std::uint64_t own_incarnation,
-                     std::shared_ptr<HeldBytes> body_bytes, ControlPlane& control_plane,
+                     std::shared_ptr<policy::HeldBytes> body_bytes, ControlPlane& control_plane,
                      NodeMetrics& node_metrics)
     : timers(timer_service),
       settings(node_settings),
--- a/src/node/call_plane.h
+++ b/src/node/call_plane.h
@@ -10,7 +10,6 @@
 
 #include "common/clock.h"
 #include "common/finding.h"
-#include "common/held_bytes.h"
 #include "common/timer_subscription.h"
 #include "node/attempt_sender.h"
 #include "node/caller_service.h"
@@ -24,6 +23,7 @@
 #include "node/target_service.h"
 #include "node/target_watcher.h"
 #include "policy/byte_budget.h"
+#include "policy/held_bytes.h"
 #include "policy/target_chooser.h"
 
 namespace fireflyrun {
@@ -55,7 +55,7 @@
  public:
   CallPlane(TimerService& timer_service, http::TargetClient& http_client,
             const NodeSettings& node_settings, std::uint64_t own_incarnation,
-            std::shared_ptr<HeldBytes> body_bytes, ControlPlane& control_plane,
+            std::shared_ptr<policy::HeldBytes> body_bytes, ControlPlane& control_plane,
             NodeMetrics& node_metrics);
   ~CallPlane();
   CallPlane(const CallPlane&) = delete;
@@ -113,7 +113,7 @@
 
   TimerService& timers;
   const NodeSettings& settings;
-  std::shared_ptr<HeldBytes> held_bytes;
+  std::shared_ptr<policy::HeldBytes> held_bytes;
   ControlPlane& control;
   NodeMetrics& metrics;
   ContextTable contexts;
--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -6,11 +6,11 @@
 #include <vector>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
 #include "common/id128.h"
 #include "http/target_client.h"
 #include "peer/call.h"
 #include "peer/link_server.h"
+#include "policy/held_bytes.h"
 #include "policy/ticket.h"
 
 namespace fireflyrun::node {
@@ -30,7 +30,7 @@
 
   Id128 id;
   peer::Call call;
-  HeldBytesShare held;  ///< The call's body.
+  policy::HeldBytesShare held;  ///< The call's body.
   peer::LinkServer::Reply reply;
   SteadyTime arrived;
   SteadyTime started;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -5,7 +5,6 @@
 #include <memory>
 #include <utility>
 
-#include "common/held_bytes.h"
 #include "common/log.h"
 #include "common/log_event.h"
 #include "common/random.h"
@@ -25,6 +24,7 @@
 #include "node/record_keeper.h"
 #include "node/stop_times.h"
 #include "node/supervisor.h"
+#include "policy/held_bytes.h"
 #include "records/caller_limits.h"
 #include "records/configuration.h"
 
@@ -37,8 +37,8 @@
 /// Added to the header timeout: a pause in a body may last longer than a whole header may take.
 constexpr Duration kBodyTimeoutMargin = std::chrono::seconds(7);
 constexpr unsigned kIncarnationRandomBits = 20;
-/// The share of the node's memory that bodies may take. While a body is passed on it is held twice,
-/// and the allocator and the rest of the node need room, too.
+/// The share of the node's memory that answers may take; requests get half as much. The rest is for
+/// the second copies of bodies that are passed on, the allocator, and the node itself.
 constexpr std::size_t kBodyShareDivisor = 4;
 
 /// Milliseconds since the epoch, then random bits: later starts of a host get higher incarnations
@@ -54,15 +54,16 @@
   return {settings.address, settings.admin_port, kMaxAdminBodyBytes, kAdminConnections};
 }
 
-http::TargetClientOptions MakeTargetClientOptions(const std::shared_ptr<HeldBytes>& held_bytes) {
+http::TargetClientOptions MakeTargetClientOptions(
+    const std::shared_ptr<policy::HeldBytes>& held_bytes) {
   http::TargetClientOptions options;
-  options.max_held_bytes = held_bytes->Limit();
+  options.max_held_bytes = held_bytes->Limit(policy::BodyKind::kAnswer);
   options.held_bytes = held_bytes;
   return options;
 }
 
 http::CallServerOptions CallerServerOptions(const NodeSettings& settings,
-                                            const std::shared_ptr<HeldBytes>& held_bytes) {
+                                            const std::shared_ptr<policy::HeldBytes>& held_bytes) {
   http::CallServerOptions options;
   options.address = settings.address;
   options.port = settings.caller_port;
@@ -98,7 +99,7 @@
   NodeSettings settings;
   ServiceRecordName service_record_name;
   std::uint64_t incarnation;
-  std::shared_ptr<HeldBytes> held_bytes;  ///< Of the bodies of requests and answers.
+  std::shared_ptr<policy::HeldBytes> held_bytes;  ///< Of the bodies of requests and answers.
   TimerService timers;
   NodeMetrics metrics;
   http::Client client;
@@ -125,7 +126,7 @@
     : settings(std::move(node_settings)),
       service_record_name(platform.service_record_name),
       incarnation(NewIncarnation()),
-      held_bytes(std::make_shared<HeldBytes>(settings.memory_limit / kBodyShareDivisor)),
+      held_bytes(std::make_shared<policy::HeldBytes>(settings.memory_limit / kBodyShareDivisor)),
       timers(loop),
       client(loop, kIdleStoreConnections),
       target_client(timers, MakeTargetClientOptions(held_bytes)),
@@ -283,9 +284,16 @@
   this->metrics.AddGauge(
       "fireflyrun_open_connections", "Callers' connections that are open.",
       [this] { return static_cast<double>(this->caller_server.OpenConnections()); });
-  this->metrics.AddGauge("fireflyrun_held_body_bytes",
-                         "Bytes of the bodies of requests and answers that are held.",
-                         [this] { return static_cast<double>(this->held_bytes->Held()); });
+  constexpr const char* kHeldBytes = "fireflyrun_held_body_bytes";
+  constexpr const char* kHeldBytesHelp = "Bytes of bodies that are held, by kind.";
+  this->metrics.AddGauge(
+      kHeldBytes, kHeldBytesHelp,
+      [this] { return static_cast<double>(this->held_bytes->Held(policy::BodyKind::kRequest)); },
+      {{"body", "request"}});
+  this->metrics.AddGauge(
+      kHeldBytes, kHeldBytesHelp,
+      [this] { return static_cast<double>(this->held_bytes->Held(policy::BodyKind::kAnswer)); },
+      {{"body", "answer"}});
   constexpr const char* kCallersGone = "fireflyrun_callers_gone_total";
   constexpr const char* kCallersGoneHelp =
       "Callers that left before they were answered, by what had become of their requests.";
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -144,7 +144,7 @@
   inbound->arrived = SteadyClock::now();
   inbound->deadline = call.deadline;
   inbound->call = std::move(call);
-  inbound->held = HeldBytesShare(this->options.held_bytes);
+  inbound->held = policy::HeldBytesShare(this->options.held_bytes, policy::BodyKind::kRequest);
   inbound->held.Set(inbound->call.body.size());
   inbound->reply = std::move(reply);
   this->calls[inbound->id] = inbound;
--- a/src/node/target_service.h
+++ b/src/node/target_service.h
@@ -50,7 +50,7 @@
     bool admit_all = false;  ///< Baseline for benchmarks: no shedding, first in first out.
     WireNames wire = {};
     policy::AdmissionOptions admission = {};
-    std::shared_ptr<HeldBytes> held_bytes = nullptr;  ///< Counts the bodies of calls.
+    std::shared_ptr<policy::HeldBytes> held_bytes = nullptr;  ///< Counts the bodies of calls.
   };
 
   struct Hooks {
--- a/src/peer/call.h
+++ b/src/peer/call.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
 #include "peer/peer.pb.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::peer {
 
@@ -25,7 +25,7 @@
   pb::AnswerHead head;
   std::string body;
   /// At the called node: counts the body until it is sent and needed no more. Shared by copies.
-  std::shared_ptr<const HeldBytesShare> held;
+  std::shared_ptr<const policy::HeldBytesShare> held;
 };
 
 }  // namespace fireflyrun::peer
--- a/src/peer/inbound_link.h
+++ b/src/peer/inbound_link.h
@@ -6,12 +6,12 @@
 #include <unordered_map>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
 #include "common/id128.h"
 #include "common/timer_subscription.h"
 #include "peer/body_assembly.h"
 #include "peer/call.h"
 #include "peer/inbound_caller.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::peer {
 
@@ -23,7 +23,7 @@
     Call call;
     BodyAssembly assembly;
     std::size_t body_length = 0;
-    HeldBytesShare held;
+    policy::HeldBytesShare held;
   };
 
   std::shared_ptr<Connection> connection;
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -169,12 +169,13 @@
     return this->FinishError(call, LinkErrorKind::kUnknown, "the answer's body is too long");
   }
   const auto& held_bytes = this->options.held_bytes;
-  if (held_bytes && !held_bytes->HasRoomForAnswer(answer_head.body_length())) {
+  const std::size_t length = answer_head.body_length();
+  if (held_bytes && !held_bytes->HasRoomFor(policy::BodyKind::kAnswer, length)) {
     this->Acknowledge(*call_id);
     return this->FinishError(call, LinkErrorKind::kUnknown, "no room for the answer's body");
   }
-  pending.held = HeldBytesShare(held_bytes);
-  pending.held.Set(answer_head.body_length());
+  pending.held = policy::HeldBytesShare(held_bytes, policy::BodyKind::kAnswer);
+  pending.held.Set(length);
   pending.assembly = BodyAssembly(answer_head.body_length(), answer_head.body_crc32());
   if (answer_head.body_length() > 0) return;
   this->Acknowledge(*call_id);
--- a/src/peer/link_options.h
+++ b/src/peer/link_options.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::peer {
 
@@ -23,7 +23,7 @@
   std::size_t retained_answer_bytes = std::size_t{8} << 20;
   /// Counts the bodies of calls and answers that arrive, and of answers until they are sent and
   /// acknowledged; may be null. Those without room are refused or given up.
-  std::shared_ptr<HeldBytes> held_bytes;
+  std::shared_ptr<policy::HeldBytes> held_bytes;
   Duration heartbeat_period = std::chrono::milliseconds(150);
   /// A link with pending calls sends a heartbeat at least this often, whatever else it sends.
   Duration max_heartbeat_interval = std::chrono::seconds(1);
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -280,7 +280,7 @@
     return this->Refuse(link, *call_id, kBodyTooLarge);
   }
   const auto& held_bytes = this->options.held_bytes;
-  const bool no_room = held_bytes && !held_bytes->HasRoomForRequest(length);
+  const bool no_room = held_bytes && !held_bytes->HasRoomFor(policy::BodyKind::kRequest, length);
   if (length == 0 || no_room) {
     Call call;
     call.head.Swap(&head);
@@ -290,7 +290,7 @@
     return this->Run(link, *call_id, std::move(call));
   }
   InboundLink::PartialCall partial;
-  partial.held = HeldBytesShare(held_bytes);
+  partial.held = policy::HeldBytesShare(held_bytes, policy::BodyKind::kRequest);
   partial.held.Set(length);
   partial.call.head.Swap(&head);
   partial.call.deadline = deadline;
@@ -417,13 +417,14 @@
 /// Without room the answer is given up: a slow link would let whole answers pile up here.
 bool LinkServer::Implementation::HasRoomFor(const Answer& answer) const {
   const auto& held_bytes = this->options.held_bytes;
-  return !held_bytes || held_bytes->HasRoomForAnswer(answer.body.size());
+  return !held_bytes || held_bytes->HasRoomFor(policy::BodyKind::kAnswer, answer.body.size());
 }
 
-std::shared_ptr<const HeldBytesShare> LinkServer::Implementation::CountBody(
+std::shared_ptr<const policy::HeldBytesShare> LinkServer::Implementation::CountBody(
     const Answer& answer) const {
   if (answer.body.empty()) return nullptr;
-  auto share = std::make_shared<HeldBytesShare>(this->options.held_bytes);
+  auto share =
+      std::make_shared<policy::HeldBytesShare>(this->options.held_bytes, policy::BodyKind::kAnswer);
   share->Set(answer.body.size());
   return share;
 }
--- a/src/peer/pending_call.h
+++ b/src/peer/pending_call.h
@@ -3,11 +3,11 @@
 #include <memory>
 
 #include "common/clock.h"
-#include "common/held_bytes.h"
 #include "common/timer_subscription.h"
 #include "peer/body_assembly.h"
 #include "peer/call.h"
 #include "peer/link_pool.h"
+#include "policy/held_bytes.h"
 
 namespace fireflyrun::peer {
 
@@ -28,7 +28,7 @@
   TimerSubscription deadline_timer;
   std::unique_ptr<Answer> answer;  ///< Set once the answer's head is received.
   BodyAssembly assembly;
-  HeldBytesShare held;  ///< The answer's body, from its head on.
+  policy::HeldBytesShare held;  ///< The answer's body, from its head on.
 };
 
 }  // namespace fireflyrun::peer
--- a/tests/peer/link_server_test.cc
+++ b/tests/peer/link_server_test.cc
@@ -270,7 +270,7 @@
   constexpr std::size_t kBytes = 100'000;
   constexpr std::uint64_t kCalls = 8;
   LinkOptions options = PeerHarness::ShortLimits();
-  options.held_bytes = std::make_shared<HeldBytes>(3 * kBytes);
+  options.held_bytes = std::make_shared<policy::HeldBytes>(3 * kBytes);
   PeerHarness harness(options);
   const std::string body(kBytes, 'x');
   harness.on_call = [&](const Call&, const LinkServer::Reply& reply) {
@@ -295,13 +295,14 @@
   }
   EXPECT_EQ(whole, 3);
   EXPECT_EQ(given_up, 5);
-  EXPECT_LE(options.held_bytes->Held(), options.held_bytes->Limit());
+  EXPECT_FALSE(options.held_bytes->Exceeded(policy::BodyKind::kAnswer));
   for (std::uint64_t number = 1; number <= kCalls; ++number) {
     pb::AnswerAck ack;
     ack.set_call_id(Id128(9, number).ToBytes());
     link.Send(pb::Frame::kAnswerAckFieldNumber, ack);
   }
-  EXPECT_TRUE(harness.RunUntil([&] { return options.held_bytes->Held() == 0; }));
+  EXPECT_TRUE(
+      harness.RunUntil([&] { return options.held_bytes->Held(policy::BodyKind::kAnswer) == 0; }));
 }
 
 }  // namespace
