The store's answers are bounded: heads of 64 KiB, bodies of 16 MiB; a test of refusal for room at the server

Cause: heads of answers that libcurl reads were bounded by libcurl alone, in some versions not at all, and bodies by 64 MB, more than a third of the smallest hosts. CallServerLimitsTest.RefusesBodiesWithoutRoomUntilThereIsRoomAgain plays the server's side of the memory bound.

--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -14,6 +14,8 @@
 
 constexpr long kConnectTimeoutMilliseconds = 3000;
 constexpr long kMaxIdleSeconds = 60;
+/// Of the heads of one response, interim ones and trailers included. Not every libcurl has a limit.
+constexpr std::size_t kMaxHeadBytes = std::size_t{64} << 10;
 /// A connection whose far end no longer knows it, without a word, is noticed by TCP's keep-alive
 /// after about so many seconds: idle time, then probes.
 constexpr long kKeepAliveIdleSeconds = 1;
@@ -190,8 +192,8 @@
 }
 
 std::size_t Transfer::OnHeader(char* data, std::size_t size, std::size_t count, void* transfer) {
-  static_cast<Transfer*>(transfer)->ReadHeaderLine({data, size * count});
-  return size * count;
+  const bool taken = static_cast<Transfer*>(transfer)->ReadHeaderLine({data, size * count});
+  return taken ? size * count : 0;
 }
 
 std::size_t Transfer::OnBody(char* data, std::size_t size, std::size_t count, void* transfer) {
@@ -199,7 +201,10 @@
   return taken ? size * count : 0;
 }
 
-void Transfer::ReadHeaderLine(std::string_view line) {
+bool Transfer::ReadHeaderLine(std::string_view line) {
+  this->head_bytes += line.size();
+  this->too_large = this->head_bytes > kMaxHeadBytes;
+  if (this->too_large) return false;
   if (line.starts_with("HTTP/")) {
     // Headers of an interim (1xx) response do not belong to the final one.
     this->response.headers.clear();
@@ -207,13 +212,14 @@
     long status = 0;
     curl_easy_getinfo(this->handle.get(), CURLINFO_RESPONSE_CODE, &status);
     this->response.status = static_cast<int>(status);
-    return;
+    return true;
   }
   if (TrimBlanks(line).empty()) this->head_complete = true;
   const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return;
+  if (colon == std::string_view::npos) return true;
   this->response.headers.push_back({std::string(TrimBlanks(line.substr(0, colon))),
                                     std::string(TrimBlanks(line.substr(colon + 1)))});
+  return true;
 }
 
 bool Transfer::ReadBody(std::string_view piece) {
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -72,7 +72,8 @@
   void SetHeaders();
   void SetLimits();
   void AppendHeader(const std::string& line);
-  void ReadHeaderLine(std::string_view line);
+  /// False when the heads are too large together.
+  bool ReadHeaderLine(std::string_view line);
   bool ReadBody(std::string_view piece);
   bool IsComplete() const;
   bool BodyLengthIsKnown() const;
@@ -90,6 +91,7 @@
   char error_text[CURL_ERROR_SIZE] = {};
   bool connection_made = false;
   bool found_unread_bytes = false;
+  std::size_t head_bytes = 0;
   bool head_complete = false;
   bool too_large = false;
 };
--- a/src/store/etcd_store.cc
+++ b/src/store/etcd_store.cc
@@ -11,7 +11,7 @@
 namespace fireflyrun::store {
 namespace {
 
-constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 20;
+constexpr std::size_t kMaxAnswerBytes = std::size_t{16} << 20;
 constexpr int kStatusOk = 200;
 constexpr int kStatusRequestTimeout = 408;
 constexpr int kStatusTooManyRequests = 429;
--- a/src/store/etcd_watch.cc
+++ b/src/store/etcd_watch.cc
@@ -10,7 +10,7 @@
 namespace fireflyrun::store {
 namespace {
 
-constexpr std::size_t kMaxLineBytes = std::size_t{64} << 20;
+constexpr std::size_t kMaxLineBytes = std::size_t{16} << 20;
 constexpr Duration kReopenDelay = std::chrono::milliseconds(100);
 
 }  // namespace
--- a/tests/http/call_server_limits_test.cc
+++ b/tests/http/call_server_limits_test.cc
@@ -53,6 +53,32 @@
   EXPECT_EQ(this->requests.size(), 1U);
 }
 
+/// Guards against bodies that add up while they are read: what has no room is refused as not run.
+TEST_F(CallServerLimitsTest, RefusesBodiesWithoutRoomUntilThereIsRoomAgain) {
+  constexpr std::size_t kBodyBytes = 400'000;
+  this->options.held_bytes = std::make_shared<policy::HeldBytes>(std::size_t{1} << 20);
+  this->Limits().max_body_bytes = std::size_t{1} << 20;
+  this->Restart();
+  const std::string head =
+      std::string(kPost) + "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n";
+  const auto begun = this->ConnectAndSend(head + "x");
+  EXPECT_TRUE(RunUntil(this->loop, [&] {
+    return this->options.held_bytes->Held(policy::BodyKind::kRequest) == kBodyBytes;
+  }));
+  const std::string refusal = this->AnswerTo(head + "x");
+  EXPECT_TRUE(IsRejection(refusal, "503")) << refusal;
+  EXPECT_NE(refusal.find("Retry-After: 1\r\n"), std::string::npos);
+  const auto small = this->ConnectAndSend(std::string(kPost) + "Content-Length: 1\r\n\r\nx");
+  EXPECT_TRUE(this->WaitForRequests(1));
+  begun->Write(std::string(kBodyBytes - 1, 'x'));
+  EXPECT_TRUE(this->WaitForRequests(2));
+  this->exchanges[1]->Respond({200, {}, "ok"});
+  EXPECT_TRUE(RunUntil(
+      this->loop, [&] { return this->options.held_bytes->Held(policy::BodyKind::kRequest) <= 1; }));
+  const auto later = this->ConnectAndSend(head + std::string(kBodyBytes, 'x'));
+  EXPECT_TRUE(this->WaitForRequests(3));
+}
+
 /// Sends an announced body that is too large, whatever the server answers; gives how that ended.
 asio::error_code SendTooLarge(asio::io_context& loop, RawConnection& caller, std::size_t size) {
   const std::string request =
--- a/tests/http/client_error_test.cc
+++ b/tests/http/client_error_test.cc
@@ -124,6 +124,20 @@
   EXPECT_EQ(FetchText(sized, request)->value().body, "12345");
 }
 
+/// Guards against heads without end from the store, whose answers this client reads.
+TEST(ClientErrorTest, HeadOverTheLimitIsTooLarge) {
+  const std::string filler = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+  std::string headers;
+  while (headers.size() < std::size_t{100} << 10) headers += filler;
+  const std::string head = "HTTP/1.1 200 OK\r\n" + headers;
+  EXPECT_EQ(KindOf(FetchText(head + "Content-Length: 2\r\n\r\nok")), ClientErrorKind::kTooLarge);
+  std::string interim;
+  for (int i = 0; i < 100; ++i) interim += "HTTP/1.1 103 Early\r\n" + filler + "\r\n";
+  EXPECT_EQ(KindOf(FetchText(interim + kWholeResponse)), ClientErrorKind::kTooLarge);
+  EXPECT_TRUE(
+      FetchText("HTTP/1.1 200 OK\r\n" + filler + "Content-Length: 2\r\n\r\nok")->has_value());
+}
+
 TEST(ClientErrorTest, LineBreaksInHeadersAreNotSent) {
   ClientRequest request;
   request.headers = {{"X-Tag", "a\r\nInjected: 1"}};
