Bodies up to the operator's limit are served: 64 MiB in the platform's settings

Cause: a node's own limit of 8 MiB stood beside the operator's, so that 9 MB were answered 413 though the configuration allows 64. The limit guarded the node's memory, which is bounded as a whole now.

--- a/tests/integration/memory_bound_test.cc
+++ b/tests/integration/memory_bound_test.cc
@@ -36,7 +36,8 @@
 constexpr std::size_t kLargeBody = 7 * kMegabyte;  ///< Allowed, and as a length also true.
 constexpr milliseconds kLimit{20'000};
 constexpr milliseconds kDripGap{50};
-const std::vector<std::string> kNodeFlags = {"--memory-limit", std::to_string(kMemoryLimit)};
+const std::vector<std::string> kNodeFlags = {"--memory-limit", std::to_string(kMemoryLimit),
+                                             "--max-body-bytes", "67108864"};
 const std::string kHead = "HTTP/1.1 200 OK\r\n";
 
 /// The most memory that the process has had resident, in megabytes.
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -385,6 +385,20 @@
   EXPECT_NEAR(at_front, 0.8 * kCalls, 0.01 * kCalls);
 }
 
+/// Guards against 413 for what the operator allows: the node's own limit was 8 MiB, whatever the
+/// configuration said.
+TEST_F(PlatformNodeTest, BodiesThatTheConfigurationAllowsAreServed) {
+  constexpr std::size_t kAllowed = 15 << 20;
+  this->StartServing();
+  const std::string body(kAllowed, 'b');
+  const HttpAnswer answer =
+      this->fleet.Call(kFrontNode, "POST", "/upload/x", Headers(NewId()), body);
+  EXPECT_EQ(answer.status, 200) << answer.body << answer.error;
+  const std::string larger((1 << 24) + 1, 'b');
+  EXPECT_EQ(this->fleet.Call(kFrontNode, "POST", "/upload/x", Headers(NewId()), larger).status,
+            413);
+}
+
 /// What another writer may leave in place of a target or a node; `depth` is that of nested values.
 std::vector<std::string> OddEntries(int depth) {
   std::string nested_objects;
