--- a/src/store/record_watch.cc
+++ b/src/store/record_watch.cc
@@ -1,18 +1,13 @@
 #include "store/record_watch.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "common/log_event.h"
-#include "common/random.h"
 #include "common/timer_service.h"
 
 namespace fireflyrun::store {
 namespace {
 
-constexpr Duration kMinRetryDelay = std::chrono::milliseconds(250);
-/// So long after the store's return the records are followed again.
-constexpr Duration kMaxRetryDelay = std::chrono::seconds(1);
 /// A watch that was open for at least this long resets the retry delay.
 constexpr Duration kStableWatchDuration = std::chrono::seconds(10);
 
@@ -32,8 +27,7 @@
       timers(timer_service),
       keys(std::move(key_space)),
       on_change_set(std::move(change_set_hook)),
-      on_transfer(std::move(transfer_hook)),
-      retry_delay(kMinRetryDelay) {}
+      on_transfer(std::move(transfer_hook)) {}
 
 RecordWatch::~RecordWatch() = default;
 
@@ -61,7 +55,7 @@
 
 void RecordWatch::OnRead(tl::expected<Listing, StoreError> result) {
   if (!result) {
-    this->RetryLater();
+    this->ReadAllAfter(this->backoff.Next());
     return;
   }
   RecordListing read = ReadRecordListing(this->keys, *result);
@@ -108,23 +102,19 @@
   LogEvent(LogLevel::kInfo, "records", "watch-ended")
       .Add("cause", kStoreErrorKindNames.NameOf(error.kind))
       .Add("detail", error.message);
-  if (SteadyClock::now() - this->watch_opened >= kStableWatchDuration) {
-    this->retry_delay = kMinRetryDelay;
-  }
-  if (error.kind == StoreErrorKind::kCompacted && this->retry_delay == kMinRetryDelay) {
+  if (SteadyClock::now() - this->watch_opened >= kStableWatchDuration) this->backoff.Reset();
+  const bool is_first_failure = this->backoff.IsReset();
+  const Duration delay = this->backoff.Next();
+  if (error.kind == StoreErrorKind::kCompacted && is_first_failure) {
     // A listing lets the watch resume after the compacted revisions; only a repeated compaction has
     // to wait.
-    this->retry_delay *= 2;
     this->ReadAll();
-    return;
+  } else {
+    this->ReadAllAfter(delay);
   }
-  this->RetryLater();
 }
 
-void RecordWatch::RetryLater() {
-  const auto half = static_cast<std::uint64_t>(this->retry_delay.count() / 2);
-  const Duration delay = this->retry_delay / 2 + Duration(RandomBelow(half + 1));
-  this->retry_delay = std::min(this->retry_delay * 2, kMaxRetryDelay);
+void RecordWatch::ReadAllAfter(Duration delay) {
   this->retry_timer = this->timers.After(delay, [weak = this->weak_from_this()] {
     const auto self = weak.lock();
     if (self && !self->stopped) self->ReadAll();
--- a/src/store/record_watch.h
+++ b/src/store/record_watch.h
@@ -12,6 +12,7 @@
 #include "records/transfer.h"
 #include "store/record_codec.h"
 #include "store/store.h"
+#include "store/store_backoff.h"
 #include "store/store_error.h"
 
 namespace fireflyrun {
@@ -44,7 +45,7 @@
   void OpenWatch(Revision first_revision);
   void OnBatch(const ChangeBatch& batch);
   void OnWatchEnd(const StoreError& error);
-  void RetryLater();
+  void ReadAllAfter(Duration delay);
 
   Store& store;
   TimerService& timers;
@@ -54,7 +55,7 @@
   Revision last_delivered = 0;
   Store::WatchId watch = 0;
   SteadyTime watch_opened;
-  Duration retry_delay;
+  StoreBackoff backoff;
   TimerSubscription retry_timer;
   bool stopped = false;
 };
--- a/src/store/store_backoff.h
+++ b/src/store/store_backoff.h
@@ -29,6 +29,9 @@
   /// After an attempt that reached the store.
   void Reset() { this->longest = kFirstDelay; }
 
+  /// True while no delay was needed since the last reset.
+  bool IsReset() const { return this->longest == kFirstDelay; }
+
  private:
   Duration longest = kFirstDelay;
 };
--- a/tests/platform/platform_meeting_test.cc
+++ b/tests/platform/platform_meeting_test.cc
@@ -24,8 +24,11 @@
 /// The same from the return of the processes, if the store is there.
 constexpr seconds kRecoveryTime{15};
 constexpr seconds kLimit{40};
+constexpr seconds kOutage{8};
 /// Until the leases in the roster have ended.
 constexpr seconds kLongOutage{40};
+/// Until a lease that was not renewed in an outage would have ended.
+constexpr seconds kBetweenOutages{35};
 
 std::string ServiceOf(std::size_t host) { return "s" + std::to_string(host); }
 
@@ -97,7 +100,7 @@
 
 TEST_F(PlatformMeetingTest, AfterAFirstStartWithoutTheStore) {
   for (const Mode mode : {Mode::kBusy, Mode::kSilent, Mode::kReset}) {
-    for (const seconds outage : {seconds(1), seconds(8)}) {
+    for (const seconds outage : {seconds(1), kOutage}) {
       SCOPED_TRACE(static_cast<int>(mode));
       this->SetFault(mode);
       this->StartAll();
@@ -115,13 +118,13 @@
   this->StartAll();
   ASSERT_TRUE(WaitUntil(kLimit, [this] { return this->AllMeet(); }));
   this->SetFault(Mode::kBusy);
-  std::this_thread::sleep_for(seconds(8));
+  std::this_thread::sleep_for(kOutage);
   this->SetFault(Mode::kOk);
-  std::this_thread::sleep_for(seconds(35));
+  std::this_thread::sleep_for(kBetweenOutages);
   this->SetFault(Mode::kBusy);
   this->KillAll();
   this->StartAll();
-  std::this_thread::sleep_for(seconds(8));
+  std::this_thread::sleep_for(kOutage);
   this->SetFault(Mode::kOk);
   EXPECT_LE(this->TimeToMeet("kill of all between outages"), kMeetingTime);
 }
