--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -34,8 +34,8 @@
   std::string lines;
   while (lines.size() < 65536) lines += "a: b\r\n";
   std::size_t sent = 0;
-  bool open = SendAll(connection, "HTTP/1.1 200 OK\r\nRequest-Id: " + request.Header("Request-Id") +
-                                      "\r\n");
+  bool open = SendAll(connection,
+                      "HTTP/1.1 200 OK\r\nRequest-Id: " + request.Header("Request-Id") + "\r\n");
   while (open && sent < (std::size_t{64} << 20)) {
     open = SendAll(connection, lines);
     sent += open ? lines.size() : 0;
@@ -89,8 +89,8 @@
         const std::string id = NewId();
         const bool files = n % 2 == 0;
         const Message answer =
-            Call(machine.ip, machine.outbound, files ? "POST" : "GET", files ? "/clerk/a" : "/cal/a",
-                 RequestHeaders(id, 3000), files ? "x" : "", 4);
+            Call(machine.ip, machine.outbound, files ? "POST" : "GET",
+                 files ? "/clerk/a" : "/cal/a", RequestHeaders(id, 3000), files ? "x" : "", 4);
         if (!answer.complete) record.Line("client: %s no answer", id.c_str());
         answer.Status() == 200 ? ++answered : answer.complete ? ++other : ++lost;
         Sleep(0.1);
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -332,9 +332,10 @@
     std::thread([this] {
       for (;; Sleep(0.05)) this->ExpireLeases();
     }).detach();
-    return this->server.Start(this->ip, &this->port, [this](int connection, const Message& request) {
-      return SendAll(connection, this->Perform(request));
-    });
+    return this->server.Start(this->ip, &this->port,
+                              [this](int connection, const Message& request) {
+                                return SendAll(connection, this->Perform(request));
+                              });
   }
   std::string Address() const { return this->ip + ":" + std::to_string(this->port); }
 
@@ -514,7 +515,8 @@
       const std::lock_guard<std::mutex> lock(this->mutex);
       Json events = Json::array();
       for (const auto& [key, item] : this->items) {
-        if (key.starts_with(prefix) && item.rev > after) events.push_back(this->Describe(key, item));
+        if (key.starts_with(prefix) && item.rev > after)
+          events.push_back(this->Describe(key, item));
       }
       if (!events.empty() || Now() >= end) {
         return Respond(200, {{"events", events}, {"asOf", this->revision}});
@@ -552,7 +554,8 @@
     const std::string program = binary != nullptr ? binary : "target/build/src/cli/fireflyrun";
     const std::string boot = "FIREFLYRUN_BOOT=" + settings;
     const std::string memory = "FIREFLYRUN_MEMORY_LIMIT=" + std::to_string(this->memory_mb);
-    const std::string path = std::string("PATH=") + (std::getenv("PATH") ? std::getenv("PATH") : "");
+    const std::string path =
+        std::string("PATH=") + (std::getenv("PATH") ? std::getenv("PATH") : "");
     char* const arguments[] = {const_cast<char*>(program.c_str()), const_cast<char*>("node"),
                                nullptr};
     char* const environment[] = {const_cast<char*>(boot.c_str()), const_cast<char*>(memory.c_str()),
@@ -659,8 +662,8 @@
     char pattern[] = "/tmp/review-XXXXXX";
     this->folder = mkdtemp(pattern);
     std::mt19937 random(static_cast<unsigned>(getpid()) ^ std::random_device()());
-    this->prefix = "127." + std::to_string(1 + random() % 250) + "." +
-                   std::to_string(random() % 250) + ".";
+    this->prefix =
+        "127." + std::to_string(1 + random() % 250) + "." + std::to_string(random() % 250) + ".";
   }
 
   ~Deployment() { this->End(); }
@@ -842,12 +845,13 @@
 /// A route of the operator's configuration.
 inline Json Route(const std::string& prefix, const std::string& kind, const std::string& service,
                   double timeout_s = 5, int max_attempts = 2) {
-  return {{"host", "hulo84.example"}, {"prefix", prefix},       {"kind", kind},
-          {"timeoutS", timeout_s},    {"targetLatencyS", 1.5},  {"priority", 0},
+  return {{"host", "hulo84.example"}, {"prefix", prefix},           {"kind", kind},
+          {"timeoutS", timeout_s},    {"targetLatencyS", 1.5},      {"priority", 0},
           {"service", service},       {"maxAttempts", max_attempts}};
 }
 
-inline Json Configuration(int version, const Json& routes, const std::vector<std::string>& services) {
+inline Json Configuration(int version, const Json& routes,
+                          const std::vector<std::string>& services) {
   Json document = {{"version", version}, {"routes", routes}, {"services", Json::object()}};
   for (const std::string& service : services) {
     document["services"][service] = {
