--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -55,12 +55,6 @@
   return true;
 }
 
-/// True unless the script runs with TROUBLE=0.
-inline bool Trouble() {
-  const char* value = std::getenv("TROUBLE");
-  return value == nullptr || std::string(value) != "0";
-}
-
 /// The record of a run: one line for each thing that was sent, answered or run.
 class Record {
  public:
@@ -824,6 +818,7 @@
       return Answer(421, instance + echo + "Not-Executed: 1\r\n", "");
     }
     ++this->runs;
+    record.Line("upstream %s: runs %s", this->id.c_str(), request.Header("Request-Id").c_str());
     if (this->on_request) return this->on_request(connection, request);
     Sleep(this->work_s);
     return Answer(200, echo + "Response-Seal: 1.2.3\r\n", "done " + request.Header("Request-Id"));
@@ -833,6 +828,24 @@
   std::atomic<bool> alive = false;
 };
 
+inline std::string RequestHeaders(const std::string& id, int deadline_ms) {
+  return "Host: hulo84.example\r\nRequest-Id: " + id +
+         "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+}
+
+/// One request of a client, with its lines in the record; the answer's status, 0 without one.
+inline int Request(const std::string& ip, int port, const std::string& method,
+                   const std::string& path, const std::string& id, const std::string& body) {
+  record.Line("client: sends %s %s, id %s", method.c_str(), path.c_str(), id.c_str());
+  const Message answer = Call(ip, port, method, path, RequestHeaders(id, 3000), body, 4);
+  if (answer.complete) {
+    record.Line("client: %s is answered %d", id.c_str(), answer.Status());
+  } else {
+    record.Line("client: %s gets no answer", id.c_str());
+  }
+  return answer.complete ? answer.Status() : 0;
+}
+
 inline std::string NewId() {
   static std::mutex mutex;
   static std::mt19937_64 random(std::random_device{}());
@@ -864,9 +877,4 @@
   return document;
 }
 
-inline std::string RequestHeaders(const std::string& id, int deadline_ms) {
-  return "Host: hulo84.example\r\nRequest-Id: " + id +
-         "\r\nDeadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
-}
-
 }  // namespace lab
