--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "http/parser_limit.h"
 #include "http/status.h"
 #include "http/target_request.h"
 
@@ -13,6 +14,8 @@
 
 constexpr std::size_t kMaxStrayAnswers = 3;
 constexpr std::size_t kMaxInterimAnswers = 16;
+/// Of one answer, from its status line to its empty line.
+constexpr std::size_t kMaxHeadBytes = std::size_t{64} << 10;
 constexpr std::size_t kMaxReservedBytes = std::size_t{1} << 20;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
@@ -56,11 +59,13 @@
 
 tl::expected<bool, ClientError> AnswerReader::Consume(std::string_view bytes) {
   while (!bytes.empty() && !this->complete) {
+    const std::string_view piece = this->NextPiece(bytes);
     const std::size_t parsed =
-        http_parser_execute(&this->parser, &Settings(), bytes.data(), bytes.size());
+        http_parser_execute(&this->parser, &Settings(), piece.data(), piece.size());
     const http_errno outcome = HTTP_PARSER_ERRNO(&this->parser);
     const bool parses = outcome == HPE_OK || outcome == HPE_PAUSED;
     if (this->error || !parses || parsed == 0) return this->ParserFailure();
+    if (!this->CountHead(parsed)) return this->ParserFailure();
     if (!this->ResumeAfter(bytes.substr(0, parsed))) return this->ParserFailure();
     bytes.remove_prefix(parsed);
   }
@@ -68,6 +73,21 @@
   return this->complete;
 }
 
+/// While a head is read, not more than a whole one may have.
+std::string_view AnswerReader::NextPiece(std::string_view bytes) const {
+  if (this->head_complete) return bytes;
+  return bytes.substr(0, kMaxHeadBytes - this->head_bytes);
+}
+
+/// Counts what was parsed of a head; false when it is too large.
+bool AnswerReader::CountHead(std::size_t parsed) {
+  if (this->head_complete) return true;
+  this->head_bytes += parsed;
+  this->held_headers = http::HeldBytes(this->response.headers);
+  if (this->head_bytes < kMaxHeadBytes) return true;
+  return this->Reject(ClientErrorKind::kBadAnswer, "the head of the answer is too large");
+}
+
 /// Goes on after a pause, if there was one; false when the bytes before it are malformed.
 bool AnswerReader::ResumeAfter(std::string_view parsed) {
   const Pause cause = std::exchange(this->pause, Pause::kNone);
@@ -99,6 +119,7 @@
 
 const http_parser_settings& AnswerReader::Settings() {
   static const http_parser_settings settings = [] {
+    SetParserLimit();
     http_parser_settings made;
     http_parser_settings_init(&made);
     made.on_message_begin = &AnswerReader::OnMessageBegin;
@@ -119,6 +140,8 @@
   this->parser.data = this;
   this->response = Response();
   this->message_begun = false;
+  this->head_bytes = 0;
+  this->held_headers = 0;
   this->head_complete = false;
   this->value_begun = false;
   this->skips_message = false;
@@ -140,9 +163,9 @@
 int AnswerReader::OnHeaderName(http_parser* parser, const char* data, std::size_t size) {
   AnswerReader& reader = ReaderOf(parser);
   if (reader.head_complete) return kContinue;  // A trailer.
-  Headers& headers = reader.response.headers;
-  if (headers.empty() || std::exchange(reader.value_begun, false)) headers.emplace_back();
-  headers.back().name.append(data, size);
+  const bool begins = reader.response.headers.empty() || std::exchange(reader.value_begun, false);
+  if (begins && !reader.AddHeader()) return kStop;
+  reader.response.headers.back().name.append(data, size);
   return kContinue;
 }
 
@@ -157,6 +180,7 @@
 int AnswerReader::OnHead(http_parser* parser) {
   AnswerReader& reader = ReaderOf(parser);
   reader.head_complete = true;
+  reader.held_headers = http::HeldBytes(reader.response.headers);
   reader.response.status = static_cast<int>(parser->status_code);
   if (!reader.AcceptHead()) return kStop;
   return reader.HasNoBody() ? kSkipBody : kContinue;
@@ -189,6 +213,15 @@
   return kContinue;
 }
 
+bool AnswerReader::AddHeader() {
+  Headers& headers = this->response.headers;
+  if (headers.size() >= kMaxHeaders) {
+    return this->Reject(ClientErrorKind::kBadAnswer, "the answer has too many headers");
+  }
+  headers.emplace_back();
+  return true;
+}
+
 bool AnswerReader::AcceptHead() {
   const int status = this->response.status;
   const bool interim = status < kFirstFinalStatus && status != kSwitchingProtocols;
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -53,10 +53,10 @@
 
   std::size_t StrayAnswers() const { return this->stray_answers; }
 
-  /// Bytes of memory that the answer's body takes so far, beside the reader itself.
+  /// Bytes of memory that the answer takes so far, its headers included, beside the reader itself.
   std::size_t HeldBytes() const {
     const std::size_t bytes = this->response.body.capacity();
-    return bytes > std::string().capacity() ? bytes : 0;
+    return this->held_headers + (bytes > std::string().capacity() ? bytes : 0);
   }
 
   /// The complete answer, without headers of its connection or its framing.
@@ -74,6 +74,8 @@
   static int OnMessageEnd(http_parser* parser);
 
   void BeginMessage();
+  std::string_view NextPiece(std::string_view bytes) const;
+  bool CountHead(std::size_t parsed);
   tl::expected<bool, ClientError> ParserFailure() const;
   bool ResumeAfter(std::string_view parsed);
   bool AcceptHead();
@@ -81,6 +83,7 @@
   bool AcceptFraming();
   bool AppendBody(std::string_view piece);
   bool Reject(ClientErrorKind kind, std::string_view message);
+  bool AddHeader();
   bool HasNoBody() const;
 
   /// Why the parser was paused.
@@ -98,6 +101,8 @@
   std::size_t interim_answers = 0;
   std::size_t skipped_bytes = 0;  ///< Of the bodies of answers to other requests.
   bool message_begun = false;
+  std::size_t head_bytes = 0;    ///< Parsed before the head was complete.
+  std::size_t held_headers = 0;  ///< Bytes of memory.
   bool head_complete = false;
   bool value_begun = false;
   bool skips_message = false;
--- a/src/http/call_connection.cc
+++ b/src/http/call_connection.cc
@@ -52,8 +52,8 @@
       socket(std::move(connected)),
       remote_address(std::move(address)),
       id(connection_id),
-      held_request(this->core->Held(), policy::BodyKind::kRequest),
-      held_response(this->core->Held(), policy::BodyKind::kAnswer),
+      held_request(this->core->Held(), policy::MessageKind::kRequest),
+      held_response(this->core->Held(), policy::MessageKind::kAnswer),
       limits(this->core->Limits()) {
   asio::error_code ignored;
   this->socket.non_blocking(true, ignored);
@@ -85,7 +85,7 @@
   WriteResponseHead(response, framing, this->response_head);
   const bool has_body = !this->head_only && !NeverHasBody(response.status);
   this->response_body = has_body ? std::move(response.body) : std::string();
-  this->held_response.Set(this->response_body.size());
+  this->held_response.Set(this->response_head.size() + this->response_body.size());
   this->Write();
 }
 
@@ -271,19 +271,26 @@
 void CallConnection::ContinueRequest(RequestReader::Progress progress) {
   switch (progress) {
     case RequestReader::Progress::kNeedsHead:
+      if (!this->HoldRequest()) return this->RefuseForRoom();
       if (this->deadline == SteadyTime::max()) this->SetDeadline(this->limits.header_timeout);
       return;
     case RequestReader::Progress::kNeedsBody:
-      if (!this->held_request.Grow(this->reader.BodyBytes())) return this->RefuseForRoom();
+      if (!this->HoldRequest()) return this->RefuseForRoom();
       this->SetDeadline(this->limits.body_timeout);
       if (this->reader.Head().expects_continue) this->SendContinue();
       return;
     case RequestReader::Progress::kComplete:
-      if (!this->held_request.Grow(this->reader.BodyBytes())) return this->RefuseForRoom();
+      if (!this->HoldRequest()) return this->RefuseForRoom();
       return this->Dispatch();
   }
 }
 
+/// Counts what has been read of the request; false when there is no room for it.
+bool CallConnection::HoldRequest() {
+  const bool reads_head = !this->reader.HeadComplete();
+  return this->held_request.Grow(reads_head ? this->input.Capacity() : this->reader.HeldBytes());
+}
+
 /// It has not run: the handler never sees it.
 void CallConnection::RefuseForRoom() {
   this->Refuse(RejectionText(kServiceUnavailable, {{"Retry-After", "1"}}));
--- a/src/http/call_connection.h
+++ b/src/http/call_connection.h
@@ -92,6 +92,7 @@
   void Advance();
   void BeginRequest();
   void ContinueRequest(RequestReader::Progress progress);
+  bool HoldRequest();
   void RefuseForRoom();
   void SendContinue();
   void Dispatch();
@@ -118,8 +119,7 @@
   std::uint64_t id;
   InputBuffer input;
   RequestReader reader;
-  policy::HeldBytesShare
-      held_request;  ///< From the first bytes of the body to the end of the response.
+  policy::HeldBytesShare held_request;  ///< From its first bytes to the end of the response.
   policy::HeldBytesShare held_response;
   CallServerLimits limits;  ///< Of the current message.
   std::string response_head;
--- a/src/http/call_server_options.h
+++ b/src/http/call_server_options.h
@@ -23,8 +23,8 @@
   /// reader is cut off early.
   Duration unacknowledged_timeout = std::chrono::seconds(10);
   CallServerLimits limits;
-  /// Counts the bodies of requests and responses; may be null. Without room for a request's body,
-  /// the request is answered 503 before it is read in full.
+  /// Counts requests and responses; may be null. Without room for a request, it is answered 503
+  /// before it is read in full.
   std::shared_ptr<policy::HeldBytes> held_bytes;
 };
 
--- a/src/http/headers.cc
+++ b/src/http/headers.cc
@@ -53,8 +53,20 @@
                      [&set](char character) { return set[static_cast<unsigned char>(character)]; });
 }
 
+/// Short texts stand in the string itself.
+std::size_t HeldBytes(const std::string& text) {
+  static const std::size_t inline_capacity = std::string().capacity();
+  return text.capacity() > inline_capacity ? text.capacity() : 0;
+}
+
 }  // namespace
 
+std::size_t HeldBytes(const Headers& headers) {
+  std::size_t bytes = headers.capacity() * sizeof(Header);
+  for (const Header& header : headers) bytes += HeldBytes(header.name) + HeldBytes(header.value);
+  return bytes;
+}
+
 std::optional<std::string_view> FindHeader(const Headers& headers, std::string_view name) {
   for (const Header& header : headers) {
     if (SameHeaderName(header.name, name)) return header.value;
--- a/src/http/headers.h
+++ b/src/http/headers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -16,6 +17,12 @@
 
 using Headers = std::vector<Header>;
 
+/// The most headers that one message may have.
+inline constexpr std::size_t kMaxHeaders = 1000;
+
+/// Bytes of memory that the headers take, which is many times their text where they are short.
+std::size_t HeldBytes(const Headers& headers);
+
 /// The first value of a header, whatever the case of its name.
 std::optional<std::string_view> FindHeader(const Headers& headers, std::string_view name);
 
--- a/src/http/input_buffer.h
+++ b/src/http/input_buffer.h
@@ -15,6 +15,9 @@
     return {this->bytes.data() + this->begin, this->end - this->begin};
   }
 
+  /// Bytes of memory that it takes.
+  std::size_t Capacity() const { return this->bytes.capacity(); }
+
   void Consume(std::size_t size) { this->begin += size; }
 
   /// Space for the next bytes, with room for `capacity` bytes in all or half as many further ones.
--- a/src/http/request_head.cc
+++ b/src/http/request_head.cc
@@ -4,9 +4,9 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cstdint>
 #include <optional>
 
+#include "http/parser_limit.h"
 #include "http/status.h"
 
 namespace fireflyrun::http {
@@ -17,9 +17,7 @@
 constexpr std::string_view kHostPunctuation = "-._~!$&'()*+;=%:[]";
 constexpr std::string_view kSchemeEnd = "://";
 constexpr std::size_t kVersionBytes = 3;
-constexpr std::size_t kMaxHeaders = 1000;
 constexpr std::size_t kUsualHeaders = 16;
-constexpr std::uint32_t kMaxParsedBytes = std::uint32_t{16} << 20;
 
 using Failure = std::optional<int>;
 
@@ -127,7 +125,6 @@
   static const http_parser_settings callbacks = [] {
     http_parser_settings settings;
     http_parser_settings_init(&settings);
-    http_parser_set_max_header_size(kMaxParsedBytes);
     settings.on_url = OnUrl;
     settings.on_header_field = OnHeaderField;
     settings.on_header_value = OnHeaderValue;
@@ -232,7 +229,9 @@
 }
 
 tl::expected<RequestHead, int> ParseRequestHead(std::string_view text) {
+  if (text.size() > kLargestHeadBytes) return tl::make_unexpected(kHeadersTooLarge);
   if (const Failure failure = CheckLines(text)) return tl::make_unexpected(*failure);
+  SetParserLimit();
   HeadParser reader;
   reader.head.headers.reserve(kUsualHeaders);
   http_parser parser;
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -56,6 +56,7 @@
   auto parsed = ParseRequestHead(input.substr(0, size));
   if (!parsed) return tl::make_unexpected(parsed.error());
   this->head = std::move(*parsed);
+  this->held_head = this->head.target.capacity() + http::HeldBytes(this->head.headers);
   this->head_complete = true;
   if (this->head.content_length > this->limits.max_body_bytes) {
     return tl::make_unexpected(kContentTooLarge);
@@ -76,8 +77,12 @@
   return size;
 }
 
+std::size_t RequestReader::HeldBytes() const {
+  return this->head_complete ? this->held_head + this->BodyBytes() : 0;
+}
+
 std::size_t RequestReader::BodyBytes() const {
-  if (this->head_complete && !this->chunks) return this->head.content_length;
+  if (!this->chunks) return this->head.content_length;
   return this->body.empty() ? 0 : this->body.capacity();
 }
 
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -38,8 +38,9 @@
   Request Take();
 
   bool HeadComplete() const { return this->head_complete; }
-  /// Bytes of memory that the body takes, or will take by the length that the head announces.
-  std::size_t BodyBytes() const;
+  /// Bytes of memory that the request takes: its headers, and its body as it will be by the length
+  /// that the head announces. None before the head is whole.
+  std::size_t HeldBytes() const;
   bool BodyBegun() const { return !this->body.empty(); }
 
   /// What the head says, once it was read.
@@ -48,13 +49,15 @@
  private:
   tl::expected<std::size_t, int> ReadHead(std::string_view input);
   tl::expected<std::size_t, int> ReadBody(std::string_view input);
+  std::size_t BodyBytes() const;
   bool Complete() const;
 
   CallServerLimits limits;
   RequestHead head;
   std::string body;
   std::optional<ChunkedBody> chunks;
-  std::size_t scanned = 0;  ///< Bytes of the head known to hold no empty line.
+  std::size_t held_head = 0;  ///< Bytes of memory.
+  std::size_t scanned = 0;    ///< Bytes of the head known to hold no empty line.
   bool head_complete = false;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/parser_limit.h"
 #include "http/problem.h"
 #include "http/reason_phrase.h"
 #include "http/rejection.h"
@@ -27,9 +28,10 @@
 /// request while the first is handled.
 constexpr std::size_t kMaxPipelinedRequests = 2;
 constexpr std::size_t kMaxUrlBytes = std::size_t{16} << 10;
-constexpr std::size_t kMaxHeaderNameBytes = 1024;
-constexpr std::size_t kMaxHeaderValueBytes = std::size_t{32} << 10;
-constexpr std::size_t kMaxHeaders = 128;
+/// The heads of a whole server's connections have to fit into a small host's memory.
+constexpr std::size_t kMaxHeaderNameBytes = 256;
+constexpr std::size_t kMaxHeaderValueBytes = std::size_t{8} << 10;
+constexpr std::size_t kMaxServerHeaders = 64;
 
 /// The status for an error that RESTinio logs before it closes a connection; 0 when the error is
 /// not about the request.
@@ -214,6 +216,7 @@
 
 std::unique_ptr<RestinioServer> ServerCore::MakeServer() {
   using Settings = restinio::server_settings_t<ServerTraits>;
+  SetParserLimit();
   const std::weak_ptr<ServerCore> weak = this->weak_from_this();
   Settings settings;
   settings.address(this->options.address)
@@ -227,7 +230,7 @@
                                     .max_url_size(kMaxUrlBytes)
                                     .max_field_name_size(kMaxHeaderNameBytes)
                                     .max_field_value_size(kMaxHeaderValueBytes)
-                                    .max_field_count(kMaxHeaders)
+                                    .max_field_count(kMaxServerHeaders)
                                     .max_body_size(this->options.max_body_bytes))
       .connection_state_listener(std::make_shared<ConnectionListener>(ConnectionListener{weak}))
       .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& acceptor) {
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -58,9 +58,8 @@
   void OnReadable(TargetConnection& connection);
   void OnWritable(TargetConnection& connection);
   bool ReadOnce(TargetConnection& connection);
-  bool HoldsTooMuch() const;
   void CountHeld(std::size_t before, std::size_t after);
-  bool FailLargestAnswer(const TargetConnection& reading);
+  bool GiveWay(const TargetConnection& reading);
   void OnIdleEnd(TargetConnection& connection);
 
   void Detach(TargetExchange& exchange, ConnectionEnd end);
@@ -94,7 +93,7 @@
                                              TargetClientOptions client_options)
     : timers(timer_service),
       options(std::move(client_options)),
-      held_share(this->options.held_bytes, policy::BodyKind::kAnswer),
+      held_share(this->options.held_bytes, policy::MessageKind::kAnswer),
       read_buffer(kReadBufferBytes) {
   TargetConnection::Hooks made;
   made.on_connected = [this](TargetConnection& connection, const asio::error_code& error) {
@@ -305,29 +304,26 @@
     this->Succeed(exchange);
     return false;
   }
-  if (this->HoldsTooMuch() && !this->FailLargestAnswer(connection)) return false;
+  if (!this->GiveWay(connection)) return false;
   return this->WriteOn(connection) && size == this->read_buffer.size();
 }
 
-bool TargetClient::Implementation::HoldsTooMuch() const {
-  if (this->held_bytes > this->options.max_held_bytes) return true;
-  const auto& counted = this->options.held_bytes;
-  return counted != nullptr && counted->Exceeded(policy::BodyKind::kAnswer);
-}
-
 void TargetClient::Implementation::CountHeld(std::size_t before, std::size_t after) {
   this->held_bytes += after - before;
   this->held_share.Set(this->held_bytes);
 }
 
-/// Small answers are left alone. Returns false if that ended the request that `reading` serves,
-/// which its handler may cancel, or the client.
-bool TargetClient::Implementation::FailLargestAnswer(const TargetConnection& reading) {
+/// Fails the largest answer if too much is held. Returns false if that ended the request that
+/// `reading` serves, which its handler may cancel, or the client.
+bool TargetClient::Implementation::GiveWay(const TargetConnection& reading) {
+  constexpr policy::MessageKind kAnswer = policy::MessageKind::kAnswer;
+  const policy::HeldBytes& counted = *this->options.held_bytes;
+  if (!counted.Exceeded(kAnswer)) return true;
   const auto largest = std::max_element(
       this->exchanges.begin(), this->exchanges.end(), [](const auto& one, const auto& other) {
         return one.second->Reader().HeldBytes() < other.second->Reader().HeldBytes();
       });
-  if (largest->second->Reader().HeldBytes() <= policy::HeldBytes::kSmallBody) return true;
+  if (!counted.MustGiveWay(kAnswer, largest->second->Reader().HeldBytes())) return true;
   const std::weak_ptr<bool> guard = this->alive;
   this->Fail(*largest->second, ClientError{ClientErrorKind::kTooLarge,
                                            "the answers in progress are too large together"});
--- a/src/http/target_client_options.h
+++ b/src/http/target_client_options.h
@@ -18,10 +18,10 @@
   Duration unacknowledged_limit = std::chrono::seconds(10);
   std::size_t max_connections = 1024;      ///< Per address, idle ones included.
   std::size_t max_idle_connections = 128;  ///< Per address.
-  /// Bytes of answers in progress, in all. Beyond, the request with the largest one fails.
-  std::size_t max_held_bytes = std::size_t{64} << 20;
-  /// Counts them with what else the process holds, and fails the largest beyond that limit, too.
-  std::shared_ptr<policy::HeldBytes> held_bytes;
+  /// Counts the answers in progress, with what else the process holds. Beyond its limit, the
+  /// request with the largest answer fails. Not null.
+  std::shared_ptr<policy::HeldBytes> held_bytes =
+      std::make_shared<policy::HeldBytes>(std::size_t{64} << 20);
 };
 
 }  // namespace fireflyrun::http
--- a/src/node/inbound_call.h
+++ b/src/node/inbound_call.h
@@ -30,7 +30,7 @@
 
   Id128 id;
   peer::Call call;
-  policy::HeldBytesShare held;  ///< The call's body.
+  policy::HeldBytesShare held;  ///< The call itself.
   peer::LinkServer::Reply reply;
   SteadyTime arrived;
   SteadyTime started;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -57,7 +57,6 @@
 http::TargetClientOptions MakeTargetClientOptions(
     const std::shared_ptr<policy::HeldBytes>& held_bytes) {
   http::TargetClientOptions options;
-  options.max_held_bytes = held_bytes->Limit(policy::BodyKind::kAnswer);
   options.held_bytes = held_bytes;
   return options;
 }
@@ -288,11 +287,11 @@
   constexpr const char* kHeldBytesHelp = "Bytes of bodies that are held, by kind.";
   this->metrics.AddGauge(
       kHeldBytes, kHeldBytesHelp,
-      [this] { return static_cast<double>(this->held_bytes->Held(policy::BodyKind::kRequest)); },
+      [this] { return static_cast<double>(this->held_bytes->Held(policy::MessageKind::kRequest)); },
       {{"body", "request"}});
   this->metrics.AddGauge(
       kHeldBytes, kHeldBytesHelp,
-      [this] { return static_cast<double>(this->held_bytes->Held(policy::BodyKind::kAnswer)); },
+      [this] { return static_cast<double>(this->held_bytes->Held(policy::MessageKind::kAnswer)); },
       {{"body", "answer"}});
   constexpr const char* kCallersGone = "fireflyrun_callers_gone_total";
   constexpr const char* kCallersGoneHelp =
--- a/src/node/target_service.cc
+++ b/src/node/target_service.cc
@@ -15,6 +15,7 @@
 #include "node/target_limits.h"
 #include "node/target_request.h"
 #include "node/ticket_codec.h"
+#include "peer/held_bytes_of.h"
 #include "policy/admission_request.h"
 #include "records/service_policy.h"
 
@@ -144,8 +145,8 @@
   inbound->arrived = SteadyClock::now();
   inbound->deadline = call.deadline;
   inbound->call = std::move(call);
-  inbound->held = policy::HeldBytesShare(this->options.held_bytes, policy::BodyKind::kRequest);
-  inbound->held.Set(inbound->call.body.size());
+  inbound->held = policy::HeldBytesShare(this->options.held_bytes, policy::MessageKind::kRequest);
+  inbound->held.Set(peer::HeldBytesOf(inbound->call));
   inbound->reply = std::move(reply);
   this->calls[inbound->id] = inbound;
   const auto& head = inbound->call.head;
--- a/src/peer/call.h
+++ b/src/peer/call.h
@@ -16,7 +16,7 @@
   SteadyTime deadline;  ///< By this process's clock, at both ends of a link.
   /// At the called node: how long its head was on its way, at most; zero if that is not known.
   Duration transit_time{};
-  /// At the called node: there was no room for the body, so the call is only to be refused.
+  /// At the called node: there was no room for it, so the call is only to be refused.
   bool body_dropped = false;
 };
 
@@ -24,7 +24,7 @@
 struct Answer {
   pb::AnswerHead head;
   std::string body;
-  /// At the called node: counts the body until it is sent and needed no more. Shared by copies.
+  /// At the called node: counts the answer until it is sent and needed no more. Shared by copies.
   std::shared_ptr<const policy::HeldBytesShare> held;
 };
 
--- a/src/peer/call_table.cc
+++ b/src/peer/call_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "peer/held_bytes_of.h"
+
 namespace fireflyrun::peer {
 namespace {
 
@@ -32,7 +34,7 @@
     this->Forget(found, SeenCallState::kAcknowledged, now);
     return {};
   }
-  record.answer_bytes = answer.body.size() + answer.head.ByteSizeLong();
+  record.answer_bytes = HeldBytesOf(answer);
   record.answer = std::make_shared<const Answer>(std::move(answer));
   record.sent_on = record.caller->newest_link;
   record.retained_position = this->retained.insert(this->retained.end(), call_id);
--- a/src/peer/link.cc
+++ b/src/peer/link.cc
@@ -6,6 +6,7 @@
 
 #include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
+#include "peer/held_bytes_of.h"
 #include "peer/peer.pb.h"
 
 namespace fireflyrun::peer {
@@ -169,13 +170,13 @@
     return this->FinishError(call, LinkErrorKind::kUnknown, "the answer's body is too long");
   }
   const auto& held_bytes = this->options.held_bytes;
-  const std::size_t length = answer_head.body_length();
-  if (held_bytes && !held_bytes->HasRoomFor(policy::BodyKind::kAnswer, length)) {
+  const std::size_t bytes = HeldBytesOf(answer_head) + answer_head.body_length();
+  if (held_bytes && !held_bytes->HasRoomFor(policy::MessageKind::kAnswer, bytes)) {
     this->Acknowledge(*call_id);
-    return this->FinishError(call, LinkErrorKind::kUnknown, "no room for the answer's body");
+    return this->FinishError(call, LinkErrorKind::kUnknown, "no room for the answer");
   }
-  pending.held = policy::HeldBytesShare(held_bytes, policy::BodyKind::kAnswer);
-  pending.held.Set(length);
+  pending.held = policy::HeldBytesShare(held_bytes, policy::MessageKind::kAnswer);
+  pending.held.Set(bytes);
   pending.assembly = BodyAssembly(answer_head.body_length(), answer_head.body_crc32());
   if (answer_head.body_length() > 0) return;
   this->Acknowledge(*call_id);
--- a/src/peer/link_options.h
+++ b/src/peer/link_options.h
@@ -21,8 +21,8 @@
   /// Bodies are split into chunks of this size, so that small calls can be sent between them.
   std::size_t chunk_bytes = std::size_t{32} << 10;
   std::size_t retained_answer_bytes = std::size_t{8} << 20;
-  /// Counts the bodies of calls and answers that arrive, and of answers until they are sent and
-  /// acknowledged; may be null. Those without room are refused or given up.
+  /// Counts the calls and answers that arrive, and answers until they are sent and acknowledged;
+  /// may be null. Those without room are refused or given up.
   std::shared_ptr<policy::HeldBytes> held_bytes;
   Duration heartbeat_period = std::chrono::milliseconds(150);
   /// A link with pending calls sends a heartbeat at least this often, whatever else it sends.
--- a/src/peer/link_server_implementation.cc
+++ b/src/peer/link_server_implementation.cc
@@ -7,6 +7,7 @@
 #include "peer/boot_time_codec.h"
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
+#include "peer/held_bytes_of.h"
 #include "peer/peer.pb.h"
 
 namespace fireflyrun::peer {
@@ -280,7 +281,8 @@
     return this->Refuse(link, *call_id, kBodyTooLarge);
   }
   const auto& held_bytes = this->options.held_bytes;
-  const bool no_room = held_bytes && !held_bytes->HasRoomFor(policy::BodyKind::kRequest, length);
+  const std::size_t bytes = HeldBytesOf(head) + length;
+  const bool no_room = held_bytes && !held_bytes->HasRoomFor(policy::MessageKind::kRequest, bytes);
   if (length == 0 || no_room) {
     Call call;
     call.head.Swap(&head);
@@ -290,8 +292,8 @@
     return this->Run(link, *call_id, std::move(call));
   }
   InboundLink::PartialCall partial;
-  partial.held = policy::HeldBytesShare(held_bytes, policy::BodyKind::kRequest);
-  partial.held.Set(length);
+  partial.held = policy::HeldBytesShare(held_bytes, policy::MessageKind::kRequest);
+  partial.held.Set(bytes);
   partial.call.head.Swap(&head);
   partial.call.deadline = deadline;
   partial.call.transit_time = transit_time;
@@ -399,7 +401,7 @@
   if (!head_fits || !body_fits || !this->HasRoomFor(answer)) {
     answer = MakeTooLargeAnswer(answer.head);
   }
-  answer.held = this->CountBody(answer);
+  answer.held = this->CountAnswer(answer);
   answer.head.set_call_id(call_id.ToBytes());
   answer.head.set_body_length(answer.body.size());
   answer.head.set_body_crc32(Checksum(answer.body));
@@ -417,15 +419,14 @@
 /// Without room the answer is given up: a slow link would let whole answers pile up here.
 bool LinkServer::Implementation::HasRoomFor(const Answer& answer) const {
   const auto& held_bytes = this->options.held_bytes;
-  return !held_bytes || held_bytes->HasRoomFor(policy::BodyKind::kAnswer, answer.body.size());
+  return !held_bytes || held_bytes->HasRoomFor(policy::MessageKind::kAnswer, HeldBytesOf(answer));
 }
 
-std::shared_ptr<const policy::HeldBytesShare> LinkServer::Implementation::CountBody(
+std::shared_ptr<const policy::HeldBytesShare> LinkServer::Implementation::CountAnswer(
     const Answer& answer) const {
-  if (answer.body.empty()) return nullptr;
-  auto share =
-      std::make_shared<policy::HeldBytesShare>(this->options.held_bytes, policy::BodyKind::kAnswer);
-  share->Set(answer.body.size());
+  auto share = std::make_shared<policy::HeldBytesShare>(this->options.held_bytes,
+                                                        policy::MessageKind::kAnswer);
+  share->Set(HeldBytesOf(answer));
   return share;
 }
 
--- a/src/peer/link_server_implementation.h
+++ b/src/peer/link_server_implementation.h
@@ -75,7 +75,7 @@
   void Refuse(const Link& link, const Id128& call_id, std::string_view reason);
   void Finish(const Id128& call_id, Answer answer);
   bool HasRoomFor(const Answer& answer) const;
-  std::shared_ptr<const policy::HeldBytesShare> CountBody(const Answer& answer) const;
+  std::shared_ptr<const policy::HeldBytesShare> CountAnswer(const Answer& answer) const;
   void Flush(const std::shared_ptr<Connection>& connection);
 
   TimerService& timers;
--- a/src/peer/pending_call.h
+++ b/src/peer/pending_call.h
@@ -28,7 +28,7 @@
   TimerSubscription deadline_timer;
   std::unique_ptr<Answer> answer;  ///< Set once the answer's head is received.
   BodyAssembly assembly;
-  policy::HeldBytesShare held;  ///< The answer's body, from its head on.
+  policy::HeldBytesShare held;  ///< The answer, from its head on.
 };
 
 }  // namespace fireflyrun::peer
--- a/src/policy/held_bytes.cc
+++ b/src/policy/held_bytes.cc
@@ -4,8 +4,8 @@
 
 namespace fireflyrun::policy {
 
-HeldBytesShare::HeldBytesShare(std::shared_ptr<HeldBytes> counted_bytes, BodyKind body_kind)
-    : counted(std::move(counted_bytes)), kind(body_kind) {}
+HeldBytesShare::HeldBytesShare(std::shared_ptr<HeldBytes> counted_bytes, MessageKind message_kind)
+    : counted(std::move(counted_bytes)), kind(message_kind) {}
 
 HeldBytesShare::~HeldBytesShare() { this->Set(0); }
 
--- a/tests/http/answer_reader_test.cc
+++ b/tests/http/answer_reader_test.cc
@@ -5,6 +5,7 @@
 
 #include <string>
 
+#include "http/request_head.h"
 #include "http/target_request.h"
 
 namespace fireflyrun::http {
@@ -82,6 +83,81 @@
   }
 }
 
+std::string Repeated(const std::string& text, std::size_t bytes) {
+  std::string repeated;
+  while (repeated.size() < bytes) repeated += text;
+  return repeated;
+}
+
+/// Reads in pieces, as from a connection, until that fails. Gives the most bytes of memory held.
+std::size_t MostHeldOf(const std::string& bytes) {
+  constexpr std::size_t kPieceBytes = 32'768;
+  const TargetRequest request;
+  AnswerReader reader(request);
+  std::size_t most = 0;
+  for (std::size_t begin = 0; begin < bytes.size(); begin += kPieceBytes) {
+    const bool taken =
+        reader.Consume(std::string_view(bytes).substr(begin, kPieceBytes)).has_value();
+    most = std::max(most, reader.HeldBytes());
+    if (!taken) return most;
+  }
+  ADD_FAILURE() << "all of it was taken";
+  return most;
+}
+
+/// Guards against heads without end, whose short header lines take many times their bytes of
+/// memory, at a node that has served a caller: review/6.
+TEST(AnswerReaderTest, HeadsWithoutEndTakeLittleMemoryWhateverWasParsedBefore) {
+  constexpr std::size_t kBytes = std::size_t{12} << 20;
+  constexpr std::size_t kMostHeld = std::size_t{256} << 10;
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> heads = {
+      head + Repeated("a: b\r\n", kBytes),
+      head + Repeated("a:\r\n", kBytes),
+      head + "X: " + std::string(kBytes, 'x'),
+      head + std::string(kBytes, 'x'),
+      head + "X: " + std::string(kBytes, ' '),
+      "HTTP/1.1 200 " + std::string(kBytes, 'x'),
+      Repeated("\r\n", kBytes),
+      Repeated("HTTP/1.1 103 Early\r\n" + Repeated("a: b\r\n", 5'000) + "\r\n", kBytes),
+  };
+  for (const bool served_a_caller : {false, true}) {
+    ASSERT_TRUE(!served_a_caller || ParseRequestHead("GET / HTTP/1.1\r\nHost: x\r\n\r\n"));
+    for (const std::string& text : heads) {
+      EXPECT_LE(MostHeldOf(text), kMostHeld) << text.substr(0, 40);
+    }
+  }
+}
+
+TEST(AnswerReaderTest, HeadersAreHeldByTheMemoryThatTheyTake) {
+  const TargetRequest request;
+  AnswerReader reader(request);
+  ASSERT_TRUE(reader.Consume("HTTP/1.1 200 OK\r\n" + Repeated("a: b\r\n", 3'000)));
+  EXPECT_GE(reader.HeldBytes(), 500 * sizeof(Header));
+  ASSERT_TRUE(reader.Consume("Content-Length: 100\r\n\r\nx"));
+  EXPECT_GE(reader.HeldBytes(), 500 * sizeof(Header) + 100);
+}
+
+/// A head has the same limit in whatever pieces it arrives, and whatever was parsed before.
+TEST(AnswerReaderTest, HeadsUpToTheLimitAreTaken) {
+  constexpr std::size_t kMostBytes = std::size_t{64} << 10;
+  const std::string begin = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX: ";
+  const std::string end = "\r\n\r\n";
+  const std::string value(kMostBytes - begin.size() - end.size(), 'x');
+  for (const std::size_t piece_bytes : {std::size_t{1}, std::size_t{4'096}, 2 * kMostBytes}) {
+    for (const bool too_long : {false, true}) {
+      const std::string bytes = begin + value + (too_long ? "x" : "") + end + "ok";
+      const TargetRequest request;
+      AnswerReader reader(request);
+      tl::expected<bool, ClientError> taken = false;
+      for (std::size_t at = 0; at < bytes.size() && taken; at += piece_bytes) {
+        taken = reader.Consume(std::string_view(bytes).substr(at, piece_bytes));
+      }
+      EXPECT_EQ(taken.has_value(), !too_long) << piece_bytes;
+    }
+  }
+}
+
 TEST(AnswerReaderTest, BodyOverTheLimitIsTooLarge) {
   TargetRequest request;
   request.max_response_bytes = 4;
--- a/tests/integration/memory_bound_test.cc
+++ b/tests/integration/memory_bound_test.cc
@@ -134,6 +134,16 @@
   };
 }
 
+/// `text` as often as fills a large write.
+std::string Repeated(const std::string& text) {
+  std::string repeated;
+  while (repeated.size() < std::size_t{16} << 10) repeated += text;
+  return repeated;
+}
+
+/// About as many headers as one message may have.
+std::string MostOfAHead() { return Repeated("a: b\r\n").substr(0, 5'998); }
+
 /// A script that writes a whole answer with a body of `size` bytes.
 ScriptedTarget::Script Whole(std::size_t size) {
   const std::string head = kHead + "Content-Length: " + std::to_string(size) + "\r\n\r\n";
@@ -178,6 +188,8 @@
     });
     this->target.SetScript(Whole(2));
     ASSERT_TRUE(WaitUntil(kLimit, [this] { return this->StatusOf("/faulty/x") == kOk; }));
+    // Nodes that serve no callers may have other limits.
+    ASSERT_EQ(this->fleet.Call("a2", "GET", "/sound/x").status, kOk);
   }
 
   void TearDown() override {
@@ -261,6 +273,8 @@
       {"a length, and more", Endless(kHead + length, filler)},
       {"most of a body, then a drip", Endless(kHead + length + most, "x", kDripGap)},
       {"head", Endless(kHead, "X-Header: " + filler + "\r\n")},
+      {"short headers", Endless(kHead, Repeated("a: b\r\n"))},
+      {"most of a head, then a drip", Endless(kHead + MostOfAHead(), "x", kDripGap)},
       {"no answer", Endless("", filler)},
   };
   for (const auto& [name, script] : cases) {
@@ -307,6 +321,19 @@
   this->Report("callers that don't read");
 }
 
+/// Guards against heads of requests that add up while callers take long to end them.
+TEST_F(MemoryBoundTest, HeadsOfRequestsAtOnce) {
+  constexpr int kCallers = 1'500;
+  constexpr std::size_t kHeadBytes = 60'000;
+  const std::string head = "GET /sound/x HTTP/1.1\r\nHost: x\r\nX: " + std::string(kHeadBytes, 'x');
+  std::vector<std::unique_ptr<Socket>> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) callers.push_back(this->Connect(head));
+  this->Report("heads of requests");
+  callers.clear();
+  EXPECT_TRUE(WaitUntil(kLimit, [this] { return this->StatusOf("/sound/x") == kOk; }));
+}
+
 /// Guards against request bodies that add up while they are read, or while their calls run.
 TEST_F(MemoryBoundTest, LargeRequestsAtOnce) {
   this->target.SetScript([](Socket& socket) {
--- a/tests/peer/call_table_test.cc
+++ b/tests/peer/call_table_test.cc
@@ -38,6 +38,20 @@
   EXPECT_EQ(this->table.Query(kSecond, 1, this->now).state, pb::CALL_STATE_ANSWERED);
 }
 
+/// Guards against retained answers of many short headers, which take many times their bytes.
+TEST_F(CallTableTest, AnswersAreRetainedByTheMemoryThatTheyTake) {
+  ASSERT_TRUE(this->Begin(kFirst));
+  Answer answer;
+  for (int i = 0; i < 20; ++i) {
+    pb::Header* header = answer.head.add_headers();
+    header->set_name("a");
+    header->set_value("b");
+  }
+  ASSERT_LT(answer.head.ByteSizeLong(), 200U);
+  this->table.Finish(kFirst, std::move(answer), this->now);
+  EXPECT_EQ(this->table.RetainedAnswers(), 0U);
+}
+
 TEST_F(CallTableTest, DuplicateNeverBeginsInAnyState) {
   ASSERT_TRUE(this->Begin(kFirst));
   EXPECT_FALSE(this->Begin(kFirst));
--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+
 #include "peer/checksum.h"
 #include "peer/frame_codec.h"
 #include "tests/peer/raw_link.h"
@@ -134,6 +136,46 @@
   EXPECT_EQ(harness.pool->Counters().late_answers_dropped, 1U);
 }
 
+/// Guards against heads of answers that add up at the entry while their bodies are on the way.
+TEST(LinkTest, HeadsOfAnswersAreHeldByTheMemoryThatTheyTake) {
+  constexpr std::size_t kLimit = std::size_t{1} << 20;
+  constexpr int kCalls = 40;
+  constexpr int kHeaders = 1'000;
+  LinkOptions options = PeerHarness::ShortLimits();
+  options.held_bytes = std::make_shared<policy::HeldBytes>(kLimit);
+  PeerHarness harness(options);
+  asio::ip::tcp::acceptor acceptor(harness.loop, {asio::ip::address_v4::loopback(), 0});
+  harness.address.port = acceptor.local_endpoint().port();
+  std::optional<RawLink> remote;
+  acceptor.async_accept([&](const asio::error_code&, asio::ip::tcp::socket socket) {
+    remote.emplace(harness, std::move(socket));
+  });
+  std::vector<std::shared_ptr<SentCall>> calls;
+  for (int i = 0; i < kCalls; ++i) calls.push_back(harness.Send(""));
+  ASSERT_TRUE(harness.RunUntil([&] { return remote.has_value(); }));
+  remote->SendHello("b", PeerHarness::kIncarnation, 0);
+  ASSERT_TRUE(remote->Await(pb::Frame::kCallHead));
+  pb::AnswerHead head;
+  head.set_outcome(pb::OUTCOME_ANSWERED);
+  head.set_status(200);
+  head.set_body_length(4);
+  for (int i = 0; i < kHeaders; ++i) {
+    pb::Header* header = head.add_headers();
+    header->set_name("a");
+    header->set_value("b");
+  }
+  for (const auto& call : calls) {
+    head.set_call_id(call->id.ToBytes());
+    remote->Send(pb::Frame::kAnswerHeadFieldNumber, head);
+  }
+  const auto given_up = [&] {
+    return std::count_if(calls.begin(), calls.end(),
+                         [](const auto& call) { return call->results > 0; });
+  };
+  EXPECT_TRUE(harness.RunUntil([&] { return given_up() > kCalls / 2; }));
+  EXPECT_LE(options.held_bytes->Held(policy::MessageKind::kAnswer), kLimit);
+}
+
 TEST(LinkTest, ConnectionThatFellSilentIsResetSoThatNothingMoreOfItArrives) {
   PeerHarness harness;
   asio::ip::tcp::acceptor acceptor(harness.loop, {asio::ip::address_v4::loopback(), 0});
