--- a/src/http/answer_reader.cc
+++ b/src/http/answer_reader.cc
@@ -22,7 +22,6 @@
 constexpr int kNoContentStatus = 204;
 constexpr int kNotModifiedStatus = 304;
 constexpr int kFirstErrorStatus = 400;
-constexpr int kLastStatus = 599;
 constexpr int kContinue = 0;
 constexpr int kSkipBody = 1;
 constexpr int kStop = -1;
@@ -60,6 +59,10 @@
 tl::expected<bool, ClientError> AnswerReader::Consume(std::string_view bytes) {
   while (!bytes.empty() && !this->complete) {
     const std::string_view piece = this->NextPiece(bytes);
+    if (!this->status_line.Consume(piece)) {
+      this->Reject(ClientErrorKind::kBadAnswer, "the status line is malformed");
+      return this->ParserFailure();
+    }
     const std::size_t parsed =
         http_parser_execute(&this->parser, &Settings(), piece.data(), piece.size());
     const http_errno outcome = HTTP_PARSER_ERRNO(&this->parser);
@@ -139,6 +142,7 @@
   http_parser_init(&this->parser, HTTP_RESPONSE);
   this->parser.data = this;
   this->response = Response();
+  this->status_line = StatusLineCheck();
   this->message_begun = false;
   this->head_bytes = 0;
   this->held_headers = 0;
@@ -225,7 +229,7 @@
 bool AnswerReader::AcceptHead() {
   const int status = this->response.status;
   const bool interim = status < kFirstFinalStatus && status != kSwitchingProtocols;
-  if (this->parser.http_major != 1 || status < 100 || status > kLastStatus) {
+  if (this->parser.http_major != 1 || status < kLowestStatus || status > kHighestStatus) {
     return this->Reject(ClientErrorKind::kBadAnswer, "the status line is not of HTTP/1.x");
   }
   if (status == kSwitchingProtocols) {
--- a/src/http/answer_reader.h
+++ b/src/http/answer_reader.h
@@ -10,6 +10,7 @@
 #include "common/clock.h"
 #include "http/client_error.h"
 #include "http/response.h"
+#include "http/status_line.h"
 
 namespace fireflyrun::http {
 
@@ -91,6 +92,7 @@
 
   const TargetRequest& request;
   http_parser parser;
+  StatusLineCheck status_line;  ///< Of the current message.
   Pause pause = Pause::kNone;
   char last_byte = '\0';  ///< Of the bytes parsed before.
   bool in_last_chunk = false;
--- a/src/http/target_client.cc
+++ b/src/http/target_client.cc
@@ -283,8 +283,9 @@
   asio::error_code error;
   const std::size_t size = connection.Read(asio::buffer(this->read_buffer), error);
   if (error == asio::error::would_block) return false;
-  // A failed write takes the socket's error with it: a reset reads as a clean end from then on.
-  const bool reset = error && (error != asio::error::eof || exchange.WritingStopped());
+  // A failed write takes the socket's error with it, so a reset reads as a clean end from then on.
+  // Whatever ends before it was sent the whole request breaks off.
+  const bool reset = error && (error != asio::error::eof || !exchange.FullyWritten());
   if (reset) {
     this->Fail(exchange, ClientError{ClientErrorKind::kConnectionLost, error.message()});
     return false;
--- a/src/http/target_exchange.h
+++ b/src/http/target_exchange.h
@@ -47,7 +47,6 @@
 
   /// The connection takes no more bytes, but may still give an answer.
   void StopWriting() { this->writing_stopped = true; }
-  bool WritingStopped() const { return this->writing_stopped; }
   bool MayWrite() const {
     return !this->writing_stopped && !this->FullyWritten() && this->reader.AwaitsAnswer();
   }
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "http/status.h"
+#include "http/status_line.h"
 
 namespace fireflyrun::http {
 namespace {
@@ -206,6 +207,8 @@
   this->too_large = this->head_bytes > kMaxHeadBytes;
   if (this->too_large) return false;
   if (line.starts_with("HTTP/")) {
+    this->malformed = !IsStatusLine(line);
+    if (this->malformed) return false;
     // Headers of an interim (1xx) response do not belong to the final one.
     this->response.headers.clear();
     this->head_complete = false;
@@ -254,6 +257,7 @@
 
 ClientErrorKind Transfer::KindOf(CURLcode code) const {
   if (this->too_large) return ClientErrorKind::kTooLarge;
+  if (this->malformed) return ClientErrorKind::kBadAnswer;
   if (!this->connection_made) return ClientErrorKind::kNotSent;
   if (code == CURLE_OPERATION_TIMEDOUT) return ClientErrorKind::kTimedOut;
   return ClientErrorKind::kConnectionLost;
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -72,7 +72,7 @@
   void SetHeaders();
   void SetLimits();
   void AppendHeader(const std::string& line);
-  /// False when the heads are too large together.
+  /// False when the heads are too large together, or the line is no proper status line.
   bool ReadHeaderLine(std::string_view line);
   bool ReadBody(std::string_view piece);
   bool IsComplete() const;
@@ -94,6 +94,7 @@
   std::size_t head_bytes = 0;
   bool head_complete = false;
   bool too_large = false;
+  bool malformed = false;
 };
 
 }  // namespace fireflyrun::http
--- a/tests/http/answer_reader_test.cc
+++ b/tests/http/answer_reader_test.cc
@@ -158,6 +158,42 @@
   }
 }
 
+/// Lines that are no status line, and one with a status of four digits that http_parser takes for
+/// 200.
+const std::vector<std::string> kMalformedStatusLines = {
+    "HTTP/1.1 0200 OK", "HTTP/1.1 00200 OK", "HTTP/1.1 000 No",  "HTTP/1.1 000",
+    "HTTP/1.1 20 OK",   "HTTP/1.1 2 OK",     "HTTP/1.1 2000 OK", "HTTP/1.1 600 X",
+    "HTTP/1.1 999 X",   "HTTP/1.1 099 X",    "HTTP/1.1 -01 X",   "HTTP/1.1 OK",
+    "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",  "HTTP/1.1 200\tOK", "HTTP/1.1 200x OK",
+    "HTTP/01.1 200 OK", "HTTP/1.10 200 OK",  "HTTP/2.0 200 OK",  "http/1.1 200 OK",
+    "HTTP/1 200 OK",    "HTTP/1.1",
+};
+
+/// Guards against a status that isn't three digits, which callers got as an answer.
+TEST(AnswerReaderTest, StatusLinesThatAreNotProperAreNoAnswers) {
+  for (const std::string& line : kMalformedStatusLines) {
+    const std::string answer = line + "\r\nContent-Length: 0\r\n\r\n";
+    EXPECT_EQ(ErrorOf(answer), ClientErrorKind::kBadAnswer) << line;
+    EXPECT_EQ(ErrorOf(kInterim + answer), ClientErrorKind::kBadAnswer) << line;
+    const TargetRequest request;
+    AnswerReader reader(request);
+    tl::expected<bool, ClientError> taken = false;
+    for (std::size_t at = 0; at < answer.size() && taken; ++at) {
+      taken = reader.Consume(std::string_view(answer).substr(at, 1));
+    }
+    EXPECT_FALSE(taken) << line;
+  }
+}
+
+TEST(AnswerReaderTest, StatusLinesWithoutAReasonAreTaken) {
+  for (const std::string line :
+       {"HTTP/1.1 200 OK", "HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.0 200 A b c"}) {
+    const TargetRequest request;
+    AnswerReader reader(request);
+    EXPECT_TRUE(reader.Consume(line + "\r\nContent-Length: 0\r\n\r\n").value_or(false)) << line;
+  }
+}
+
 TEST(AnswerReaderTest, BodyOverTheLimitIsTooLarge) {
   TargetRequest request;
   request.max_response_bytes = 4;
--- a/tests/http/client_error_test.cc
+++ b/tests/http/client_error_test.cc
@@ -124,6 +124,15 @@
   EXPECT_EQ(FetchText(sized, request)->value().body, "12345");
 }
 
+/// Guards against a status that isn't three digits, in an answer of the store.
+TEST(ClientErrorTest, StatusLinesThatAreNotProperAreNoAnswers) {
+  for (const std::string status : {"0200", "000", "20", "2", "2000", "600", "099", "-01"}) {
+    const auto result = FetchText("HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok");
+    EXPECT_FALSE(result->has_value()) << status;
+  }
+  EXPECT_TRUE(FetchText("HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nok")->has_value());
+}
+
 /// Guards against heads without end from the store, whose answers this client reads.
 TEST(ClientErrorTest, HeadOverTheLimitIsTooLarge) {
   const std::string filler = "X-Filler: " + std::string(1000, 'x') + "\r\n";
--- a/tests/http/target_client_error_test.cc
+++ b/tests/http/target_client_error_test.cc
@@ -98,6 +98,24 @@
   EXPECT_EQ(fixture.FetchError(request), ClientErrorKind::kConnectionLost);
 }
 
+/// Guards against a part of an answer that passes for the whole, as its end came while the target
+/// was still to take most of the request.
+TEST(TargetClientErrorTest, AnswerWithoutALengthThatEndsWhileTheBodyIsWrittenIsLost) {
+  for (const bool in_chunks : {false, true}) {
+    for (const std::string part : {"", "part"}) {
+      TargetFixture fixture([&](RawConnection& connection, int) {
+        const std::string framing = in_chunks ? "Transfer-Encoding: chunked\r\n\r\n4\r\n" : "\r\n";
+        asio::write(connection.socket, asio::buffer("HTTP/1.1 200 OK\r\n" + framing + part));
+        connection.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+        connection.paused = true;
+      });
+      TargetRequest request = fixture.Request("POST");
+      request.body.assign(std::size_t{32} << 20, 'x');
+      EXPECT_EQ(fixture.FetchError(request), ClientErrorKind::kConnectionLost);
+    }
+  }
+}
+
 TEST(TargetClientErrorTest, DestroyedClientCallsNoHandler) {
   TargetFixture fixture(Ignore);
   const auto fail = [](const Result&) { ADD_FAILURE() << "a handler ran after its client"; };
