A store that comes back from an older copy begins a new generation

Callers would have seen: configurations written after the store's return that never come into force on some hosts; two hosts that route by different configurations under one revision; nodes that can't be found, or whose entry in the roster another node's stop removes; a key bound to two tickets.

Cause: revisions and lease ids of the store were taken for numbers that only grow, and nothing read the era that the store's answers tell.

Change: store/store_generation, told by the store's client; an answer counts only if its generation is that of the time of sending. Watches end and are listed anew (store/prefix_follower, one class for records and the configuration), the roster's slot and the lease of bindings count as lost, bindings of the last minute are restored before anyone binds anew.

Tests: store_generation_test, platform_return_test (12 processes), RecordGossip.StoreGenerationThatOneNodeKnowsReachesAll, RecentBindingsTest; the store's stand-in has eras and goes back.

--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -90,6 +90,7 @@
 
 void Membership::Implementation::CompleteDigest(pb::Digest& digest) const {
   digest.set_records_revision(this->records.LocalRevision());
+  digest.set_store_generation(this->records.StoreGeneration());
   for (pb::Accusation& accusation : this->detector.Unreachable()) {
     *digest.add_unreachable() = std::move(accusation);
   }
@@ -205,6 +206,7 @@
   this->joiner.OnResponse();
   this->gossip.OnDigest(digest, from);
   this->records.OnRevision(digest.records_revision(), from);
+  this->records.OnStoreGeneration(digest.store_generation());
   for (const pb::Accusation& accusation : digest.unreachable()) {
     this->detector.OnAccusation(accusation, from);
   }
--- a/src/membership/record_gossip.cc
+++ b/src/membership/record_gossip.cc
@@ -22,6 +22,14 @@
   return this->hooks.local_revision ? this->hooks.local_revision() : 0;
 }
 
+std::uint64_t RecordGossip::StoreGeneration() const {
+  return this->hooks.store_generation ? this->hooks.store_generation() : 0;
+}
+
+void RecordGossip::OnStoreGeneration(std::uint64_t generation) {
+  if (this->hooks.on_store_generation) this->hooks.on_store_generation(generation);
+}
+
 void RecordGossip::Publish(std::string_view change_set) {
   pb::ChangeSet message;
   if (!message.ParseFromArray(change_set.data(), static_cast<int>(change_set.size()))) return;
--- a/src/membership/record_gossip.h
+++ b/src/membership/record_gossip.h
@@ -34,6 +34,9 @@
   /// Handles another node's revision: requests the changes that this node lacks, or sends the other
   /// node this node's higher revision.
   void OnRevision(std::uint64_t revision, const std::string& from);
+  std::uint64_t StoreGeneration() const;
+  /// A node whose connections to the store fell silent learns of its return from others.
+  void OnStoreGeneration(std::uint64_t generation);
   void OnRequest(const pb::RecordRequest& request, const std::string& from);
   void OnChunk(const pb::TransferChunk& chunk, const std::string& from);
 
--- a/src/membership/record_hooks.h
+++ b/src/membership/record_hooks.h
@@ -7,8 +7,8 @@
 
 namespace fireflyrun::membership {
 
-/// Access of the membership protocol to this node's record book. The bytes are serialized
-/// pb::ChangeSet and pb::Transfer messages (control.pb.h).
+/// Access of the membership protocol to this node's record book and to what it knows of the store.
+/// The bytes are serialized pb::ChangeSet and pb::Transfer messages (control.pb.h).
 struct RecordHooks {
   std::function<std::uint64_t()> local_revision;
   /// Returns false if the change set does not follow the local revision or is refused.
@@ -20,6 +20,10 @@
   /// Returns false while the node reads newer records from their source itself; an empty hook
   /// means that records are always accepted from peers.
   std::function<bool(std::uint64_t revision)> accepts_peer_records;
+  /// The store's generation as far as this node knows; 0 for none. May be empty.
+  std::function<std::uint64_t()> store_generation;
+  /// Another node knows of this generation of the store. May be empty.
+  std::function<void(std::uint64_t generation)> on_store_generation;
 };
 
 }  // namespace fireflyrun::membership
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "membership/member_state.h"
 #include "membership/membership.h"
+#include "membership/record_hooks.h"
 #include "membership/view.h"
 #include "membership/zero_mq_transport.h"
 #include "node/membership_log.h"
@@ -137,11 +138,21 @@
   const auto send = [this](const std::string& address, std::string bytes) {
     if (this->transport) this->transport->Send(address, std::move(bytes));
   };
-  this->membership =
-      std::make_unique<membership::Membership>(this->timers, options, send, this->records->Hooks());
+  this->membership = std::make_unique<membership::Membership>(this->timers, options, send,
+                                                              this->MembershipHooks());
   this->membership_log = std::make_unique<MembershipLog>(*this->membership);
 }
 
+membership::RecordHooks ControlPlane::MembershipHooks() {
+  membership::RecordHooks hooks = this->records->Hooks();
+  if (!this->store) return hooks;
+  hooks.store_generation = [this] { return this->store->Generation().Number(); };
+  hooks.on_store_generation = [this](std::uint64_t generation) {
+    this->store->Generation().Observe(generation);
+  };
+  return hooks;
+}
+
 void ControlPlane::OnConfiguration(std::function<void(const records::Configuration&)> hook) {
   this->records->OnConfiguration(std::move(hook));
 }
--- a/src/node/control_plane.h
+++ b/src/node/control_plane.h
@@ -23,6 +23,7 @@
 }
 namespace fireflyrun::membership {
 class Membership;
+struct RecordHooks;
 class ZeroMqTransport;
 }  // namespace fireflyrun::membership
 namespace fireflyrun::records {
@@ -80,6 +81,7 @@
  private:
   void CreateStore(http::Client& client, const PlatformAdapter& platform);
   void CreateMembership(std::uint64_t incarnation);
+  membership::RecordHooks MembershipHooks();
   Component MembershipComponent();
   Component RecordsComponent();
   Component RosterComponent();
--- a/src/node/process_metrics.cc
+++ b/src/node/process_metrics.cc
@@ -27,6 +27,9 @@
 
 void AddStoreMetrics(const store::ObservedStore* store, NodeMetrics* metrics) {
   if (store == nullptr) return;
+  metrics->AddCounter("fireflyrun_store_generation_changes_total",
+                      "How often the store came back from an older copy.",
+                      [store] { return static_cast<double>(store->GenerationChanges()); });
   for (const auto& [call, call_name] : store::kStoreCallNames.Entries()) {
     for (const auto& [result, result_name] : store::kStoreCallResultNames.Entries()) {
       metrics->AddCounter("fireflyrun_store_calls_total",
--- a/src/store/binding_lease.cc
+++ b/src/store/binding_lease.cc
@@ -16,6 +16,12 @@
 
 }  // namespace
 
+BindingLease::BindingLease(Store& key_value_store)
+    : store(key_value_store),
+      generation_subscription(
+          this->store.Generation().OnChange([this](const GenerationChange&) { this->lease = 0; })) {
+}
+
 void BindingLease::Get(Handler handler) {
   if (this->lease != 0 && SteadyClock::now() - this->granted_at < kReplacementPeriod) {
     handler(this->lease);
--- a/src/store/binding_lease.h
+++ b/src/store/binding_lease.h
@@ -8,17 +8,19 @@
 #include "common/clock.h"
 #include "store/key_value.h"
 #include "store/store_error.h"
+#include "store/store_generation.h"
 
 namespace fireflyrun::store {
 
 class Store;
 
-/// The lease attached to new key bindings; replaced hourly.
+/// The lease attached to new key bindings; replaced hourly, and when the store's generation
+/// changes.
 class BindingLease : public std::enable_shared_from_this<BindingLease> {
  public:
   using Handler = std::function<void(tl::expected<LeaseId, StoreError>)>;
 
-  explicit BindingLease(Store& key_value_store) : store(key_value_store) {}
+  explicit BindingLease(Store& key_value_store);
 
   /// Passes a lease granted within the last hour to `handler`, requesting a new one from the store
   /// if needed. The handler may run inside the call.
@@ -37,6 +39,7 @@
   LeaseId lease = 0;
   SteadyTime granted_at;
   std::vector<Handler> pending;
+  StoreGeneration::Subscription generation_subscription;
 };
 
 }  // namespace fireflyrun::store
--- a/src/store/key_binder.cc
+++ b/src/store/key_binder.cc
@@ -1,9 +1,14 @@
 #include "store/key_binder.h"
 
 #include <utility>
+#include <vector>
 
+#include "common/log_event.h"
+#include "common/timer_service.h"
+#include "common/timer_subscription.h"
 #include "store/binding_lease.h"
 #include "store/key_binding.h"
+#include "store/recent_bindings.h"
 #include "store/store.h"
 
 namespace fireflyrun::store {
@@ -27,51 +32,132 @@
 
 class KeyBinder::Implementation : public std::enable_shared_from_this<Implementation> {
  public:
-  Implementation(Store& key_value_store, TimerService& timer_service, const std::string& cluster)
+  Implementation(Store& key_value_store, TimerService& timer_service, const std::string& cluster,
+                 Duration time_to_settle)
       : store(key_value_store),
         timers(timer_service),
         prefix("/fireflyrun/" + cluster + "/keys/"),
-        lease(std::make_shared<BindingLease>(key_value_store)) {}
+        settle_time(time_to_settle),
+        lease(std::make_shared<BindingLease>(key_value_store)),
+        generation_subscription(this->store.Generation().OnChange(
+            [this](const GenerationChange&) { this->OnGenerationChanged(); })) {}
 
   ~Implementation() { this->lease->DropHandlers(); }
   Implementation(const Implementation&) = delete;
   Implementation& operator=(const Implementation&) = delete;
 
-  std::shared_ptr<KeyBinding> MakeBinding(std::string_view service, std::string_view key,
-                                          Handler handler) {
+  std::string StoreKey(std::string_view service, std::string_view key) const {
     std::string store_key = this->prefix;
     store_key += service;
     store_key += '/';
     store_key += EncodeKey(key);
+    return store_key;
+  }
+
+  /// An operation for a caller: what it finds bound is remembered.
+  std::shared_ptr<KeyBinding> MakeBinding(const std::string& store_key, Handler handler) {
+    return this->MakeOperation(store_key,
+                               [this, store_key, handler = std::move(handler)](auto result) {
+                                 if (result)
+                                   this->recent.Add(store_key, *result, SteadyClock::now());
+                                 handler(std::move(result));
+                               });
+  }
+
+  /// Runs `operation` now, or when the bindings that the store lost are restored.
+  void RunWhenSettled(std::function<void()> operation) {
+    if (SteadyClock::now() >= this->settled_at) return operation();
+    this->waiting.push_back(std::move(operation));
+  }
+
+ private:
+  static constexpr std::size_t kParallelRestores = 8;
+  static constexpr Duration kRestoreDelay = std::chrono::milliseconds(300);
+
+  /// The handler runs only while this object lives.
+  std::shared_ptr<KeyBinding> MakeOperation(const std::string& store_key, Handler handler) {
     auto guarded = [weak = this->weak_from_this(),
                     handler = std::move(handler)](tl::expected<std::string, StoreError> result) {
-      if (!weak.expired()) handler(std::move(result));
+      if (const auto self = weak.lock()) handler(std::move(result));
     };
-    return std::make_shared<KeyBinding>(this->store, this->timers, this->lease,
-                                        std::move(store_key), std::move(guarded));
+    return std::make_shared<KeyBinding>(this->store, this->timers, this->lease, store_key,
+                                        std::move(guarded));
+  }
+
+  void OnGenerationChanged() {
+    const SteadyTime now = SteadyClock::now();
+    this->settled_at = now + this->settle_time;
+    this->settle_timer = this->timers.After(this->settle_time, [this] { this->OnSettled(); });
+    this->lost = this->recent.All(now);
+    LogEvent(LogLevel::kInfo, "store", "bindings-restored").Add("bindings", this->lost.size());
+    for (std::size_t i = 0; i < kParallelRestores; ++i) this->RestoreNext();
+  }
+
+  void OnSettled() {
+    for (const auto& operation : std::exchange(this->waiting, {})) operation();
+  }
+
+  /// The newest first: a copy is some seconds old.
+  void RestoreNext() {
+    if (this->lost.empty()) return;
+    const RecentBindings::Binding binding = std::move(this->lost.back());
+    this->lost.pop_back();
+    this->Restore(binding);
+  }
+
+  /// Another ticket is there for a moment if a node that didn't know of the return wrote it.
+  void Restore(const RecentBindings::Binding& binding) {
+    const auto on_end = [this, binding](const tl::expected<std::string, StoreError>& result) {
+      const bool restored = result && *result == binding.ticket;
+      const bool time_left = SteadyClock::now() + kRestoreDelay < this->settled_at;
+      if (restored || !time_left) return this->RestoreNext();
+      this->RestoreLater(binding);
+    };
+    this->MakeOperation(binding.store_key, on_end)->Restore(binding.ticket);
+  }
+
+  void RestoreLater(const RecentBindings::Binding& binding) {
+    this->contested.push_back(binding);
+    if (this->contested.size() > 1) return;
+    this->restore_timer = this->timers.After(kRestoreDelay, [this] {
+      for (const auto& again : std::exchange(this->contested, {})) this->Restore(again);
+    });
   }
 
- private:
   Store& store;
   TimerService& timers;
   std::string prefix;
+  Duration settle_time;
   std::shared_ptr<BindingLease> lease;
+  RecentBindings recent;
+  std::vector<RecentBindings::Binding> lost;       ///< Not restored yet, oldest first.
+  std::vector<RecentBindings::Binding> contested;  ///< To be tried again.
+  TimerSubscription restore_timer;
+  SteadyTime settled_at;
+  std::vector<std::function<void()>> waiting;
+  TimerSubscription settle_timer;
+  StoreGeneration::Subscription generation_subscription;
 };
 
-KeyBinder::KeyBinder(Store& store, TimerService& timers, std::string cluster)
-    : implementation(std::make_shared<Implementation>(store, timers, cluster)) {}
+KeyBinder::KeyBinder(Store& store, TimerService& timers, std::string cluster, Duration settle_time)
+    : implementation(std::make_shared<Implementation>(store, timers, cluster, settle_time)) {}
 
 KeyBinder::~KeyBinder() = default;
 
 void KeyBinder::Bind(std::string_view service, std::string_view key, std::string proposed,
                      Handler handler) {
-  this->implementation->MakeBinding(service, key, std::move(handler))->Create(std::move(proposed));
+  Implementation& own = *this->implementation;
+  const auto operation = own.MakeBinding(own.StoreKey(service, key), std::move(handler));
+  own.RunWhenSettled([operation, ticket = std::move(proposed)] { operation->Create(ticket); });
 }
 
 void KeyBinder::Replace(std::string_view service, std::string_view key, std::string from_ticket,
                         std::string to_ticket, Handler handler) {
-  this->implementation->MakeBinding(service, key, std::move(handler))
-      ->Replace(std::move(from_ticket), std::move(to_ticket));
+  Implementation& own = *this->implementation;
+  const auto operation = own.MakeBinding(own.StoreKey(service, key), std::move(handler));
+  own.RunWhenSettled([operation, from = std::move(from_ticket), to = std::move(to_ticket)] {
+    operation->Replace(from, to);
+  });
 }
 
 }  // namespace fireflyrun::store
--- a/src/store/key_binder.h
+++ b/src/store/key_binder.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
+#include "common/clock.h"
 #include "store/store_error.h"
 
 namespace fireflyrun {
@@ -24,12 +25,20 @@
 /// key under the same ticket. The bindings that a node makes within one hour share a lease whose
 /// time to live keeps each of them for at least kBindingLifetime. The lease is never renewed, so
 /// bindings do not accumulate while the node runs.
+///
+/// When the store comes back from an older copy, each node restores the bindings that it made or
+/// read in the last minute, and none binds a key before the settle time has passed. A binding is
+/// lost only if all nodes that knew it are gone, or learn of the return later than that.
 class KeyBinder {
  public:
   /// Receives the ticket bound after the call, or the reason why it is not known.
   using Handler = std::function<void(tl::expected<std::string, StoreError>)>;
 
-  KeyBinder(Store& store, TimerService& timers, std::string cluster);
+  /// From a node's learning of the store's return until it binds keys again.
+  static constexpr Duration kSettleTime = std::chrono::seconds(3);
+
+  KeyBinder(Store& store, TimerService& timers, std::string cluster,
+            Duration settle_time = kSettleTime);
   ~KeyBinder();
   KeyBinder(const KeyBinder&) = delete;
   KeyBinder& operator=(const KeyBinder&) = delete;
--- a/src/store/key_binding.cc
+++ b/src/store/key_binding.cc
@@ -28,11 +28,18 @@
 KeyBinding::~KeyBinding() = default;
 
 void KeyBinding::Create(std::string ticket) {
+  this->withdraws = true;
+  this->Restore(std::move(ticket));
+}
+
+void KeyBinding::Restore(std::string ticket) {
+  this->generation = this->store.Generation().Number();
   this->new_ticket = std::move(ticket);
   this->Write();
 }
 
 void KeyBinding::Replace(std::string from_ticket, std::string to_ticket) {
+  this->generation = this->store.Generation().Number();
   this->replaced_ticket = std::move(from_ticket);
   this->new_ticket = std::move(to_ticket);
   this->ReadBack();
@@ -118,11 +125,12 @@
 
 void KeyBinding::Decide(const KeyValue* current) {
   const bool creates = this->replaced_ticket.empty();
-  if (current == nullptr && !creates) {
+  const bool is_unbound = current == nullptr || current->value.empty();
+  if (is_unbound && !creates) {
     this->Fail({StoreErrorKind::kRejected, "the key is not bound"});
     return;
   }
-  const bool can_write = creates ? current == nullptr : current->value == this->replaced_ticket;
+  const bool can_write = creates ? is_unbound : current->value == this->replaced_ticket;
   if (!can_write) {
     this->End(current->value);
     return;
@@ -140,7 +148,20 @@
   this->End(tl::unexpected(std::move(error)));
 }
 
+/// The key is unbound again, if it is bound to this operation's ticket.
+void KeyBinding::Withdraw() {
+  const auto withdrawal = std::make_shared<KeyBinding>(this->store, this->timers, this->lease,
+                                                       this->key, [](const auto&) {});
+  withdrawal->Replace(this->new_ticket, "");
+}
+
 void KeyBinding::End(tl::expected<std::string, StoreError> result) {
+  const bool changed =
+      this->generation != 0 && this->generation != this->store.Generation().Number();
+  if (changed) {
+    if (this->withdraws) this->Withdraw();
+    result = tl::unexpected(StoreError{StoreErrorKind::kUnknown, "the store's generation changed"});
+  }
   const Handler handler = std::exchange(this->on_end, nullptr);
   handler(std::move(result));
 }
--- a/src/store/key_binding.h
+++ b/src/store/key_binding.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -20,7 +21,9 @@
 class Store;
 
 /// One operation on one key binding, retried until its outcome is known or no attempts are left.
-/// Keeps itself alive until then.
+/// Keeps itself alive until then. An empty ticket is none. If the store's generation changes
+/// meanwhile, the outcome is unknown: the key may have been bound in the earlier one, and what was
+/// written has no lease of its own.
 class KeyBinding : public std::enable_shared_from_this<KeyBinding> {
  public:
   using Handler = std::function<void(tl::expected<std::string, StoreError>)>;
@@ -32,9 +35,13 @@
   KeyBinding(const KeyBinding&) = delete;
   KeyBinding& operator=(const KeyBinding&) = delete;
 
-  /// Creates the binding unless the key is already bound.
+  /// Creates the binding unless the key is already bound. What a later generation of the store
+  /// takes is withdrawn again, as nobody may run the call under it.
   void Create(std::string ticket);
 
+  /// Creates a binding that an earlier generation of the store had, unless the key is bound.
+  void Restore(std::string ticket);
+
   /// Replaces the binding if the key is bound to `from_ticket`.
   void Replace(std::string from_ticket, std::string to_ticket);
 
@@ -47,6 +54,7 @@
   void Decide(const KeyValue* current);
   void RetryLater();
   void Fail(StoreError error);
+  void Withdraw();
   void End(tl::expected<std::string, StoreError> result);
 
   Store& store;
@@ -57,8 +65,10 @@
   std::string replaced_ticket;  ///< Empty for Create().
   std::string new_ticket;
   Revision expected_revision = 0;
+  std::uint64_t generation = 0;  ///< Of the store, at the start.
   int attempts_left = 0;
   bool may_have_written = false;
+  bool withdraws = false;  ///< What a later generation took.
   TimerSubscription retry_timer;
 };
 
--- a/src/store/observed_store.cc
+++ b/src/store/observed_store.cc
@@ -27,7 +27,15 @@
 }  // namespace
 
 ObservedStore::ObservedStore(std::unique_ptr<Store> observed_store)
-    : store(std::move(observed_store)), observations(std::make_shared<Observations>()) {}
+    : store(std::move(observed_store)), observations(std::make_shared<Observations>()) {
+  const auto on_change = [this](const GenerationChange& change) {
+    ++this->generation_changes;
+    LogEvent(LogLevel::kWarning, "store", "generation-changed")
+        .Add("from", change.from)
+        .Add("to", change.to);
+  };
+  this->generation_subscription = this->store->Generation().OnChange(on_change);
+}
 
 ObservedStore::~ObservedStore() = default;
 
--- a/src/store/observed_store.h
+++ b/src/store/observed_store.h
@@ -13,7 +13,7 @@
 namespace fireflyrun::store {
 
 /// Counts the calls to another store by kind and result, and logs when the store becomes
-/// unreachable and reachable again.
+/// unreachable and reachable again, and when its generation changes.
 class ObservedStore : public Store {
  public:
   explicit ObservedStore(std::unique_ptr<Store> observed_store);
@@ -28,8 +28,11 @@
                 std::function<void(ChangeBatch)> on_changes,
                 std::function<void(StoreError)> on_end) override;
   void CancelWatch(WatchId watch) override;
+  StoreGeneration& Generation() override { return this->store->Generation(); }
 
   std::uint64_t Count(StoreCall call, StoreCallResult result) const;
+  /// How often the store came back from an older copy.
+  std::uint64_t GenerationChanges() const { return this->generation_changes; }
 
  private:
   /// Shared with pending handlers, which may run after the store is destroyed.
@@ -46,6 +49,8 @@
 
   std::unique_ptr<Store> store;
   std::shared_ptr<Observations> observations;
+  std::uint64_t generation_changes = 0;
+  StoreGeneration::Subscription generation_subscription;
 };
 
 }  // namespace fireflyrun::store
--- a/src/store/roster.cc
+++ b/src/store/roster.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "common/log_event.h"
 #include "common/random.h"
 #include "common/timer_service.h"
 #include "common/timer_subscription.h"
@@ -21,6 +22,11 @@
 /// this.
 constexpr Duration kAttemptPeriod = std::chrono::minutes(5);
 
+/// Nodes that lost their slots together take them again within this time.
+constexpr Duration kReturnSpread = std::chrono::milliseconds(300);
+/// Nodes that held none look for one after them.
+constexpr Duration kOthersReturnDelay = std::chrono::seconds(1);
+
 std::string RosterPrefix(const std::string& cluster) {
   return "/fireflyrun/" + cluster + "/roster/";
 }
@@ -81,6 +87,12 @@
         self(std::move(self_entry)),
         times(roster_times) {}
 
+  void Start() {
+    this->generation_subscription = this->store.Generation().OnChange(
+        [this](const GenerationChange&) { this->OnGenerationChanged(); });
+    this->Attempt();
+  }
+
   void Attempt() {
     this->store.List(this->prefix, this->IgnoreWhenStopped<Listing>([this](auto listing) {
       this->OnSlotsRead(std::move(listing));
@@ -91,23 +103,49 @@
     this->stopped = true;
     this->timer.Reset();
     this->holds_slot = false;
-    // The store rejects revoking lease 0 (no lease held), which also completes the call.
-    this->store.RevokeLease(this->lease, [done = std::move(done)](auto) { done(); });
+    // A renewal tells whether the lease is still this node's: an id may have been given out again.
+    this->store.KeepLeaseAlive(this->lease, [self = this->shared_from_this(),
+                                             done = std::move(done)](const auto& renewed) {
+      if (!renewed) return done();
+      self->store.RevokeLease(self->lease, [done](auto) { done(); });
+    });
   }
 
   bool HoldsSlot() const { return this->holds_slot; }
 
  private:
-  /// Ignores answers that arrive after Leave() or destruction.
+  /// Ignores answers that arrive after Leave() or destruction, or when the slot is sought anew.
   template <typename Value>
   Store::Handler<Value> IgnoreWhenStopped(Store::Handler<Value> handler) {
-    return [weak = this->weak_from_this(),
+    return [weak = this->weak_from_this(), search = this->search,
             handler = std::move(handler)](tl::expected<Value, StoreError> result) {
       const auto keep_alive = weak.lock();
-      if (keep_alive && !keep_alive->stopped) handler(std::move(result));
+      if (!keep_alive || keep_alive->stopped || keep_alive->search != search) return;
+      handler(std::move(result));
     };
   }
 
+  /// The lease's id and the slot's revision mean nothing now, or another node's lease. Also a node
+  /// that waits as all slots were taken looks again: their entries may be gone.
+  void OnGenerationChanged() {
+    if (this->stopped) return;
+    if (this->holds_slot) this->LogLost("generation-changed");
+    const Duration delay = this->holds_slot ? Duration::zero() : kOthersReturnDelay;
+    this->holds_slot = false;
+    this->lease = 0;
+    ++this->search;
+    this->backoff.Reset();
+    const auto spread = static_cast<std::uint64_t>(kReturnSpread.count());
+    this->timer =
+        this->timers.After(delay + Duration(RandomBelow(spread)), [this] { this->Attempt(); });
+  }
+
+  void LogLost(std::string_view cause) const {
+    LogEvent(LogLevel::kInfo, "roster", "slot-lost")
+        .Add("slot", this->slot.key)
+        .Add("cause", cause);
+  }
+
   void OnSlotsRead(tl::expected<Listing, StoreError> listing) {
     if (!listing) {
       this->AttemptSoon();
@@ -122,7 +160,8 @@
                                [this](auto granted) { this->OnLeaseGranted(std::move(granted)); }));
   }
 
-  /// Prefers the slot still held by an earlier incarnation of this node, then a random free one.
+  /// Prefers the slot still held by an earlier incarnation of this node, then the one that it held
+  /// before it lost it, then a random free one.
   bool ChooseSlot(const Listing& listing) {
     std::map<std::string, Revision> taken;
     for (const KeyValue& key_value : listing.entries) {
@@ -138,6 +177,10 @@
       if (!taken.contains(key)) free_slots.push_back(key);
     }
     if (free_slots.empty()) return false;
+    if (std::ranges::find(free_slots, this->held_key) != free_slots.end()) {
+      this->slot = {this->held_key, 0};
+      return true;
+    }
     this->slot = {free_slots[RandomBelow(free_slots.size())], 0};
     return true;
   }
@@ -168,6 +211,8 @@
       return;
     }
     this->holds_slot = true;
+    this->held_key = this->slot.key;
+    LogEvent(LogLevel::kInfo, "roster", "slot-held").Add("slot", this->slot.key);
     this->last_renewal = SteadyClock::now();
     this->backoff.Reset();
     // Nodes that took their slots together renew them at different times.
@@ -211,6 +256,7 @@
       this->RenewAfter(lives ? this->times.renewal_period / 2 : this->backoff.Next());
       return;
     }
+    this->LogLost("lease-ended");
     this->holds_slot = false;
     this->lease = 0;
     this->Attempt();
@@ -233,12 +279,15 @@
   RosterEntry self;
   RosterTimes times;
   Condition slot;
+  std::string held_key;  ///< Of the slot that was held last.
   LeaseId lease = 0;
   bool holds_slot = false;
   bool stopped = false;
   SteadyTime last_renewal;
+  std::uint64_t search = 0;  ///< Counts how often the slot was sought anew.
   StoreBackoff backoff;
   TimerSubscription timer;
+  StoreGeneration::Subscription generation_subscription;
 };
 
 Roster::Roster(Store& store, TimerService& timers, std::string cluster, RosterEntry self,
@@ -248,7 +297,7 @@
 
 Roster::~Roster() = default;
 
-void Roster::Start() { this->implementation->Attempt(); }
+void Roster::Start() { this->implementation->Start(); }
 
 void Roster::Leave(std::function<void()> done) { this->implementation->Leave(std::move(done)); }
 
--- a/src/store/roster.h
+++ b/src/store/roster.h
@@ -34,7 +34,8 @@
 /// Tries to hold one of the leased roster slots of a zone for this node, so that others can contact
 /// it first. While the store can't be reached, it tries again and again, so that the nodes of a
 /// fleet that starts without the store meet soon after the store's return. Only while all slots are
-/// taken it waits for minutes: then others can be contacted.
+/// taken it waits for minutes: then others can be contacted. When the store comes back from an
+/// older copy, a slot that was held counts as lost, and is taken again at once.
 class Roster {
  public:
   Roster(Store& store, TimerService& timers, std::string cluster, RosterEntry self,
@@ -46,7 +47,8 @@
   /// Tries immediately, and then again while it holds no slot.
   void Start();
 
-  /// Releases the slot; `done` runs once the revocation of its lease succeeded or failed.
+  /// Releases the slot; `done` runs once the revocation of its lease succeeded or failed, or was
+  /// left out, as the store may not know the lease any more or have given its id to another node.
   void Leave(std::function<void()> done);
 
   bool HoldsSlot() const;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -3,11 +3,13 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <tl/expected.hpp>
 
 #include "store/key_value.h"
 #include "store/store_error.h"
+#include "store/store_generation.h"
 #include "store/transaction.h"
 
 namespace fireflyrun::store {
@@ -15,6 +17,9 @@
 /// Interface to the key-value service of the platform, limited to what the system needs. Adapters
 /// hide the protocol of their service. Handlers run on the event loop, exactly once, never inside
 /// the call that takes them.
+///
+/// A call fails with kUnknown if the store's generation changed while it was under way: what it
+/// asked for was told in terms of the earlier one. A watch ends with kCompacted then.
 class Store {
  public:
   template <typename Value>
@@ -42,6 +47,16 @@
                         std::function<void(ChangeBatch)> on_changes,
                         std::function<void(StoreError)> on_end) = 0;
   virtual void CancelWatch(WatchId watch) = 0;
+
+  /// The store's generation, and its changes.
+  virtual StoreGeneration& Generation() { return *this->generation; }
+
+ protected:
+  /// Shared with calls under way, which may outlive the store.
+  const std::shared_ptr<StoreGeneration>& SharedGeneration() const { return this->generation; }
+
+ private:
+  std::shared_ptr<StoreGeneration> generation = std::make_shared<StoreGeneration>();
 };
 
 }  // namespace fireflyrun::store
--- a/tests/membership/record_gossip_test.cc
+++ b/tests/membership/record_gossip_test.cc
@@ -45,6 +45,19 @@
   EXPECT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
 }
 
+/// Guards against nodes that renew leases of an earlier generation until their own next call tells.
+TEST(RecordGossip, StoreGenerationThatOneNodeKnowsReachesAll) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b", "c"}, 6);
+  ASSERT_TRUE(fleet.RunUntilConverged());
+  for (const std::uint64_t generation : {3, 4}) {
+    fleet["b-2"].store_generation = generation;
+    EXPECT_TRUE(fleet.RunUntil([&] {
+      return fleet.All([&](const TestNode& node) { return node.store_generation == generation; });
+    }));
+  }
+}
+
 TEST(RecordGossip, PushReachesAllNodesBeforeAnyExchange) {
   TestFleet fleet;
   fleet.StartZones({"a", "b"}, 6);
--- a/tests/membership/test_fleet.cc
+++ b/tests/membership/test_fleet.cc
@@ -43,6 +43,10 @@
     }
     return transfer.SerializeAsString();
   };
+  hooks.store_generation = [this] { return this->store_generation; };
+  hooks.on_store_generation = [this](std::uint64_t generation) {
+    this->store_generation = std::max(this->store_generation, generation);
+  };
   return hooks;
 }
 
--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -136,6 +136,16 @@
   });
 }
 
+std::map<std::string, std::string> PlatformFleet::GoBack(Duration age,
+                                                         standins::MetadataStandin::Return how) {
+  std::map<std::string, std::string> written;
+  this->RunOnLoop([&] {
+    written = this->model->GoBack(age, SteadyClock::now());
+    for (Member& member : this->members) member.store->OnReturn(how);
+  });
+  return written;
+}
+
 void PlatformFleet::SetBehavior(const TargetBehavior& new_behavior) {
   this->RunOnLoop([&] { this->behavior = new_behavior; });
 }
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -3,6 +3,7 @@
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -48,6 +49,9 @@
   /// Runs `action` on the store's model, to change its content or what reads return.
   void OnModel(const std::function<void(standins::MetadataModel&)>& action);
   void CutWatches();
+  /// The store comes back from a copy that is at least `age` old, for all hosts. Gives what the
+  /// operator had written.
+  std::map<std::string, std::string> GoBack(Duration age, standins::MetadataStandin::Return how);
 
   void SetBehavior(const TargetBehavior& new_behavior);
   void ReplaceTarget(std::size_t host, const std::string& id);
--- a/tests/standins/metadata_model.h
+++ b/tests/standins/metadata_model.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -41,6 +42,16 @@
   void FreezeReads(bool frozen);
   std::int64_t Revision() const { return this->revision; }
 
+  /// Keeps a copy of the store, for GoBack(); a few times a second.
+  void TakeCopy(SteadyTime now);
+  /// The store comes back from a copy that was taken at least `age` ago, or from the oldest one.
+  /// Data, leases, revisions and lease ids are those of the copy, and a new era begins. Gives what
+  /// others than the system had written: they write it again, with Put().
+  std::map<std::string, std::string> GoBack(Duration age, SteadyTime now);
+  std::int64_t Era() const { return this->era; }
+  /// Writes under keys that are of no interest until the revision is reached.
+  void AdvanceTo(std::int64_t wanted_revision);
+
  private:
   struct Item {
     std::string value;
@@ -56,6 +67,12 @@
     std::map<std::string, Item> items;
     std::int64_t revision = 0;
   };
+  struct Copy {
+    SteadyTime taken;
+    Snapshot content;
+    std::map<std::int64_t, Lease> leases;
+    std::int64_t last_lease = 0;
+  };
 
   static Json Encode(const std::string& key, const Item& item);
   void Write(const std::string& key, const std::string& value, std::int64_t lease);
@@ -70,6 +87,8 @@
   std::map<std::int64_t, Lease> leases;
   Snapshot snapshot;
   bool reads_frozen = false;
+  std::deque<Copy> copies;  ///< Oldest first.
+  std::int64_t era = 1;
 };
 
 }  // namespace fireflyrun::standins
--- a/tests/standins/metadata_standin.h
+++ b/tests/standins/metadata_standin.h
@@ -8,7 +8,9 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "tests/standins/metadata_model.h"
@@ -25,6 +27,7 @@
   kSilent,       ///< Open connections fall silent for good, new ones while it lasts.
   kSlow,         ///< Answers after the delay.
   kLoseAnswers,  ///< Does each call, at once or after the delay, and says nothing on it ever.
+  kLateAnswers,  ///< Does each call at once, and answers after the delay what it was then.
 };
 
 struct MetadataFault {
@@ -50,6 +53,21 @@
   std::int64_t Put(const std::string& key, const std::string& value);
   /// Closes the connections of all watches that wait.
   void CutWatches();
+
+  /// What its watches see when a store comes back from an older copy.
+  enum class Return {
+    kAtOnce,  ///< Watches go on to wait at the store as it is then.
+    kCut,     ///< Their connections close.
+    kSilent,  ///< Their connections stay open without a word, as if the store's host were another.
+  };
+
+  /// The store comes back from a copy that is at least `age` old. Gives what the operator and the
+  /// targets had written; it is for the test to write it again, with Put().
+  std::map<std::string, std::string> GoBack(Duration age, Return how);
+  /// What GoBack() does to the watches: for a model that other doors share.
+  void OnReturn(Return how);
+  /// What answers tell as their era in place of the store's; an empty text leaves the header out.
+  void SetEraText(std::optional<std::string> text) { this->era_text = std::move(text); }
   std::size_t OpenWatches();
   /// Calls since the start whose path begins with `path`.
   int Calls(const std::string& path) const;
@@ -70,6 +88,7 @@
   void OpenWatch(const ConnectionPointer& connection, const StandinConnection::Request& request);
   MetadataAnswer Perform(const StandinConnection::Request& request);
   void ServeWaiters();
+  void Respond(StandinConnection& connection, const MetadataAnswer& answer);
   void After(std::chrono::milliseconds delay, std::function<void()> action);
 
   asio::io_context& loop;
@@ -81,6 +100,7 @@
   std::vector<std::weak_ptr<StandinConnection>> connections;
   std::vector<Waiter> waiters;
   std::vector<std::string> calls;
+  std::optional<std::string> era_text;
   /// Expires with the stand-in; whatever is queued on the loop checks it first.
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
