--- a/tests/http/answer_reader_test.cc
+++ b/tests/http/answer_reader_test.cc
@@ -146,7 +146,10 @@
   const std::string value(kMostBytes - begin.size() - end.size(), 'x');
   for (const std::size_t piece_bytes : {std::size_t{1}, std::size_t{4'096}, 2 * kMostBytes}) {
     for (const bool too_long : {false, true}) {
-      const std::string bytes = begin + value + (too_long ? "x" : "") + end + "ok";
+      std::string bytes = begin + value;
+      if (too_long) bytes += 'x';
+      bytes += end;
+      bytes += "ok";
       const TargetRequest request;
       AnswerReader reader(request);
       tl::expected<bool, ClientError> taken = false;
--- a/tests/http/target_client_error_test.cc
+++ b/tests/http/target_client_error_test.cc
@@ -105,7 +105,10 @@
     for (const std::string part : {"", "part"}) {
       TargetFixture fixture([&](RawConnection& connection, int) {
         const std::string framing = in_chunks ? "Transfer-Encoding: chunked\r\n\r\n4\r\n" : "\r\n";
-        asio::write(connection.socket, asio::buffer("HTTP/1.1 200 OK\r\n" + framing + part));
+        std::string text = "HTTP/1.1 200 OK\r\n";
+        text += framing;
+        text += part;
+        asio::write(connection.socket, asio::buffer(text));
         connection.socket.shutdown(asio::ip::tcp::socket::shutdown_send);
         connection.paused = true;
       });
