--- a/tests/peer/link_test.cc
+++ b/tests/peer/link_test.cc
@@ -151,6 +151,7 @@
     remote.emplace(harness, std::move(socket));
   });
   std::vector<std::shared_ptr<SentCall>> calls;
+  calls.reserve(kCalls);
   for (int i = 0; i < kCalls; ++i) calls.push_back(harness.Send(""));
   ASSERT_TRUE(harness.RunUntil([&] { return remote.has_value(); }));
   remote->SendHello("b", PeerHarness::kIncarnation, 0);
--- a/tests/platform/store_generation_test.cc
+++ b/tests/platform/store_generation_test.cc
@@ -363,6 +363,7 @@
     SCOPED_TRACE(seed);
     std::mt19937 random(seed);
     std::vector<std::unique_ptr<BindingNode>> nodes;
+    nodes.reserve(kNodes);
     for (int i = 0; i < kNodes; ++i) {
       nodes.push_back(std::make_unique<BindingNode>(this->MakeStore(), this->timers, kSettleTime));
     }
