--- a/src/store/key_binder.cc
+++ b/src/store/key_binder.cc
@@ -116,6 +116,7 @@
     this->MakeOperation(binding.store_key, on_end)->Restore(binding.ticket);
   }
 
+  /// It keeps its place meanwhile, so that never more than kParallelRestores are under way.
   void RestoreLater(const RecentBindings::Binding& binding) {
     this->contested.push_back(binding);
     if (this->contested.size() > 1) return;
--- a/src/store/record_watch.cc
+++ b/src/store/record_watch.cc
@@ -19,26 +19,36 @@
 
 RecordWatch::RecordWatch(Store& record_store, TimerService& timer_service, RecordKeySpace key_space,
                          ChangeSetHook change_set_hook, TransferHook transfer_hook)
-    : keys(std::move(key_space)),
+    : store(record_store),
+      timers(timer_service),
+      keys(std::move(key_space)),
       on_change_set(std::move(change_set_hook)),
-      on_transfer(std::move(transfer_hook)) {
-  PrefixFollower::Hooks hooks;
-  hooks.on_listing = [this](const Listing& listing) { return this->OnListing(listing); };
-  hooks.on_batch = [this](const ChangeBatch& batch) { this->OnBatch(batch); };
-  this->follower = std::make_shared<PrefixFollower>(
-      record_store, timer_service, "records",
-      PrefixFollower::Prefixes{this->keys.common_prefix, this->keys.record_prefix},
-      std::move(hooks));
-}
+      on_transfer(std::move(transfer_hook)) {}
 
 RecordWatch::~RecordWatch() { this->Stop(); }
 
+/// The hooks keep this object alive while they run: what they report may end it.
 void RecordWatch::Start(Revision revision) {
   this->last_delivered = revision;
+  const std::weak_ptr<RecordWatch> weak = this->weak_from_this();
+  PrefixFollower::Hooks hooks;
+  hooks.on_listing = [weak](const Listing& listing) {
+    const auto self = weak.lock();
+    return self ? self->OnListing(listing) : listing.revision;
+  };
+  hooks.on_batch = [weak](const ChangeBatch& batch) {
+    if (const auto self = weak.lock()) self->OnBatch(batch);
+  };
+  this->follower = std::make_shared<PrefixFollower>(
+      this->store, this->timers, "records",
+      PrefixFollower::Prefixes{this->keys.common_prefix, this->keys.record_prefix},
+      std::move(hooks));
   this->follower->Start(revision);
 }
 
-void RecordWatch::Stop() { this->follower->Stop(); }
+void RecordWatch::Stop() {
+  if (this->follower) this->follower->Stop();
+}
 
 Revision RecordWatch::OnListing(const Listing& listing) {
   RecordListing read = ReadRecordListing(this->keys, listing);
--- a/src/store/record_watch.h
+++ b/src/store/record_watch.h
@@ -12,7 +12,7 @@
 
 /// Reports changes of the records of a cluster: from a watch, and from a listing whenever the watch
 /// ended.
-class RecordWatch {
+class RecordWatch : public std::enable_shared_from_this<RecordWatch> {
  public:
   using ChangeSetHook = std::function<void(records::ChangeSet)>;
   using TransferHook = std::function<void(records::Transfer)>;
@@ -32,6 +32,8 @@
   Revision OnListing(const Listing& listing);
   void OnBatch(const ChangeBatch& batch);
 
+  Store& store;
+  TimerService& timers;
   RecordKeySpace keys;
   ChangeSetHook on_change_set;
   TransferHook on_transfer;
