--- /dev/null
+++ b/bench/records.cmake
@@ -0,0 +1,2 @@
+add_executable(route_lookup_bench route_lookup_bench.cc)
+target_link_libraries(route_lookup_bench PRIVATE fireflyrun_records)
--- a/src/node/caller_service.cc
+++ b/src/node/caller_service.cc
@@ -86,21 +86,32 @@
                  *exchange);
     return;
   }
-  if (auto route = this->FindRoute(configuration, request)) {
-    this->OnRoutedRequest(std::move(request), std::move(route), exchange);
-  } else {
+  const auto host = http::FindHeader(request.headers, kHostHeader).value_or("");
+  const records::RouteEntry* route = configuration->FindRoute(host, request.target);
+  if (route == nullptr) {
     this->OnServiceRequest(std::move(request), configuration, exchange);
+    return;
+  }
+  auto policy = this->ChoosePolicy(configuration, *route);
+  if (policy) {
+    this->OnRoutedRequest(std::move(request), std::move(*policy), exchange);
+  } else {
+    this->Refuse(policy.error(), Outcome::OUTCOME_NOT_RUN, request.headers, *exchange);
   }
 }
 
-CallerService::PolicyPointer CallerService::FindRoute(
+tl::expected<CallerService::PolicyPointer, CallerService::Refusal> CallerService::ChoosePolicy(
     const std::shared_ptr<const records::Configuration>& configuration,
-    const http::Request& request) {
-  const auto host = http::FindHeader(request.headers, kHostHeader).value_or("");
-  const auto* route = configuration->FindRoute(host, request.target);
-  if (route == nullptr) return nullptr;
-  const std::size_t policy_index = this->weighted_round_robin.Pick(route->name, route->weights);
-  return {configuration, &route->policies[policy_index].policy};
+    const records::RouteEntry& route) {
+  if (!route.refusal.empty()) {
+    return tl::unexpected(Refusal{RefusalReason::kRouteUnusable, route.refusal});
+  }
+  const std::size_t index = this->weighted_round_robin.Pick(route.name, route.weights);
+  const records::WeightedPolicy& part = route.policies[index];
+  if (!part.refusal.empty()) {
+    return tl::unexpected(Refusal{RefusalReason::kRouteUnusable, "the route " + part.refusal});
+  }
+  return PolicyPointer(configuration, &part.policy);
 }
 
 void CallerService::OnRoutedRequest(http::Request request, PolicyPointer route,
--- a/src/node/caller_service.h
+++ b/src/node/caller_service.h
@@ -22,7 +22,8 @@
 }
 namespace fireflyrun::records {
 class Configuration;
-}
+struct RouteEntry;
+}  // namespace fireflyrun::records
 
 namespace fireflyrun::node {
 
@@ -64,9 +65,10 @@
 
   using PolicyPointer = std::shared_ptr<const records::CallPolicy>;
 
-  /// Finds the route record that matches host and path; null when none does.
-  PolicyPointer FindRoute(const std::shared_ptr<const records::Configuration>& configuration,
-                          const http::Request& request);
+  /// Chooses one of the route's services; an error if its calls are refused.
+  tl::expected<PolicyPointer, Refusal> ChoosePolicy(
+      const std::shared_ptr<const records::Configuration>& configuration,
+      const records::RouteEntry& route);
   void OnRoutedRequest(http::Request request, PolicyPointer route,
                        const std::shared_ptr<http::Exchange>& exchange);
   /// Handles a request by the service that the first path segment names.
--- a/src/node/refusal_response.cc
+++ b/src/node/refusal_response.cc
@@ -20,6 +20,8 @@
 constexpr std::chrono::milliseconds kMinFractionalRetryAfter{100};
 /// Used when no better value is known; the minimums above apply.
 constexpr std::chrono::milliseconds kDefaultRetryAfter{300};
+/// An operator has to write the record anew.
+constexpr std::chrono::milliseconds kUnusableRouteRetryAfter{5000};
 constexpr double kMillisecondsPerSecond = 1000;
 
 int StatusOfNotRun(RefusalReason reason, const WireNames& wire) {
@@ -106,7 +108,9 @@
 
 http::Response RefusalResponse(RefusalReason reason, std::string_view detail, Outcome outcome,
                                const WireNames& wire) {
-  return BuildResponse(outcome, reason, detail, kDefaultRetryAfter, wire);
+  const bool waits_for_operator = reason == RefusalReason::kRouteUnusable;
+  const auto retry_after = waits_for_operator ? kUnusableRouteRetryAfter : kDefaultRetryAfter;
+  return BuildResponse(outcome, reason, detail, retry_after, wire);
 }
 
 }  // namespace fireflyrun::node
--- a/src/policy/refusal_reason.h
+++ b/src/policy/refusal_reason.h
@@ -37,6 +37,7 @@
   kLinkSlow,          ///< The call was on its way too long to know whether its caller still waits.
   kLinkBudget,        ///< The inter-region byte budget is spent.
   kUnknownService,    ///< No record describes the service.
+  kRouteUnusable,     ///< The route's record, or that of its service, can't be used.
   kNotReady,          ///< The node holds no configuration yet.
   kBadRequest,        ///< The call itself is malformed.
   kBodyTooLarge,
@@ -72,6 +73,7 @@
     std::pair{RefusalReason::kLinkSlow, std::string_view("link-slow")},
     std::pair{RefusalReason::kLinkBudget, std::string_view("link-budget")},
     std::pair{RefusalReason::kUnknownService, std::string_view("unknown-service")},
+    std::pair{RefusalReason::kRouteUnusable, std::string_view("route-unusable")},
     std::pair{RefusalReason::kNotReady, std::string_view("not-ready")},
     std::pair{RefusalReason::kBadRequest, std::string_view("bad-request")},
     std::pair{RefusalReason::kBodyTooLarge, std::string_view("body-too-large")},
--- a/src/policy/weighted_round_robin.cc
+++ b/src/policy/weighted_round_robin.cc
@@ -12,6 +12,8 @@
 /// Calls at the start of a cycle among which the start position is chosen. Cycles may be longer
 /// than anything that a route lives to see; the bound keeps a start short.
 constexpr double kMaxStartPositions = 16'000;
+/// Of the start positions times the parts, each of which every call before the start looks at.
+constexpr double kMaxStartSteps = 1'000'000;
 
 /// The largest number of which both are whole multiples. Exact: both are multiples of a power of
 /// two, and so is each remainder.
@@ -62,7 +64,9 @@
   const double divisor =
       std::accumulate(cycle.scaled.begin(), cycle.scaled.end(), 0.0, GreatestCommonDivisor);
   const double cycle_length = std::round(cycle.total / divisor);
-  const auto positions = static_cast<std::uint64_t>(std::min(cycle_length, kMaxStartPositions));
+  const double parts = static_cast<double>(weights.size());
+  const double most = std::clamp(kMaxStartSteps / parts, 1.0, kMaxStartPositions);
+  const auto positions = static_cast<std::uint64_t>(std::min(cycle_length, most));
   for (std::uint64_t remaining = this->random_below(positions); remaining > 0; --remaining)
     Advance(cycle);
 }
--- a/src/records/configuration.cc
+++ b/src/records/configuration.cc
@@ -9,6 +9,7 @@
 #include "records/json_reader.h"
 #include "records/record_book.h"
 #include "records/record_parser.h"
+#include "records/route_record_parser.h"
 
 namespace fireflyrun::records {
 namespace {
@@ -51,6 +52,9 @@
     for (const auto& [key, route] : this->chosen_routes) {
       this->AddRoute(key, route);
     }
+    for (const auto& [name, key] : this->unusable_routes) {
+      this->RefuseUnusableRoute(key);
+    }
     return this->result;
   }
 
@@ -67,6 +71,8 @@
     for (auto entry = entries.rbegin(); entry != entries.rend(); ++entry) {
       const std::pair name(entry->key.kind, entry->key.name);
       if (entry->retired || chosen.contains(name)) continue;
+      const bool is_route = entry->key.kind == RecordKind::kRoute;
+      if (is_route) this->unusable_routes.emplace(entry->key.name, entry->key);
       if (entry->key.schema > HighestSchema(entry->key.kind)) {
         too_new.emplace(name, entry->key);
         continue;
@@ -74,6 +80,7 @@
       auto record = ParseEntry(*entry, this->result->problems);
       if (!record) continue;
       chosen.insert(name);
+      if (is_route) this->unusable_routes.erase(entry->key.name);
       this->Choose(std::move(*record));
     }
     for (const auto& [name, key] : too_new) {
@@ -148,47 +155,76 @@
     this->result->service_names.push_back(record.name);
   }
 
-  /// Leaves out services that are not in force; the others keep their proportions.
+  /// A route that can't be used keeps its place and refuses its calls, and so does the share of a
+  /// service that isn't in force: left out, they would be taken by a service that their author
+  /// didn't choose.
   void AddRoute(const RecordKey& key, const RouteRecord& record) {
+    if (!record.refusal.empty()) {
+      this->Refuse(key, {record.host, record.prefix}, record.refusal);
+      return;
+    }
     CallPolicy common;
     bool usable = this->SetPriority(key, record.priority, common);
     usable = this->SetRetry(key, record.retry_allowance, common) && usable;
-    if (!usable) return;
+    if (!usable) {
+      this->Refuse(key, {record.host, record.prefix}, "a record that it names is not in force");
+      return;
+    }
     common.name = record.name;
     common.idempotent = record.idempotent;
     common.max_attempts = record.max_attempts;
     common.timeout = record.timeout;
     common.target_latency = record.target_latency;
-    RouteEntry entry{record.name, {}, {}};
-    bool has_weight = false;
+    RouteEntry entry;
+    entry.name = record.name;
     for (const WeightedService& weighted_service : record.services) {
-      has_weight = (this->AddWeightedService(key, weighted_service, common, entry) &&
-                    weighted_service.weight > 0) ||
-                   has_weight;
-    }
-    if (!has_weight) {
-      this->Report(key, "is left out: none of its services with a weight above 0 is in force");
-    } else if (!this->result->routes.Add(record.host, record.prefix, std::move(entry))) {
-      this->Report(key, "is left out: another route has the same host and prefix");
+      this->AddWeightedService(key, weighted_service, common, entry);
     }
+    this->Add(key, {record.host, record.prefix}, std::move(entry));
   }
 
-  bool AddWeightedService(const RecordKey& key, const WeightedService& weighted_service,
+  void AddWeightedService(const RecordKey& key, const WeightedService& weighted_service,
                           const CallPolicy& common, RouteEntry& entry) {
+    WeightedPolicy part;
+    part.weight = weighted_service.weight;
+    part.policy = common;
+    part.policy.service = weighted_service.service;
     const auto found = this->result->services.find(weighted_service.service);
     if (found == this->result->services.end()) {
-      this->Report(key,
-                   "names the service \"" + weighted_service.service + "\", which is not in force");
-      return false;
+      part.refusal =
+          "names the service \"" + weighted_service.service + "\", which is not in force";
+      this->Report(key, part.refusal);
+    } else {
+      const CallPolicy& service = found->second.policy;
+      part.policy.deadline = common.timeout.value_or(service.deadline);
+      part.policy.max_body_bytes = service.max_body_bytes;
     }
-    const CallPolicy& service = found->second.policy;
-    CallPolicy policy = common;
-    policy.service = weighted_service.service;
-    policy.deadline = common.timeout.value_or(service.deadline);
-    policy.max_body_bytes = service.max_body_bytes;
-    entry.policies.push_back({weighted_service.weight, std::move(policy)});
+    entry.policies.push_back(std::move(part));
     entry.weights.push_back(weighted_service.weight);
-    return true;
+  }
+
+  void Add(const RecordKey& key, const RouteSelector& selector, RouteEntry entry) {
+    if (this->result->routes.Add(selector.host, selector.prefix, std::move(entry))) return;
+    this->Report(key, "is left out: another route has the same host and prefix");
+  }
+
+  void Refuse(const RecordKey& key, const RouteSelector& selector, const std::string& why) {
+    RouteEntry entry;
+    entry.name = key.name;
+    entry.refusal = why;
+    this->Report(key, "refuses its calls: " + why);
+    this->Add(key, selector, std::move(entry));
+  }
+
+  /// Why the record can't be used is reported already.
+  void RefuseUnusableRoute(const RecordKey& key) {
+    const RecordEntry* entry = this->book.Find(key);
+    const auto selector = ReadRouteSelector(entry->body);
+    if (selector) {
+      this->Refuse(key, *selector, "its record can't be used");
+    } else {
+      this->Report(key, "is left out: its host or prefix can't be read");
+    }
   }
 
   static bool IsTriedBefore(const Configuration::Route& a, const Configuration::Route& b) {
@@ -200,6 +236,8 @@
   std::shared_ptr<Configuration> result;
   std::map<std::string, ServiceRecord> chosen_services;
   std::map<RecordKey, RouteRecord> chosen_routes;
+  /// The highest schema of each name of which no record can be used.
+  std::map<std::string, RecordKey> unusable_routes;
   std::map<std::string, PriorityRecord> priorities;
   std::map<std::string, RetryAllowanceRecord> allowances;
 };
--- a/src/records/configuration.h
+++ b/src/records/configuration.h
@@ -24,7 +24,8 @@
 /// schema that this build supports and that is not retired.
 class Configuration {
  public:
-  /// Never fails: unusable entries are left out and reported by Problems().
+  /// Never fails: unusable entries are reported by Problems(). Calls of an unusable route are
+  /// refused; other entries are left out.
   static std::shared_ptr<const Configuration> Build(const RecordBook& book);
 
   std::int64_t Revision() const { return this->revision; }
@@ -53,7 +54,7 @@
   /// Sorted.
   const std::vector<std::string>& ServiceNames() const { return this->service_names; }
 
-  /// Why entries were left out; each finding's place is the entry's key.
+  /// Why entries were left out, or refuse their calls; each finding's place is the entry's key.
   const Findings& Problems() const { return this->problems; }
 
  private:
--- a/src/records/json_reader.cc
+++ b/src/records/json_reader.cc
@@ -19,8 +19,8 @@
 /// Builds a value from SAX events, which avoids recursion, and limits the nesting depth.
 class JsonBuilder : public nlohmann::json_sax<Json> {
  public:
-  JsonBuilder(std::string_view file, Findings& found)
-      : root_place(std::string(file) + ":/"), findings(found) {}
+  JsonBuilder(std::string_view file, Findings& found, DeepValues deep)
+      : root_place(std::string(file) + ":/"), findings(found), deep_values(deep) {}
 
   bool null() override { return this->Add(nullptr); }  // NOLINT(readability-identifier-naming)
   bool boolean(bool value) override {                  // NOLINT(readability-identifier-naming)
@@ -44,6 +44,7 @@
   bool end_array() override { return this->Close(); }   // NOLINT(readability-identifier-naming)
 
   bool key(std::string& name) override {  // NOLINT(readability-identifier-naming)
+    if (this->dropped_levels > 0) return true;
     Frame& frame = this->frames.back();
     frame.key = name;
     if (frame.container->contains(name)) {
@@ -86,12 +87,18 @@
   }
 
   bool Add(Json value) {
-    this->Insert(std::move(value));
+    if (this->dropped_levels == 0) this->Insert(std::move(value));
     return true;
   }
 
   bool Open(Json container) {
-    if (this->frames.size() >= kMaxJsonDepth) {
+    const bool is_too_deep = this->frames.size() >= kMaxJsonDepth;
+    if (is_too_deep && this->deep_values == DeepValues::kDropped) {
+      if (this->dropped_levels == 0) this->Insert(nullptr);
+      ++this->dropped_levels;
+      return true;
+    }
+    if (is_too_deep) {
       this->Report("nested too deeply; allowed are " + std::to_string(kMaxJsonDepth) + " levels");
       return false;
     }
@@ -100,6 +107,10 @@
   }
 
   bool Close() {
+    if (this->dropped_levels > 0) {
+      --this->dropped_levels;
+      return true;
+    }
     this->frames.pop_back();
     return true;
   }
@@ -124,8 +135,10 @@
 
   std::string root_place;
   Findings& findings;
+  DeepValues deep_values;
   Json root;
   std::vector<Frame> frames;
+  std::size_t dropped_levels = 0;  ///< Open containers that are dropped.
 };
 
 }  // namespace
@@ -153,8 +166,8 @@
   return child;
 }
 
-std::optional<Json> ReadJson(std::string_view file_name, std::string_view text,
-                             Findings& findings) {
+std::optional<Json> ReadJson(std::string_view file_name, std::string_view text, Findings& findings,
+                             DeepValues deep_values) {
   const std::string root = std::string(file_name) + ":/";
   if (text.starts_with(kByteOrderMark)) {
     findings.push_back({root, "starts with a byte order mark; allowed is UTF-8 without one"});
@@ -164,7 +177,7 @@
     findings.push_back({root, "is empty; allowed is one record or a JSON array of records"});
     return std::nullopt;
   }
-  JsonBuilder builder(file_name, findings);
+  JsonBuilder builder(file_name, findings, deep_values);
   if (!Json::sax_parse(text, &builder)) return std::nullopt;
   return builder.TakeRoot();
 }
--- a/src/records/record_checker.cc
+++ b/src/records/record_checker.cc
@@ -7,10 +7,10 @@
 #include <string>
 #include <utility>
 
+#include "records/host_name.h"
 #include "records/json_reader.h"
 #include "records/record_parser.h"
 #include "records/record_reference.h"
-#include "records/route_table.h"
 
 namespace fireflyrun::records {
 namespace {
--- a/src/records/record_kind.h
+++ b/src/records/record_kind.h
@@ -28,7 +28,7 @@
 /// The highest schema of `kind` that this build supports; schemas are numbered from 1.
 constexpr int HighestSchema(RecordKind kind) {
   if (kind == RecordKind::kService) return 3;
-  return kind == RecordKind::kRoute ? 2 : 1;
+  return kind == RecordKind::kRoute ? 3 : 1;
 }
 
 }  // namespace fireflyrun::records
--- a/src/records/record_limits.h
+++ b/src/records/record_limits.h
@@ -18,6 +18,13 @@
 inline constexpr std::size_t kMaxServicesOfFirstSchema = 16;
 /// The schema of routes from which on a weight may be any number.
 inline constexpr int kAnyWeightSchema = 2;
+/// The schema of routes from which on a prefix, a host and the number of services are bounded by
+/// what a request or a record can hold.
+inline constexpr int kAnyPrefixSchema = 3;
+/// Of a route's prefix and host from that schema on; no head of a request is longer.
+inline constexpr std::size_t kMaxRouteTextBytes = std::size_t{1} << 20;
+/// Of a route from that schema on.
+inline constexpr std::size_t kMaxServicesOfThirdSchema = 1'000'000;
 
 /// True for a path that starts with "/", has at most 512 bytes, and fits into a request line
 /// without a query or fragment.
--- a/src/records/route_entry.h
+++ b/src/records/route_entry.h
@@ -7,10 +7,12 @@
 
 namespace fireflyrun::records {
 
-/// A route record in force. At least one of its services has a weight above 0.
+/// A route record in force. At least one of its services has a weight above 0, unless its calls are
+/// refused.
 struct RouteEntry {
   std::string name;
-  std::vector<WeightedPolicy> policies;  ///< One per service in force.
+  std::string refusal;                   ///< Why its calls are refused; empty if they aren't.
+  std::vector<WeightedPolicy> policies;  ///< One per service.
   /// Weights of `policies`, in the same order, for policy::WeightedRoundRobin.
   std::vector<double> weights;
 };
--- a/src/records/route_record_parser.cc
+++ b/src/records/route_record_parser.cc
@@ -1,6 +1,7 @@
 #include "records/route_record_parser.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <set>
@@ -10,7 +11,6 @@
 #include "records/field_reader.h"
 #include "records/json_reader.h"
 #include "records/record_limits.h"
-#include "records/route_table.h"
 
 namespace fireflyrun::records {
 namespace {
@@ -19,6 +19,8 @@
 
 constexpr std::int64_t kMaxAttempts = 10;
 constexpr std::int64_t kMinTargetLatencyMs = 1;
+/// Of a host before kAnyPrefixSchema; the limit of DNS.
+constexpr std::size_t kMaxHostBytes = 253;
 
 bool IsLetterOrDigit(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9');
@@ -37,27 +39,67 @@
 
 bool IsPrefix(std::string_view prefix) { return IsAbsolutePath(prefix) && prefix.back() == '/'; }
 
-void ReadHost(FieldReader& reader, RouteRecord& route) {
+/// The same from kAnyPrefixSchema on.
+bool IsAnyHost(std::string_view host) { return !host.empty() && host.size() <= kMaxRouteTextBytes; }
+
+bool IsAnyPrefix(std::string_view prefix) {
+  return prefix.starts_with('/') && prefix.ends_with('/') && prefix.size() <= kMaxRouteTextBytes;
+}
+
+/// A prefix of calls that are refused, whatever its end.
+bool IsRefusedPrefix(std::string_view prefix) {
+  return prefix.starts_with('/') && prefix.size() <= kMaxRouteTextBytes;
+}
+
+void ReadHost(FieldReader& reader, int schema, RouteRecord& route) {
   auto host = reader.Text("host", Presence::kOptional);
   if (!host) return;
-  if (!IsHost(*host)) {
+  if (schema >= kAnyPrefixSchema && !IsAnyHost(*host)) {
+    reader.Report("host", "has " + std::to_string(host->size()) + " bytes; allowed are 1 to " +
+                              std::to_string(kMaxRouteTextBytes));
+  } else if (schema < kAnyPrefixSchema && !IsHost(*host)) {
     reader.Report("host", "is " + Printable(*host) +
                               "; allowed is a host name or an IP address, without port");
   }
   route.host = std::move(*host);
 }
 
-void ReadPrefix(FieldReader& reader, RouteRecord& route) {
+void ReadPrefix(FieldReader& reader, int schema, RouteRecord& route) {
   auto prefix = reader.Text("prefix", Presence::kRequired);
   if (!prefix) return;
-  if (!IsPrefix(*prefix)) {
+  const bool is_refused = !route.refusal.empty();
+  if (schema < kAnyPrefixSchema && !IsPrefix(*prefix)) {
     reader.Report("prefix", "is " + Printable(*prefix) +
                                 "; allowed are up to 512 bytes that begin and end with \"/\", "
                                 "without query or space");
+  } else if (is_refused && !IsRefusedPrefix(*prefix)) {
+    reader.Report("prefix", "is " + Printable(*prefix) + "; allowed are up to " +
+                                std::to_string(kMaxRouteTextBytes) +
+                                " bytes that begin with \"/\"");
+  } else if (schema >= kAnyPrefixSchema && !is_refused && !IsAnyPrefix(*prefix)) {
+    reader.Report("prefix", "is " + Printable(*prefix) + "; allowed are up to " +
+                                std::to_string(kMaxRouteTextBytes) +
+                                " bytes that begin and end with \"/\"");
   }
   route.prefix = std::move(*prefix);
 }
 
+void ReadRefusal(FieldReader& reader, RouteRecord& route) {
+  auto refusal = reader.Text("refusal", Presence::kOptional);
+  if (!refusal) return;
+  if (refusal->empty()) reader.Report("refusal", "is empty; allowed is a text that tells why");
+  route.refusal = std::move(*refusal);
+}
+
+std::size_t MostServices(int schema) {
+  if (schema >= kAnyPrefixSchema) return kMaxServicesOfThirdSchema;
+  return schema >= kAnyWeightSchema ? kMaxServicesOfRoute : kMaxServicesOfFirstSchema;
+}
+
+bool IsSmallAndWhole(const WeightedService& service) {
+  return service.weight <= kMaxWholeWeight && service.weight == std::floor(service.weight);
+}
+
 /// The weight is 1 if it was reported, so that the sum isn't reported too.
 double ParseWeight(FieldReader& reader, int schema) {
   if (schema >= kAnyWeightSchema) return reader.Number("weight", 0, kMaxWeight).value_or(1);
@@ -80,8 +122,7 @@
   std::vector<WeightedService> services;
   const Json* values = reader.Array("services", Presence::kRequired);
   if (values == nullptr) return services;
-  const std::size_t most =
-      schema >= kAnyWeightSchema ? kMaxServicesOfRoute : kMaxServicesOfFirstSchema;
+  const std::size_t most = MostServices(schema);
   if (values->empty() || values->size() > most) {
     reader.Report("services", "has " + std::to_string(values->size()) +
                                   " elements; allowed are 1 to " + std::to_string(most));
@@ -112,8 +153,10 @@
 RouteRecord ParseRouteRecord(FieldReader& reader, const RecordKey& key, Findings& findings) {
   RouteRecord route;
   route.name = key.name;
-  ReadHost(reader, route);
-  ReadPrefix(reader, route);
+  if (key.schema >= kAnyPrefixSchema) ReadRefusal(reader, route);
+  ReadHost(reader, key.schema, route);
+  ReadPrefix(reader, key.schema, route);
+  if (!route.refusal.empty()) return route;
   route.services = ParseWeightedServices(reader, key.schema, findings);
   route.priority = reader.Name("priority", Presence::kRequired).value_or("");
   route.retry_allowance = reader.Name("retry_allowance", Presence::kRequired).value_or("");
@@ -127,4 +170,31 @@
   return route;
 }
 
+std::optional<RouteSelector> ReadRouteSelector(std::string_view body) {
+  const Json value = Json::parse(body, nullptr, false);
+  if (!value.is_object()) return std::nullopt;
+  const auto host = value.find("host");
+  const auto prefix = value.find("prefix");
+  RouteSelector selector;
+  if (host != value.end()) {
+    if (!host->is_string() || !IsAnyHost(host->get_ref<const std::string&>())) return std::nullopt;
+    selector.host = host->get<std::string>();
+  }
+  if (prefix == value.end() || !prefix->is_string()) return std::nullopt;
+  selector.prefix = prefix->get<std::string>();
+  if (!IsRefusedPrefix(selector.prefix)) return std::nullopt;
+  return selector;
+}
+
+int LowestRouteSchema(const RouteRecord& route) {
+  const std::size_t services = route.services.size();
+  const bool has_any_prefix = !route.refusal.empty() || !IsPrefix(route.prefix) ||
+                              (!route.host.empty() && !IsHost(route.host)) ||
+                              services > kMaxServicesOfRoute;
+  if (has_any_prefix) return kAnyPrefixSchema;
+  const bool fits_first =
+      services <= kMaxServicesOfFirstSchema && std::ranges::all_of(route.services, IsSmallAndWhole);
+  return fits_first ? 1 : kAnyWeightSchema;
+}
+
 }  // namespace fireflyrun::records
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -385,6 +385,48 @@
   EXPECT_NEAR(at_front, 0.8 * kCalls, 0.01 * kCalls);
 }
 
+/// Guards against a route that is left out for the length of its prefix: the service of a shorter
+/// prefix ran its requests.
+TEST_F(PlatformNodeTest, RouteWithALongPrefixTakesItsRequestsInTime) {
+  this->StartServing();
+  Json changed = Configuration(5, "front");
+  changed["routes"]["r-root"] = Route("safe", "unsafe", "shop");
+  changed["routes"]["r-root"]["prefix"] = "/";
+  changed["routes"]["r-long"] = Route(std::string(700, 'p'), "unsafe", "front");
+  changed["routes"]["r-longest"] = Route(std::string(9000, 'q'), "unsafe", "front");
+  this->fleet.Configure(changed);
+  ASSERT_TRUE(WaitUntil(kApplyTimeout, [this] { return this->AllNodesRouteTo("front"); }));
+  for (const std::size_t host : {kFrontNode, kZoneAShopNode, kZoneBShopNode}) {
+    EXPECT_EQ(ServiceOf(this->Send(host, "/" + std::string(700, 'p') + "/x")), "front");
+    EXPECT_EQ(ServiceOf(this->Send(host, "/" + std::string(9000, 'q') + "/x")), "front");
+    EXPECT_EQ(ServiceOf(this->Send(host, "/" + std::string(699, 'p') + "/x")), "shop");
+  }
+}
+
+/// Guards against an unusable route that holds its version back, or whose requests another route
+/// takes.
+TEST_F(PlatformNodeTest, UnusableRouteRefusesItsOwnRequestsOnly) {
+  this->StartServing();
+  Json changed = Configuration(5, "front");
+  changed["routes"]["r-root"] = Route("safe", "unsafe", "shop");
+  changed["routes"]["r-root"]["prefix"] = "/";
+  changed["routes"]["r-odd"] = Route("odd", "unsafe", "front");
+  changed["routes"]["r-odd"]["service"] = 5;
+  this->fleet.Configure(changed);
+  ASSERT_TRUE(WaitUntil(kApplyTimeout, [this] { return this->AllNodesRouteTo("front"); }));
+  for (const std::size_t host : {kFrontNode, kZoneAShopNode, kZoneBShopNode}) {
+    const std::string id = NewId();
+    const HttpAnswer answer = this->fleet.Call(host, "POST", "/odd/x", Headers(id));
+    EXPECT_EQ(answer.status, 503);
+    EXPECT_NE(answer.body.find("r-odd/service"), std::string::npos) << answer.body;
+    EXPECT_TRUE(this->fleet.Runs(id).empty());
+    EXPECT_EQ(ServiceOf(this->Send(host, "/else/x")), "shop");
+    EXPECT_TRUE(WaitUntil(kApplyTimeout, [&] {
+      return this->fleet.Log(host).find("its calls are refused") != std::string::npos;
+    }));
+  }
+}
+
 /// Guards against 413 for what the operator allows: the node's own limit was 8 MiB, whatever the
 /// configuration said.
 TEST_F(PlatformNodeTest, BodiesThatTheConfigurationAllowsAreServed) {
