--- a/src/cli/fleet_report.cc
+++ b/src/cli/fleet_report.cc
@@ -1,6 +1,5 @@
 #include "cli/fleet_report.h"
 
-#include <charconv>
 #include <iomanip>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -24,11 +23,9 @@
   const auto counts = zone.find("revision_counts");
   if (counts == zone.end() || !counts->is_object()) return false;
   for (const auto& [text, count] : counts->items()) {
-    std::int64_t revision = 0;
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, revision);
-    if (result.ec != std::errc() || result.ptr != end || !count.is_number_unsigned()) return false;
-    report.revision_counts[revision] = count.get<int>();
+    const auto revision = records::ParseRevision(text);
+    if (!revision || !count.is_number_unsigned()) return false;
+    report.revision_counts[*revision] = count.get<int>();
   }
   return true;
 }
@@ -58,7 +55,7 @@
 
 }  // namespace
 
-int ZoneReport::CountInForce(std::int64_t revision) const {
+int ZoneReport::CountInForce(const records::BookRevision& revision) const {
   int count = 0;
   for (auto entry = this->revision_counts.lower_bound(revision);
        entry != this->revision_counts.end(); ++entry) {
@@ -81,7 +78,7 @@
   return report;
 }
 
-bool IsInForce(const FleetReport& report, std::int64_t revision) {
+bool IsInForce(const FleetReport& report, const records::BookRevision& revision) {
   int reachable = 0;
   for (const ZoneReport& zone : report) {
     if (zone.CountInForce(revision) < zone.reachable) return false;
@@ -90,7 +87,8 @@
   return reachable > 0;
 }
 
-void PrintFleetReport(std::ostream& out, const FleetReport& report, std::int64_t revision) {
+void PrintFleetReport(std::ostream& out, const FleetReport& report,
+                      const records::BookRevision& revision) {
   out << std::left << std::setw(kZoneColumn) << "ZONE" << std::right << std::setw(kCountColumn)
       << "NODES" << std::setw(kCountColumn) << "REACHABLE" << std::setw(kCountColumn) << "UNREACHED"
       << std::setw(kCountColumn) << "IN FORCE"
--- a/src/cli/get_command.cc
+++ b/src/cli/get_command.cc
@@ -68,7 +68,7 @@
   if (options->json) {
     PrintJson(selected);
   } else {
-    PrintTable(selected, read->transfer.to_revision);
+    PrintTable(selected, read->transfer.to_revision.number);
   }
   return kExitDone;
 }
--- a/src/cli/status_command.cc
+++ b/src/cli/status_command.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <iostream>
-#include <optional>
 
 #include "cli/exit_code.h"
 #include "cli/fleet_client.h"
@@ -18,8 +17,8 @@
     .description = "Prints the zones, their nodes, and the record revision in force in each zone.",
     .needs_store = false};
 
-std::int64_t NewestRevision(const FleetReport& report) {
-  std::int64_t newest = 0;
+records::BookRevision NewestRevision(const FleetReport& report) {
+  records::BookRevision newest;
   for (const ZoneReport& zone : report) {
     if (!zone.revision_counts.empty()) {
       newest = std::max(newest, zone.revision_counts.rbegin()->first);
@@ -32,7 +31,7 @@
   const auto& entries = read.transfer.entries;
   const auto is_retired = [](const records::RecordEntry& entry) { return entry.retired; };
   const auto retired = std::count_if(entries.begin(), entries.end(), is_retired);
-  std::cout << "Store: revision " << read.transfer.to_revision << ", "
+  std::cout << "Store: revision " << records::FormatRevision(read.transfer.to_revision) << ", "
             << static_cast<std::ptrdiff_t>(entries.size()) - retired << " records, " << retired
             << " retired\n";
 }
@@ -47,7 +46,7 @@
     return kExitWrongUsage;
   }
   OperatorSession session(*options);
-  std::optional<std::int64_t> store_revision;
+  records::BookRevision store_revision;
   if (!options->store_endpoints.empty()) {
     const auto read = session.Read();
     if (read) {
@@ -65,8 +64,8 @@
     std::cerr << "No node reported the state of the fleet: " << report.error() << "\n";
     return kExitFailed;
   }
-  const std::int64_t newest = std::max(NewestRevision(*report), store_revision.value_or(0));
-  std::cout << "Newest revision: " << newest << "\n";
+  const records::BookRevision newest = std::max(NewestRevision(*report), store_revision);
+  std::cout << "Newest revision: " << records::FormatRevision(newest) << "\n";
   PrintFleetReport(std::cout, *report, newest);
   return kExitDone;
 }
--- a/src/membership/fleet_collector.cc
+++ b/src/membership/fleet_collector.cc
@@ -7,6 +7,7 @@
 #include "common/random.h"
 #include "membership/control_address.h"
 #include "membership/member_codec.h"
+#include "membership/revision_codec.h"
 
 namespace fireflyrun::membership {
 
@@ -28,7 +29,8 @@
     const auto found = replies.find(zone.zone);
     if (found == replies.end()) continue;
     for (const pb::NodeStatus& node : found->second.nodes()) {
-      if (node.records_revision() < report.revision) zone.lagging.push_back(node.node());
+      const auto revision = RevisionOf(node.records_revision(), node.records_rest());
+      if (revision < report.revision) zone.lagging.push_back(node.node());
     }
     std::sort(zone.lagging.begin(), zone.lagging.end());
   }
@@ -178,7 +180,9 @@
   pb::NodeStatus status;
   status.set_node(self.node);
   status.set_incarnation(self.incarnation);
-  status.set_records_revision(this->local_revision());
+  const records::BookRevision revision = this->local_revision();
+  status.set_records_revision(static_cast<std::uint64_t>(revision.number));
+  status.set_records_rest(revision.rest);
   status.set_target_state(EncodeTargetState(self.target_state));
   return status;
 }
@@ -221,7 +225,7 @@
   if (reply == collection.replies.end()) return report;
   report.answered = static_cast<std::size_t>(reply->second.nodes_size());
   for (const pb::NodeStatus& node : reply->second.nodes()) {
-    ++report.revision_counts[node.records_revision()];
+    ++report.revision_counts[RevisionOf(node.records_revision(), node.records_rest())];
   }
   return report;
 }
--- a/src/membership/fleet_collector.h
+++ b/src/membership/fleet_collector.h
@@ -21,7 +21,7 @@
 class FleetCollector {
  public:
   using Handler = std::function<void(FleetReport)>;
-  using RevisionHook = std::function<std::uint64_t()>;
+  using RevisionHook = std::function<records::BookRevision()>;
 
   FleetCollector(ControlContext& shared, RevisionHook revision_hook);
   ~FleetCollector() = default;
--- a/src/membership/fleet_report.cc
+++ b/src/membership/fleet_report.cc
@@ -9,7 +9,7 @@
 nlohmann::json ZoneToJson(const ZoneReport& zone) {
   nlohmann::json counts = nlohmann::json::object();
   for (const auto& [revision, count] : zone.revision_counts) {
-    counts[std::to_string(revision)] = count;
+    counts[records::FormatRevision(revision)] = count;
   }
   return {
       {"zone", zone.zone},           {"region", zone.region},           {"nodes", zone.nodes},
@@ -22,8 +22,10 @@
 std::string ToJson(const FleetReport& report) {
   nlohmann::json zones = nlohmann::json::array();
   for (const ZoneReport& zone : report.zones) zones.push_back(ZoneToJson(zone));
+  nlohmann::json revision = report.revision.number;
+  if (!report.revision.rest.empty()) revision = records::FormatRevision(report.revision);
   const nlohmann::json document = {
-      {"zones", zones}, {"revision", report.revision}, {"conflicts", report.conflicts}};
+      {"zones", zones}, {"revision", revision}, {"conflicts", report.conflicts}};
   // Node names are free text; bytes that are not UTF-8 must not make the report fail.
   return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/membership/fleet_report.h
+++ b/src/membership/fleet_report.h
@@ -1,11 +1,12 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "records/book_revision.h"
+
 namespace fireflyrun::membership {
 
 /// The state of one zone as reported by its members.
@@ -16,19 +17,20 @@
   std::size_t reachable = 0;
   std::vector<std::string> unreachable;
   std::size_t answered = 0;
-  std::map<std::uint64_t, std::size_t> revision_counts;  ///< Nodes that replied, by revision.
+  std::map<records::BookRevision, std::size_t> revision_counts;  ///< Nodes that replied.
   std::vector<std::string> lagging;  ///< Nodes below the highest revision in the fleet.
 };
 
 /// The result of one fleet collection.
 struct FleetReport {
   std::vector<ZoneReport> zones;
-  std::uint64_t revision = 0;  ///< The highest revision that any node reported.
+  records::BookRevision revision;  ///< The highest revision that any node reported.
   std::vector<std::string> conflicts;
 };
 
 /// Renders the report as `{"zones": [{"zone", "region", "nodes", "reachable", "unreachable",
-/// "answered", "revision_counts", "lagging"}], "revision", "conflicts"}`.
+/// "answered", "revision_counts", "lagging"}], "revision", "conflicts"}`. The revision is a number,
+/// or a text if it has a rest.
 std::string ToJson(const FleetReport& report);
 
 }  // namespace fireflyrun::membership
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -9,6 +9,7 @@
 #include "membership/fleet_joiner.h"
 #include "membership/gossip.h"
 #include "membership/record_gossip.h"
+#include "membership/revision_codec.h"
 #include "membership/zone_monitor.h"
 
 namespace fireflyrun::membership {
@@ -89,7 +90,9 @@
 }
 
 void Membership::Implementation::CompleteDigest(pb::Digest& digest) const {
-  digest.set_records_revision(this->records.LocalRevision());
+  const records::BookRevision revision = this->records.LocalRevision();
+  digest.set_records_revision(static_cast<std::uint64_t>(revision.number));
+  digest.set_records_rest(revision.rest);
   digest.set_store_generation(this->records.StoreGeneration());
   for (pb::Accusation& accusation : this->detector.Unreachable()) {
     *digest.add_unreachable() = std::move(accusation);
@@ -189,7 +192,10 @@
     const bool from_own_zone = envelope.zone() == this->view.Self().zone;
     this->records.OnChangeSet(part.change_set(), from, from_own_zone);
   }
-  if (part.has_record_notice()) this->records.OnRevision(part.record_notice().revision(), from);
+  if (part.has_record_notice()) {
+    const pb::RecordNotice& notice = part.record_notice();
+    this->records.OnRevision(RevisionOf(notice.revision(), notice.rest()), from);
+  }
   if (part.has_record_request()) this->records.OnRequest(part.record_request(), from);
   if (part.has_transfer_chunk()) this->records.OnChunk(part.transfer_chunk(), from);
 }
@@ -205,7 +211,7 @@
   const std::string& from = envelope.address();
   this->joiner.OnResponse();
   this->gossip.OnDigest(digest, from);
-  this->records.OnRevision(digest.records_revision(), from);
+  this->records.OnRevision(RevisionOf(digest.records_revision(), digest.records_rest()), from);
   this->records.OnStoreGeneration(digest.store_generation());
   for (const pb::Accusation& accusation : digest.unreachable()) {
     this->detector.OnAccusation(accusation, from);
--- a/src/membership/record_gossip.cc
+++ b/src/membership/record_gossip.cc
@@ -5,6 +5,7 @@
 
 #include "common/random.h"
 #include "membership/control_address.h"
+#include "membership/revision_codec.h"
 
 namespace fireflyrun::membership {
 
@@ -18,8 +19,8 @@
 RecordGossip::RecordGossip(ControlContext& shared, RecordHooks record_hooks)
     : context(shared), hooks(std::move(record_hooks)) {}
 
-std::uint64_t RecordGossip::LocalRevision() const {
-  return this->hooks.local_revision ? this->hooks.local_revision() : 0;
+records::BookRevision RecordGossip::LocalRevision() const {
+  return this->hooks.local_revision ? this->hooks.local_revision() : records::BookRevision();
 }
 
 std::uint64_t RecordGossip::StoreGeneration() const {
@@ -60,10 +61,10 @@
 
 void RecordGossip::OnChangeSet(const pb::ChangeSet& change_set, const std::string& from,
                                bool from_own_zone) {
-  const std::uint64_t local = this->LocalRevision();
-  if (change_set.revision() <= local) return;
+  const records::BookRevision local = this->LocalRevision();
+  if (RevisionOf(change_set.revision()) <= local) return;
   const bool is_whole = change_set.previous_revision() == 0;
-  const bool follows = is_whole || change_set.previous_revision() == local;
+  const bool follows = is_whole || RevisionOf(change_set.previous_revision()) == local;
   const bool applied = follows && this->hooks.apply_change_set &&
                        this->hooks.apply_change_set(change_set.SerializeAsString());
   if (applied) {
@@ -73,8 +74,8 @@
   }
 }
 
-void RecordGossip::OnRevision(std::uint64_t revision, const std::string& from) {
-  const std::uint64_t local = this->LocalRevision();
+void RecordGossip::OnRevision(const records::BookRevision& revision, const std::string& from) {
+  const records::BookRevision local = this->LocalRevision();
   const bool is_newer = revision > local;
   if (is_newer &&
       (!this->hooks.accepts_peer_records || this->hooks.accepts_peer_records(revision))) {
@@ -84,7 +85,9 @@
   // A node that missed a push gets this notice in reply to its own next digest, without waiting
   // until another node picks it for an exchange.
   pb::Part part;
-  part.mutable_record_notice()->set_revision(local);
+  pb::RecordNotice& notice = *part.mutable_record_notice();
+  notice.set_revision(static_cast<std::uint64_t>(local.number));
+  notice.set_rest(local.rest);
   this->context.outbox.Add(from, part, SendPriority::kUpdate);
 }
 
@@ -95,14 +98,18 @@
   this->request_pending = true;
   this->requested_at = now;
   pb::Part part;
-  part.mutable_record_request()->set_since_revision(this->LocalRevision());
+  const records::BookRevision local = this->LocalRevision();
+  pb::RecordRequest& request = *part.mutable_record_request();
+  request.set_since_revision(static_cast<std::uint64_t>(local.number));
+  request.set_since_rest(local.rest);
   this->context.outbox.Add(peer, part, SendPriority::kUpdate);
 }
 
 void RecordGossip::OnRequest(const pb::RecordRequest& request, const std::string& from) {
-  const bool is_ahead = request.since_revision() < this->LocalRevision();
+  const records::BookRevision since = RevisionOf(request.since_revision(), request.since_rest());
+  const bool is_ahead = since < this->LocalRevision();
   if (!is_ahead || !this->hooks.changes_since) return;
-  const std::string transfer = this->hooks.changes_since(request.since_revision());
+  const std::string transfer = this->hooks.changes_since(since);
   const std::size_t max_chunk_bytes =
       this->context.options.max_message_bytes - kEnvelopeHeadroomBytes;
   const std::size_t count =
--- a/src/membership/record_gossip.h
+++ b/src/membership/record_gossip.h
@@ -24,7 +24,7 @@
   RecordGossip(const RecordGossip&) = delete;
   RecordGossip& operator=(const RecordGossip&) = delete;
 
-  std::uint64_t LocalRevision() const;
+  records::BookRevision LocalRevision() const;
   /// Pushes a change set that this node read from the store and applied, to its own zone and all
   /// other zones.
   void Publish(std::string_view change_set);
@@ -33,7 +33,7 @@
   void OnChangeSet(const pb::ChangeSet& change_set, const std::string& from, bool from_own_zone);
   /// Handles another node's revision: requests the changes that this node lacks, or sends the other
   /// node this node's higher revision.
-  void OnRevision(std::uint64_t revision, const std::string& from);
+  void OnRevision(const records::BookRevision& revision, const std::string& from);
   std::uint64_t StoreGeneration() const;
   /// A node whose connections to the store fell silent learns of its return from others.
   void OnStoreGeneration(std::uint64_t generation);
--- a/src/node/control_plane.cc
+++ b/src/node/control_plane.cc
@@ -159,8 +159,9 @@
 
 void ControlPlane::AddMetrics(NodeMetrics* metrics) const {
   const auto counters = [this]() -> const auto& { return this->membership->Counters(); };
-  metrics->AddGauge("fireflyrun_records_revision", "Revision of the records in force.",
-                    [this] { return static_cast<double>(this->records->Book().Revision()); });
+  metrics->AddGauge("fireflyrun_records_revision", "Revision of the records in force.", [this] {
+    return static_cast<double>(this->records->Book().Revision().number);
+  });
   metrics->AddGauge("fireflyrun_records_problems",
                     "Findings about the newest records, which are not in force as written.",
                     [this] { return static_cast<double>(this->records->Problems().size()); });
--- a/src/node/outbound_call.h
+++ b/src/node/outbound_call.h
@@ -11,6 +11,7 @@
 #include "policy/call_class.h"
 #include "policy/priority_key.h"
 #include "policy/retry_allotment.h"
+#include "records/book_revision.h"
 #include "records/call_policy.h"
 
 namespace fireflyrun::node {
@@ -20,8 +21,8 @@
 /// A call to a target of a service, at the node where it starts.
 struct OutboundCall {
   Id128 root_id;
-  std::string request_id;     ///< Identifies the call in the log.
-  std::int64_t revision = 0;  ///< Revision of the records that routed it.
+  std::string request_id;          ///< Identifies the call in the log.
+  records::BookRevision revision;  ///< Revision of the records that routed it.
   SteadyTime deadline;
   std::shared_ptr<const records::CallPolicy> route;
   policy::CallClass call_class;  ///< The parent's, or the route's without a parent.
--- a/src/node/record_codec.cc
+++ b/src/node/record_codec.cc
@@ -72,8 +72,10 @@
 
 std::string EncodeTransfer(const records::Transfer& transfer) {
   membership::pb::Transfer message;
-  message.set_from_revision(static_cast<std::uint64_t>(transfer.from_revision));
-  message.set_to_revision(static_cast<std::uint64_t>(transfer.to_revision));
+  message.set_from_revision(static_cast<std::uint64_t>(transfer.from_revision.number));
+  message.set_from_rest(transfer.from_revision.rest);
+  message.set_to_revision(static_cast<std::uint64_t>(transfer.to_revision.number));
+  message.set_to_rest(transfer.to_revision.rest);
   for (const auto& entry : transfer.entries) FillEntry(entry, message.add_entries());
   return message.SerializeAsString();
 }
@@ -82,8 +84,9 @@
   const auto message = Parse<membership::pb::Transfer>(bytes);
   if (!message) return std::nullopt;
   records::Transfer transfer;
-  transfer.from_revision = static_cast<std::int64_t>(message->from_revision());
-  transfer.to_revision = static_cast<std::int64_t>(message->to_revision());
+  transfer.from_revision = {static_cast<std::int64_t>(message->from_revision()),
+                            message->from_rest()};
+  transfer.to_revision = {static_cast<std::int64_t>(message->to_revision()), message->to_rest()};
   if (!ReadEntries(*message, &transfer.entries)) return std::nullopt;
   return transfer;
 }
--- a/src/node/record_keeper.cc
+++ b/src/node/record_keeper.cc
@@ -29,7 +29,7 @@
 
 membership::RecordHooks RecordKeeper::Hooks() {
   membership::RecordHooks hooks;
-  hooks.local_revision = [this] { return static_cast<std::uint64_t>(this->book.Revision()); };
+  hooks.local_revision = [this] { return this->book.Revision(); };
   hooks.apply_change_set = [this](std::string_view bytes) {
     const auto change_set = DecodeChangeSet(bytes);
     return change_set && this->book.ApplyChangeSet(*change_set) == records::ChangeResult::kApplied;
@@ -38,20 +38,20 @@
     const auto transfer = DecodeTransfer(bytes);
     return transfer && this->book.MergeTransfer(*transfer);
   };
-  hooks.changes_since = [this](std::uint64_t revision) {
-    return EncodeTransfer(this->book.ChangesSince(static_cast<std::int64_t>(revision)));
+  hooks.changes_since = [this](const records::BookRevision& revision) {
+    return EncodeTransfer(this->book.ChangesSince(revision));
   };
   if (this->always_follows_source) {
-    hooks.accepts_peer_records = [this](std::uint64_t revision) {
+    hooks.accepts_peer_records = [this](const records::BookRevision& revision) {
       return this->AcceptsPeerRecords(revision);
     };
   }
   return hooks;
 }
 
-bool RecordKeeper::AcceptsPeerRecords(std::uint64_t revision) {
+bool RecordKeeper::AcceptsPeerRecords(const records::BookRevision& revision) {
   const SteadyTime now = SteadyClock::now();
-  if (this->awaited_revision <= static_cast<std::uint64_t>(this->book.Revision())) {
+  if (this->awaited_revision <= this->book.Revision()) {
     this->awaited_revision = revision;
     this->awaited_since = now;
     this->ReadStore();
@@ -96,7 +96,7 @@
   this->watching = true;
   Log(LogLevel::kInfo, "records", "event=watching");
   this->source->WatchFrom(
-      this->book.Revision(), [this](records::ChangeSet set) { this->OnChangeSet(set); },
+      this->book.Revision().number, [this](records::ChangeSet set) { this->OnChangeSet(set); },
       [this](records::Transfer transfer) { this->OnTransfer(transfer); });
 }
 
@@ -110,11 +110,11 @@
 }
 
 void RecordKeeper::OnTransfer(const records::Transfer& transfer) {
-  const std::int64_t before = this->book.Revision();
+  const records::BookRevision before = this->book.Revision();
   if (!this->book.MergeTransfer(transfer)) return;
   // The merged book also gives the changes between the two revisions.
   const auto changes = this->book.ChangesSince(before);
-  this->Publish({changes.from_revision, changes.to_revision, changes.entries});
+  this->Publish({changes.from_revision.number, changes.to_revision.number, changes.entries});
 }
 
 void RecordKeeper::ReadStore() {
@@ -133,7 +133,7 @@
   this->configuration = records::Configuration::Build(this->book);
   if (this->on_configuration) this->on_configuration(*this->configuration);
   LogEvent(LogLevel::kInfo, "records", "in-force")
-      .Add("revision", this->book.Revision())
+      .Add("revision", records::FormatRevision(this->book.Revision()))
       .Add("records", this->book.Entries().size());
   for (const Finding& problem : this->configuration->Problems()) {
     LogEvent(LogLevel::kWarning, "records", "unusable-record")
@@ -152,7 +152,12 @@
 
 std::string RecordKeeper::Describe() const {
   nlohmann::json document;
-  document["revision"] = this->book.Revision();
+  const records::BookRevision& revision = this->book.Revision();
+  if (revision.rest.empty()) {
+    document["revision"] = revision.number;
+  } else {
+    document["revision"] = records::FormatRevision(revision);
+  }
   document["records"] = nlohmann::json::array();
   for (const auto& entry : this->book.Entries()) {
     document["records"].push_back({{"key", records::FormatRecordKey(entry.key)},
--- a/src/node/record_keeper.h
+++ b/src/node/record_keeper.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -10,6 +9,7 @@
 #include "common/finding.h"
 #include "common/timer_subscription.h"
 #include "membership/record_hooks.h"
+#include "records/book_revision.h"
 #include "records/change_set.h"
 #include "records/configuration.h"
 #include "records/record_book.h"
@@ -53,13 +53,14 @@
   /// What the source or the records in force contain that can't be used as it is written there.
   Findings Problems() const;
 
+  /// The revision is a number, or a text if it has a rest:
   /// `{"revision", "records": [{"key", "schema", "revision", "retired", "body"}], "problems"}`.
   std::string Describe() const;
 
  private:
   void Check();
   /// True if records of this revision, which other nodes have, should be accepted from them.
-  bool AcceptsPeerRecords(std::uint64_t revision);
+  bool AcceptsPeerRecords(const records::BookRevision& revision);
   void Publish(const records::ChangeSet& change_set);
   void WatchStore();
   void OnChangeSet(const records::ChangeSet& change_set);
@@ -75,7 +76,7 @@
   std::function<void(const records::Configuration&)> on_configuration;
   TimerSubscription check_timer;
   bool always_follows_source = false;
-  std::uint64_t awaited_revision = 0;  ///< Reported by other nodes, not yet by the source.
+  records::BookRevision awaited_revision;  ///< Reported by other nodes, not yet by the source.
   SteadyTime awaited_since;
   bool watching = false;
   bool reading = false;
--- a/src/node/request_log.cc
+++ b/src/node/request_log.cc
@@ -121,7 +121,9 @@
   event.Add("detail", detail).Add("outcome", OutcomeName(outcome));
   event.Add("status", RefusalStatus(result, wire)).Add("decided_by", "entry");
   event.Add("host", http::FindHeader(headers, kHostHeader).value_or(""));
-  event.Add("revision", configuration == nullptr ? 0 : configuration->Revision());
+  const records::BookRevision revision =
+      configuration == nullptr ? records::BookRevision() : configuration->Revision();
+  event.Add("revision", records::FormatRevision(revision));
   if (configuration == nullptr) return;
   event.Add("revision_age_ms", SteadyClock::now() - configuration->BuiltAt());
   event.Add("services", configuration->ServiceNames().size());
@@ -143,7 +145,7 @@
   event.Add("left_ms", call.deadline - SteadyClock::now());
   event.Add("once", call.ticket_source != TicketSource::kNone);
   event.Add("retries", result.retries).Add("moves", result.moves);
-  event.Add("bytes", result.body.size()).Add("revision", call.revision);
+  event.Add("bytes", result.body.size()).Add("revision", records::FormatRevision(call.revision));
   if (result.level != policy::kOpenLevel) {
     event.Add("key", LevelText(call.key)).Add("admission_level", LevelText(result.level));
   }
--- a/src/records/configuration.h
+++ b/src/records/configuration.h
@@ -10,6 +10,7 @@
 
 #include "common/clock.h"
 #include "common/finding.h"
+#include "records/book_revision.h"
 #include "records/call_policy.h"
 #include "records/caller_limits.h"
 #include "records/name_hash.h"
@@ -28,7 +29,7 @@
   /// refused; other entries are left out.
   static std::shared_ptr<const Configuration> Build(const RecordBook& book);
 
-  std::int64_t Revision() const { return this->revision; }
+  const BookRevision& Revision() const { return this->revision; }
   SteadyTime BuiltAt() const { return this->built_at; }
 
   /// The policy of a call by service name. Null if the service is unknown, or reachable only
@@ -72,7 +73,7 @@
     ServicePolicy service_policy;  ///< Settings that don't depend on the call.
   };
 
-  std::int64_t revision = 0;
+  BookRevision revision;
   SteadyTime built_at;
   std::unordered_map<std::string, Service, NameHash, std::equal_to<>> services;
   std::vector<std::string> service_names;
--- a/src/records/record_book.cc
+++ b/src/records/record_book.cc
@@ -21,7 +21,8 @@
   if (transfer.from_revision > this->revision) return false;
   if (transfer.to_revision <= this->revision) return false;
   const auto is_outside = [&transfer](const RecordEntry& entry) {
-    return entry.revision <= transfer.from_revision || entry.revision > transfer.to_revision;
+    return entry.revision <= transfer.from_revision.number ||
+           entry.revision > transfer.to_revision.number;
   };
   if (std::any_of(transfer.entries.begin(), transfer.entries.end(), is_outside)) return false;
   if (transfer.from_revision == 0) this->Reset(transfer.to_revision);
@@ -32,11 +33,11 @@
   return true;
 }
 
-Transfer RecordBook::ChangesSince(std::int64_t since) const {
-  if (since < this->full_book_revision) since = 0;
+Transfer RecordBook::ChangesSince(BookRevision since) const {
+  if (since < this->full_book_revision) since = {};
   Transfer transfer{since, this->revision, {}};
   for (const auto& [key, entry] : this->entries) {
-    if (entry.revision > since) transfer.entries.push_back(entry);
+    if (entry.revision > since.number) transfer.entries.push_back(entry);
   }
   return transfer;
 }
@@ -55,12 +56,12 @@
   return found == this->entries.end() ? nullptr : &found->second;
 }
 
-void RecordBook::Reset(std::int64_t at_revision) {
+void RecordBook::Reset(const BookRevision& at_revision) {
   this->entries.clear();
   this->full_book_revision = at_revision;
 }
 
-void RecordBook::Advance(std::int64_t to_revision) {
+void RecordBook::Advance(const BookRevision& to_revision) {
   this->revision = to_revision;
   if (this->on_change) this->on_change(*this);
 }
--- a/src/records/record_book.h
+++ b/src/records/record_book.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <vector>
 
+#include "records/book_revision.h"
 #include "records/change_result.h"
 #include "records/change_set.h"
 #include "records/record_entry.h"
@@ -20,7 +21,7 @@
   using ChangeHook = std::function<void(const RecordBook&)>;
 
   /// 0 for the empty book.
-  std::int64_t Revision() const { return this->revision; }
+  const BookRevision& Revision() const { return this->revision; }
 
   /// Applies the set if no change between the book's revision and the set is missing. A set from
   /// revision 0 is a full book: entries that it doesn't list are removed.
@@ -33,7 +34,7 @@
 
   /// The transfer that brings a book at revision `since` up to this one; without entries if that
   /// book is not older. It starts at 0 if entries may have been removed since then.
-  Transfer ChangesSince(std::int64_t since) const;
+  Transfer ChangesSince(BookRevision since) const;
 
   /// All entries, sorted by key.
   std::vector<RecordEntry> Entries() const;
@@ -45,14 +46,14 @@
   void OnChange(ChangeHook hook) { this->on_change = std::move(hook); }
 
  private:
-  void Reset(std::int64_t at_revision);
-  void Advance(std::int64_t to_revision);
+  void Reset(const BookRevision& at_revision);
+  void Advance(const BookRevision& to_revision);
 
   std::map<RecordKey, RecordEntry> entries;
-  std::int64_t revision = 0;
+  BookRevision revision;
   /// Revision of the last full book applied. Which entries it removed is unknown, so an older book
   /// needs a full transfer.
-  std::int64_t full_book_revision = 0;
+  BookRevision full_book_revision;
   ChangeHook on_change;
 };
 
--- a/src/records/transfer.h
+++ b/src/records/transfer.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include <cstdint>
 #include <vector>
 
+#include "records/book_revision.h"
 #include "records/record_entry.h"
 
 namespace fireflyrun::records {
@@ -10,8 +10,8 @@
 /// Every entry that changed after `from_revision`, in its state at `to_revision`. A transfer from
 /// revision 0 is a full record book: entries that it doesn't list are removed.
 struct Transfer {
-  std::int64_t from_revision = 0;
-  std::int64_t to_revision = 0;
+  BookRevision from_revision;
+  BookRevision to_revision;
   std::vector<RecordEntry> entries;
 };
 
--- a/src/store/record_codec.cc
+++ b/src/store/record_codec.cc
@@ -55,7 +55,8 @@
     }
     auto entry = ReadRecordEntry(keys, key_value, read.problems);
     if (!entry) continue;
-    read.transfer.to_revision = std::max(read.transfer.to_revision, entry->revision);
+    read.transfer.to_revision =
+        std::max(read.transfer.to_revision, records::BookRevision(entry->revision));
     read.transfer.entries.push_back(std::move(*entry));
   }
   return read;
--- a/src/store/record_store.cc
+++ b/src/store/record_store.cc
@@ -39,7 +39,7 @@
     if (entries.empty()) {
       ApplyOutcome outcome;
       outcome.kind = ApplyOutcomeKind::kNothingToChange;
-      outcome.revision = read.transfer.to_revision;
+      outcome.revision = read.transfer.to_revision.number;
       asio::post(this->timers.Loop(),
                  [guarded, outcome = std::move(outcome)] { guarded(outcome); });
       return;
--- a/src/store/record_watch.cc
+++ b/src/store/record_watch.cc
@@ -53,8 +53,8 @@
 Revision RecordWatch::OnListing(const Listing& listing) {
   RecordListing read = ReadRecordListing(this->keys, listing);
   LogProblems(read.problems);
-  if (read.transfer.to_revision > this->last_delivered) {
-    this->last_delivered = read.transfer.to_revision;
+  if (read.transfer.to_revision.number > this->last_delivered) {
+    this->last_delivered = read.transfer.to_revision.number;
     this->on_transfer(std::move(read.transfer));
   }
   return read.store_revision;
--- a/src/store/record_writer.cc
+++ b/src/store/record_writer.cc
@@ -161,7 +161,7 @@
   ApplyOutcome outcome;
   if (this->ContainsWriteId(current)) {
     outcome.kind = ApplyOutcomeKind::kCommitted;
-    outcome.revision = current.transfer.to_revision;
+    outcome.revision = current.transfer.to_revision.number;
     for (const records::RecordEntry& entry : current.transfer.entries) {
       if (entry.write_id == this->write_id) outcome.revision = entry.revision;
     }
--- a/tests/membership/record_gossip_test.cc
+++ b/tests/membership/record_gossip_test.cc
@@ -45,6 +45,23 @@
   EXPECT_TRUE(fleet.RunUntil([&] { return HaveBook(fleet, book); }));
 }
 
+/// Guards against books of one number that differ, of which no node asks another for the newer one.
+TEST(RecordGossip, BooksOfOneNumberAreOrderedByTheRestOfTheirRevisions) {
+  TestFleet fleet;
+  fleet.StartZones({"a", "b"}, 3);
+  ASSERT_TRUE(fleet.RunUntilConverged());
+  for (auto& [name, node] : fleet.Nodes()) {
+    node->book = {{8, "old"}};
+    node->rest = ".1";
+  }
+  TestNode& newest = fleet["b-2"];
+  newest.book = {{8, "new"}};
+  newest.rest = ".2";
+  // Each transfer of the stand-in holds what is newer than the number; a whole book would be sent.
+  EXPECT_TRUE(fleet.RunUntil(
+      [&] { return fleet.All([&](const TestNode& node) { return node.rest == ".2"; }); }));
+}
+
 /// Guards against nodes that renew leases of an earlier generation until their own next call tells.
 TEST(RecordGossip, StoreGenerationThatOneNodeKnowsReachesAll) {
   TestFleet fleet;
--- a/tests/membership/test_fleet.h
+++ b/tests/membership/test_fleet.h
@@ -19,6 +19,7 @@
   Member self;
   std::string address;
   std::map<std::uint64_t, std::string> book;
+  std::string rest;  ///< Of the book's revision.
   std::uint64_t store_generation = 0;
   std::unique_ptr<Membership> membership;
   bool paused = false;
--- a/tests/node/codec_test.cc
+++ b/tests/node/codec_test.cc
@@ -38,6 +38,15 @@
   EXPECT_EQ(decoded->entries, change_set.entries);
 }
 
+/// Guards against a revision that loses its rest between nodes.
+TEST(RecordCodecTest, TransferRoundTripsWithTheRestOfItsRevisions) {
+  const records::Transfer sent{{7, ".1"}, {8, ".25"}, {}};
+  const auto received = DecodeTransfer(EncodeTransfer(sent));
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->from_revision, sent.from_revision);
+  EXPECT_EQ(received->to_revision, sent.to_revision);
+}
+
 TEST(TicketCodecTest, RoundTripsAndRejectsIncompleteTicket) {
   const auto ticket = policy::Ticket::Issue("n1", 7, 3);
   EXPECT_EQ(FromMessage(ToMessage(ticket)), ticket);
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -427,6 +427,20 @@
   }
 }
 
+/// Guards against versions of more than 53 bits, of which none but the first came into force.
+TEST_F(PlatformNodeTest, VersionsInNanosecondsComeIntoForceInTime) {
+  this->StartServing();
+  std::int64_t version = 1'796'657'791'334'000'000;
+  std::string service = "shop";
+  for (int i = 0; i < 4; ++i) {
+    service = service == "shop" ? "front" : "shop";
+    Json changed = Configuration(1, service);
+    changed["version"] = version += 1 + i;
+    this->fleet.Configure(changed);
+    ASSERT_TRUE(WaitUntil(kApplyTimeout, [&] { return this->AllNodesRouteTo(service); })) << i;
+  }
+}
+
 /// Guards against 413 for what the operator allows: the node's own limit was 8 MiB, whatever the
 /// configuration said.
 TEST_F(PlatformNodeTest, BodiesThatTheConfigurationAllowsAreServed) {
