--- a/tests/platform/platform_fleet.cc
+++ b/tests/platform/platform_fleet.cc
@@ -205,4 +205,12 @@
   return integration::Get("http://" + this->members[host].ip + ":7404/health").status;
 }
 
+std::uint64_t PlatformFleet::ResidentBytes(std::size_t host) const {
+  const std::string name = "\nprocess_resident_memory_bytes ";
+  const auto answer = integration::Get("http://" + this->members[host].ip + ":9464/metrics");
+  const std::size_t found = answer.body.find(name);
+  if (answer.status != 200 || found == std::string::npos) return 0;
+  return static_cast<std::uint64_t>(std::stod(answer.body.substr(found + name.size())));
+}
+
 }  // namespace fireflyrun::platform
--- a/tests/platform/platform_fleet.h
+++ b/tests/platform/platform_fleet.h
@@ -2,6 +2,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -68,6 +69,8 @@
   int Announce(std::size_t host, const std::string& id, std::string body) const;
   /// The status of the node's `GET /health`; 0 when it does not answer.
   int Health(std::size_t host) const;
+  /// The node's resident memory, in bytes; 0 when it does not answer.
+  std::uint64_t ResidentBytes(std::size_t host) const;
   /// The node's log so far, for the messages of failed tests.
   std::string Log(std::size_t host) const { return this->members[host].node->Output(); }
 
--- a/tests/platform/platform_node_test.cc
+++ b/tests/platform/platform_node_test.cc
@@ -403,6 +403,35 @@
   }
 }
 
+/// Guards against a version that is valid and large, and comes into force too late or takes more
+/// memory than the smallest hosts have.
+TEST_F(PlatformNodeTest, LargeVersionsComeIntoForceInTimeAndLittleMemory) {
+  constexpr int kRoutes = 250;
+  constexpr std::size_t kPrefixBytes = 4000;
+  constexpr std::uint64_t kSmallestHostBytes = 160'000'000;
+  this->StartServing();
+  std::string service = "shop";
+  for (int version = 5; version < 10; ++version) {
+    service = service == "shop" ? "front" : "shop";
+    Json large = Configuration(version, service);
+    for (int i = 0; i < kRoutes; ++i) {
+      const std::string name = std::to_string(version) + "-" + std::to_string(i);
+      large["routes"]["large-" + name] =
+          Route(name + std::string(kPrefixBytes, 'p'), "safe", "shop");
+    }
+    this->fleet.Configure(large);
+    ASSERT_TRUE(WaitUntil(kApplyTimeout, [&] { return this->AllNodesRouteTo(service); }));
+  }
+  for (const std::size_t host : {kFrontNode, kZoneAShopNode, kZoneBShopNode}) {
+    const std::string path = "/9-249" + std::string(kPrefixBytes, 'p') + "/x";
+    EXPECT_EQ(ServiceOf(this->Send(host, path)), "shop");
+    const std::uint64_t resident = this->fleet.ResidentBytes(host);
+    EXPECT_GT(resident, 0U);
+    EXPECT_LT(resident, kSmallestHostBytes);
+    RecordProperty("resident_bytes_" + std::to_string(host), std::to_string(resident));
+  }
+}
+
 /// Guards against an unusable route that holds its version back, or whose requests another route
 /// takes.
 TEST_F(PlatformNodeTest, UnusableRouteRefusesItsOwnRequestsOnly) {
