--- a/tests/platform/version_order_test.cc
+++ b/tests/platform/version_order_test.cc
@@ -71,7 +71,9 @@
 }
 
 TEST(VersionOrderTest, RefusesWhatHasNoPlaceInTheOrder) {
-  for (const char* text : {"", "-1", "-0.5", "x", "1x", "1e", "1e5000", "1e-5000", ".5", "NaN"}) {
+  for (const char* text :
+       {"", "-1", "-0.5", "x", "1x", "1e", "1e5000", "1e-5000", ".5", "NaN",
+        "1e9223372036854775807", "1e-9223372036854775808", "1e-9223372036854775809"}) {
     EXPECT_FALSE(RevisionOfVersion(text)) << text;
   }
   EXPECT_FALSE(RevisionOfVersion(std::string(1001, '9')));
