Key bindings take their time from an interface, so that tests can simulate it

`Timers` (the time, and calls later) is what they used of TimerService, which implements it. No behaviour changes.

--- a/src/common/timer_service.h
+++ b/src/common/timer_service.h
@@ -8,25 +8,27 @@
 
 #include "common/clock.h"
 #include "common/timer_subscription.h"
+#include "common/timers.h"
 
 namespace fireflyrun {
 
 /// Calls subscribers back on the event loop, once or periodically. Not thread-safe: subscribe and
 /// cancel on the loop's own thread. Destroying a subscription cancels it, also from inside its own
 /// callback.
-class TimerService {
+class TimerService : public Timers {
  public:
   explicit TimerService(asio::io_context& loop);
-  ~TimerService() = default;
+  ~TimerService() override = default;
   TimerService(const TimerService&) = delete;
   TimerService& operator=(const TimerService&) = delete;
 
-  /// Calls `callback` once after `delay`.
-  [[nodiscard]] TimerSubscription After(Duration delay, std::function<void()> callback);
+  SteadyTime Now() const override { return SteadyClock::now(); }
+
+  [[nodiscard]] TimerSubscription After(Duration delay, std::function<void()> callback) override;
 
   /// Calls `callback` every `period`, first after one period with up to a tenth taken off at
   /// random, so that nodes started together do not act in step.
-  [[nodiscard]] TimerSubscription Every(Duration period, std::function<void()> callback);
+  [[nodiscard]] TimerSubscription Every(Duration period, std::function<void()> callback) override;
 
   /// The time until the next of this service's points in time that lie `period` apart, over 0 and
   /// at most `period`. Timers that wait for these points share wake-ups. Services have points of
--- a/src/store/binding_lease.cc
+++ b/src/store/binding_lease.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "common/timers.h"
 #include "store/key_binder.h"
 #include "store/store.h"
 
@@ -16,20 +17,21 @@
 
 }  // namespace
 
-BindingLease::BindingLease(Store& key_value_store)
+BindingLease::BindingLease(Store& key_value_store, Timers& time_source)
     : store(key_value_store),
+      timers(time_source),
       generation_subscription(
           this->store.Generation().OnChange([this](const GenerationChange&) { this->lease = 0; })) {
 }
 
 void BindingLease::Get(Handler handler) {
-  if (this->lease != 0 && SteadyClock::now() - this->granted_at < kReplacementPeriod) {
+  if (this->lease != 0 && this->timers.Now() - this->granted_at < kReplacementPeriod) {
     handler(this->lease);
     return;
   }
   this->pending.push_back(std::move(handler));
   if (this->pending.size() > 1) return;
-  const SteadyTime requested_at = SteadyClock::now();
+  const SteadyTime requested_at = this->timers.Now();
   this->store.GrantLease(kLeaseTimeToLive,
                          [weak = this->weak_from_this(), requested_at](auto granted) {
                            if (const auto self = weak.lock()) {
--- a/src/store/binding_lease.h
+++ b/src/store/binding_lease.h
@@ -10,6 +10,10 @@
 #include "store/store_error.h"
 #include "store/store_generation.h"
 
+namespace fireflyrun {
+class Timers;
+}
+
 namespace fireflyrun::store {
 
 class Store;
@@ -20,7 +24,7 @@
  public:
   using Handler = std::function<void(tl::expected<LeaseId, StoreError>)>;
 
-  explicit BindingLease(Store& key_value_store);
+  BindingLease(Store& key_value_store, Timers& time_source);
 
   /// Passes a lease granted within the last hour to `handler`, requesting a new one from the store
   /// if needed. The handler may run inside the call.
@@ -36,6 +40,7 @@
   void OnGranted(SteadyTime requested_at, const tl::expected<LeaseId, StoreError>& granted);
 
   Store& store;
+  Timers& timers;
   LeaseId lease = 0;
   SteadyTime granted_at;
   std::vector<Handler> pending;
--- a/src/store/key_binder.cc
+++ b/src/store/key_binder.cc
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "common/log_event.h"
-#include "common/timer_service.h"
 #include "common/timer_subscription.h"
+#include "common/timers.h"
 #include "store/binding_lease.h"
 #include "store/key_binding.h"
 #include "store/recent_bindings.h"
@@ -35,13 +35,13 @@
 
 class KeyBinder::Implementation : public std::enable_shared_from_this<Implementation> {
  public:
-  Implementation(Store& key_value_store, TimerService& timer_service, const std::string& cluster,
+  Implementation(Store& key_value_store, Timers& timer_service, const std::string& cluster,
                  Duration time_to_settle)
       : store(key_value_store),
         timers(timer_service),
         prefix("/fireflyrun/" + cluster + "/keys/"),
         settle_time(time_to_settle),
-        lease(std::make_shared<BindingLease>(key_value_store)),
+        lease(std::make_shared<BindingLease>(key_value_store, timer_service)),
         generation_subscription(this->store.Generation().OnChange(
             [this](const GenerationChange&) { this->OnGenerationChanged(); })) {}
 
@@ -71,14 +71,14 @@
     return [weak = this->weak_from_this(), store_key, ticket] {
       const auto self = weak.lock();
       if (!self) return;
-      self->withdrawn.Add(store_key, ticket, SteadyClock::now());
+      self->withdrawn.Add(store_key, ticket, self->timers.Now());
       self->Withdraw(store_key, ticket, [] {});
     };
   }
 
   /// Runs `operation` now, or when the bindings that the store lost are restored.
   void RunWhenSettled(std::function<void()> operation) {
-    if (SteadyClock::now() >= this->settled_at) return operation();
+    if (this->timers.Now() >= this->settled_at) return operation();
     this->waiting.push_back(std::move(operation));
   }
 
@@ -90,7 +90,7 @@
   static constexpr int kQuestionsWhileSettling = 4;
 
   void Remember(const std::string& store_key, const std::string& ticket) {
-    this->recent.Add(store_key, ticket, SteadyClock::now());
+    this->recent.Add(store_key, ticket, this->timers.Now());
     this->withdrawn.Forget(store_key, ticket);
   }
 
@@ -112,7 +112,7 @@
   }
 
   void OnGenerationChanged() {
-    const SteadyTime now = SteadyClock::now();
+    const SteadyTime now = this->timers.Now();
     this->settled_at = now + this->settle_time;
     this->settle_timer = this->timers.After(this->settle_time, [this] { this->OnSettled(); });
     this->question_timer = this->timers.Every(this->settle_time / kQuestionsWhileSettling,
@@ -127,7 +127,7 @@
 
   /// Any answer tells the generation.
   void AskForGeneration() {
-    if (this->waiting.empty() && this->recent.All(SteadyClock::now()).empty()) return;
+    if (this->waiting.empty() && this->recent.All(this->timers.Now()).empty()) return;
     this->store.List(this->prefix + "none", [](const auto&) {});
   }
 
@@ -163,7 +163,7 @@
       // All bindings are restored anew in the generation that came meanwhile.
       if (generation != this->store.Generation().Number()) return;
       const bool restored = result && *result == binding.ticket;
-      const bool time_left = SteadyClock::now() + kRestoreDelay < this->settled_at;
+      const bool time_left = this->timers.Now() + kRestoreDelay < this->settled_at;
       if (restored || !time_left) return this->RestoreNext();
       this->RestoreLater(binding);
     };
@@ -180,7 +180,7 @@
   }
 
   Store& store;
-  TimerService& timers;
+  Timers& timers;
   std::string prefix;
   Duration settle_time;
   std::shared_ptr<BindingLease> lease;
@@ -197,7 +197,7 @@
   StoreGeneration::Subscription generation_subscription;
 };
 
-KeyBinder::KeyBinder(Store& store, TimerService& timers, std::string cluster, Duration settle_time)
+KeyBinder::KeyBinder(Store& store, Timers& timers, std::string cluster, Duration settle_time)
     : implementation(std::make_shared<Implementation>(store, timers, cluster, settle_time)) {}
 
 KeyBinder::~KeyBinder() = default;
--- a/src/store/key_binder.h
+++ b/src/store/key_binder.h
@@ -11,7 +11,7 @@
 #include "store/store_error.h"
 
 namespace fireflyrun {
-class TimerService;
+class Timers;
 }
 
 namespace fireflyrun::store {
@@ -39,8 +39,7 @@
   /// From a node's learning of the store's return until it binds keys again.
   static constexpr Duration kSettleTime = std::chrono::seconds(3);
 
-  KeyBinder(Store& store, TimerService& timers, std::string cluster,
-            Duration settle_time = kSettleTime);
+  KeyBinder(Store& store, Timers& timers, std::string cluster, Duration settle_time = kSettleTime);
   ~KeyBinder();
   KeyBinder(const KeyBinder&) = delete;
   KeyBinder& operator=(const KeyBinder&) = delete;
--- a/src/store/key_binding.cc
+++ b/src/store/key_binding.cc
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "common/timer_service.h"
+#include "common/timers.h"
 #include "store/binding_lease.h"
 #include "store/store.h"
 
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-KeyBinding::KeyBinding(Store& key_value_store, TimerService& timer_service,
+KeyBinding::KeyBinding(Store& key_value_store, Timers& timer_service,
                        std::shared_ptr<BindingLease> binding_lease, std::string store_key,
                        Handler end_handler)
     : store(key_value_store),
--- a/src/store/key_binding.h
+++ b/src/store/key_binding.h
@@ -12,7 +12,7 @@
 #include "store/transaction.h"
 
 namespace fireflyrun {
-class TimerService;
+class Timers;
 }
 
 namespace fireflyrun::store {
@@ -28,7 +28,7 @@
  public:
   using Handler = std::function<void(tl::expected<std::string, StoreError>)>;
 
-  KeyBinding(Store& key_value_store, TimerService& timer_service,
+  KeyBinding(Store& key_value_store, Timers& timer_service,
              std::shared_ptr<BindingLease> binding_lease, std::string store_key,
              Handler end_handler);
   ~KeyBinding();
@@ -58,7 +58,7 @@
   void End(tl::expected<std::string, StoreError> result);
 
   Store& store;
-  TimerService& timers;
+  Timers& timers;
   std::shared_ptr<BindingLease> lease;
   std::string key;
   Handler on_end;
