--- a/src/node/node_setting_table.cc
+++ b/src/node/node_setting_table.cc
@@ -140,12 +140,6 @@
           }};
 }
 
-Problem StoreOptionalName(std::string_view value, std::string* name) {
-  auto problem = CheckName(value);
-  if (!problem) *name = std::string(value);
-  return problem;
-}
-
 /// Sites may name services otherwise than records do.
 Problem StoreServiceName(std::string_view value, std::string* name) {
   constexpr std::size_t kMaxServiceNameLength = 255;
