An operation on a binding ends as soon as the store's generation has changed; two more orders shown

Without writing again what was written across a return (KeepOwn, CreateAgain) none failed. Cause of the latter: an operation went on with up to six reads in the later generation before it ended, so the ticket was written again late, and by luck at a time at which the test's node wasn't cut off any more. It now ends at once. New test: `ARestoreAcrossAReturnIsKeptUnderALeaseOfItsOwn`, which fails without KeepOwn; `ATicketWrittenAcrossAReturnIsKeptByANodeThatIsCutOffThen` fails without CreateAgain.

--- a/src/store/key_binding.cc
+++ b/src/store/key_binding.cc
@@ -105,6 +105,10 @@
 }
 
 void KeyBinding::RetryLater() {
+  if (this->HasGenerationChanged()) {
+    this->Fail({StoreErrorKind::kUnknown, "the store's generation changed"});
+    return;
+  }
   if (--this->attempts_left <= 0) {
     this->Fail({StoreErrorKind::kRejected,
                 "the store did not accept the binding within the allowed attempts"});
@@ -157,6 +161,10 @@
   if (this->generation == 0) this->generation = this->store.Generation().Number();
 }
 
+bool KeyBinding::HasGenerationChanged() const {
+  return this->generation != this->store.Generation().Number();
+}
+
 bool KeyBinding::MayOverwrite(const std::string& ticket) const {
   switch (this->overwritten) {
     case Overwritten::kNothing:
@@ -177,7 +185,7 @@
 }
 
 void KeyBinding::End(tl::expected<std::string, StoreError> result) {
-  if (this->generation != this->store.Generation().Number()) {
+  if (this->HasGenerationChanged()) {
     result = tl::unexpected(StoreError{StoreErrorKind::kUnknown, "the store's generation changed"});
   }
   const Handler handler = std::exchange(this->on_end, nullptr);
--- a/src/store/key_binding.h
+++ b/src/store/key_binding.h
@@ -55,6 +55,7 @@
 
   void Begin(Overwritten what, std::string ticket);
   void LearnGeneration();
+  bool HasGenerationChanged() const;
   bool MayOverwrite(const std::string& ticket) const;
   void Write();
   void OnLease(const tl::expected<LeaseId, StoreError>& granted);
--- a/tests/platform/key_binding_property_test.cc
+++ b/tests/platform/key_binding_property_test.cc
@@ -268,8 +268,9 @@
   /// With the store's answers under way, and all leases that it granted since given to others.
   void Return(Duration age) {
     this->host.model.GoBack(age, this->timers.Now());
-    constexpr int kUsers = 10;
-    for (int i = 0; i < kUsers; ++i) {
+    constexpr std::int64_t kMoreUsers = 10;  // Than those of the return before.
+    const std::int64_t users = kMoreUsers * this->host.model.Era();
+    for (std::int64_t i = 0; i < users; ++i) {
       const nlohmann::json request = {{"ttlS", 10}};
       const auto lease = this->host.model.GrantLease(request, this->timers.Now()).body["lease"];
       this->timers.Post(seconds(5), [this, lease] { this->host.model.EndLease(lease); });
@@ -325,8 +326,8 @@
   this->timers.RunFor(seconds(5));
   this->StartAcrossReturn(node, milliseconds(100));
   this->timers.RunFor(milliseconds(60));
+  ASSERT_EQ(node.store.Generation().Number(), 2U);
   node.store.SetCutOff(true);
-  node.store.Generation().Observe(2);
   this->timers.RunFor(seconds(2));
   node.store.SetCutOff(false);
   this->timers.RunFor(seconds(6));
@@ -335,6 +336,25 @@
   EXPECT_EQ(this->Bind(other, "second"), "across");
 }
 
+/// Guards against the same for a restore: the next one finds the ticket, and need not write it.
+TEST_F(KeyBindingSeriesTest, ARestoreAcrossAReturnIsKeptUnderALeaseOfItsOwn) {
+  constexpr Duration kDelay = milliseconds(100);
+  Node node(this->timers, this->host, 1);
+  Node other(this->timers, this->host, 2);
+  this->timers.RunFor(seconds(5));
+  ASSERT_EQ(this->Bind(node, "first"), "first");
+  this->Return(seconds(12));
+  node.store.SetDelay(kDelay);
+  node.store.Generation().Observe(2);
+  this->timers.RunFor(2 * kDelay + kDelay / 2);
+  this->Return(seconds(12));
+  ASSERT_TRUE(this->IsStoreEmpty());
+  this->timers.RunFor(kDelay);
+  ASSERT_FALSE(this->IsStoreEmpty()) << "the restore has been carried out";
+  this->timers.RunFor(seconds(10));
+  EXPECT_EQ(this->Bind(other, "second"), "first");
+}
+
 /// Guards against "nothing was written", told of a request whose first attempt may have written.
 TEST_F(KeyBindingSeriesTest, ARequestThatFailsAfterAReturnIsUnknown) {
   Node node(this->timers, this->host, 1);
