--- a/src/store/key_binder.cc
+++ b/src/store/key_binder.cc
@@ -80,6 +80,8 @@
  private:
   static constexpr std::size_t kParallelRestores = 8;
   static constexpr Duration kRestoreDelay = std::chrono::milliseconds(300);
+  /// After the settle time there is no haste: nobody waits for what is restored then.
+  static constexpr Duration kLateRestoreDelay = std::chrono::seconds(5);
   /// Questions for the store's generation while this node waits for the settle time: it makes no
   /// other calls then, and would learn of a further return later than the others.
   static constexpr int kQuestionsWhileSettling = 4;
@@ -138,7 +140,7 @@
 
   /// Nothing has been told of the ticket yet, so the request is as good as new.
   void OnGenerationChangedMeanwhile(Request request) {
-    this->KeepOwn(request.store_key, request.to_ticket);
+    this->WriteAgain({request.store_key, request.to_ticket, this->timers.Now()});
     if (request.attempts < kMostAttempts) return this->Run(std::move(request));
     request.handler(tl::unexpected(
         StoreError{StoreErrorKind::kUnknown, "the store's generation changed at every attempt"}));
@@ -147,12 +149,31 @@
   /// The ticket may have been written in a generation under a lease of the one before, which may be
   /// another node's now: if the key is bound to it, it is written again, under a lease of this
   /// node.
-  void KeepOwn(const std::string& store_key, const std::string& ticket) {
+  void WriteAgain(const RecentBindings::Binding& binding) {
     const std::uint64_t generation = this->store.Generation().Number();
-    const auto on_end = [this, store_key, ticket, generation](const auto&) {
-      if (generation != this->store.Generation().Number()) this->KeepOwn(store_key, ticket);
+    const auto on_end = [this, binding, generation](const auto& result) {
+      if (generation != this->store.Generation().Number()) return this->WriteAgain(binding);
+      const bool is_done = result || result.error().kind == StoreErrorKind::kRejected;
+      if (!is_done) this->WriteAgainLater(binding);
     };
-    this->MakeOperation(store_key, on_end)->Replace(ticket, ticket);
+    this->MakeOperation(binding.store_key, on_end)->Replace(binding.ticket, binding.ticket);
+  }
+
+  void WriteAgainLater(const RecentBindings::Binding& binding) {
+    if (this->IsOld(binding)) return;
+    this->not_written.push_back(binding);
+    if (this->not_written.size() > 1) return;
+    this->write_timer = this->timers.After(this->DelayOfNextTry(), [this] {
+      for (const auto& again : std::exchange(this->not_written, {})) this->WriteAgain(again);
+    });
+  }
+
+  bool IsOld(const RecentBindings::Binding& binding) const {
+    return this->timers.Now() - binding.seen_at > RecentBindings::kKeptTime;
+  }
+
+  Duration DelayOfNextTry() const {
+    return this->timers.Now() < this->settled_at ? kRestoreDelay : kLateRestoreDelay;
   }
 
   /// The handler runs only while this object lives.
@@ -171,7 +192,7 @@
     this->WaitToSettle(this->settle_time);
     this->question_timer = this->timers.Every(this->settle_time / kQuestionsWhileSettling, [this] {
       this->AskForGeneration();
-      this->TryAgain();
+      this->RepeatSlowRestores();
     });
     this->under_way.clear();
     this->failed.clear();
@@ -211,7 +232,7 @@
     const auto on_end = [this, binding, generation](const auto& result) {
       if (generation != this->store.Generation().Number()) {
         // All bindings are restored anew in the generation that came meanwhile.
-        this->KeepOwn(binding.store_key, binding.ticket);
+        this->WriteAgain(binding);
         return;
       }
       const bool is_first = this->under_way.erase(binding.store_key) > 0;
@@ -226,7 +247,7 @@
   }
 
   /// A call to the store may time out as late as the settle time.
-  void TryAgain() {
+  void RepeatSlowRestores() {
     const auto slow = this->under_way;
     for (const auto& [store_key, binding] : slow) this->TryToRestore(binding);
   }
@@ -241,11 +262,10 @@
 
   /// It keeps its place meanwhile, so that never more than kParallelRestores are under way.
   void RestoreLater(const RecentBindings::Binding& binding) {
-    const bool is_old = this->timers.Now() - binding.seen_at > RecentBindings::kKeptTime;
-    if (is_old) return this->RestoreNext();
+    if (this->IsOld(binding)) return this->RestoreNext();
     this->failed.push_back(binding);
     if (this->failed.size() > 1) return;
-    this->restore_timer = this->timers.After(kRestoreDelay, [this] {
+    this->restore_timer = this->timers.After(this->DelayOfNextTry(), [this] {
       for (const auto& again : std::exchange(this->failed, {})) this->Restore(again);
     });
   }
@@ -259,7 +279,9 @@
   RecentBindings recent;
   std::vector<RecentBindings::Binding> lost;                 ///< Not restored yet, oldest first.
   std::map<std::string, RecentBindings::Binding> under_way;  ///< By the store's key.
-  std::vector<RecentBindings::Binding> failed;               ///< To be tried again.
+  std::vector<RecentBindings::Binding> failed;               ///< To be restored later.
+  std::vector<RecentBindings::Binding> not_written;          ///< To be written again later.
+  TimerSubscription write_timer;
   TimerSubscription restore_timer;
   SteadyTime settled_at;
   std::vector<Request> waiting;
--- a/src/store/key_binding.cc
+++ b/src/store/key_binding.cc
@@ -110,7 +110,7 @@
     return;
   }
   if (--this->attempts_left <= 0) {
-    this->Fail({StoreErrorKind::kRejected,
+    this->Fail({StoreErrorKind::kNotNow,
                 "the store did not accept the binding within the allowed attempts"});
     return;
   }
@@ -149,7 +149,7 @@
     return;
   }
   if (--this->attempts_left <= 0) {
-    this->Fail({StoreErrorKind::kRejected, "the binding changed during every attempt"});
+    this->Fail({StoreErrorKind::kNotNow, "the binding changed during every attempt"});
     return;
   }
   this->expected_revision = current == nullptr ? 0 : current->revision;
--- a/tests/platform/key_binding_property_test.cc
+++ b/tests/platform/key_binding_property_test.cc
@@ -355,6 +355,49 @@
   EXPECT_EQ(this->Bind(other, "second"), "first");
 }
 
+/// Guards against the same if the store is away for a moment, so that the ticket can't be written
+/// again at once; the next restore finds it.
+TEST_F(KeyBindingSeriesTest, ARestoreAcrossAReturnIsKeptAlthoughTheStoreIsAwayThen) {
+  constexpr Duration kDelay = milliseconds(100);
+  Node node(this->timers, this->host, 1);
+  Node other(this->timers, this->host, 2);
+  this->timers.RunFor(seconds(5));
+  ASSERT_EQ(this->Bind(node, "first"), "first");
+  this->Return(seconds(12));
+  node.store.SetDelay(kDelay);
+  node.store.Generation().Observe(2);
+  this->timers.RunFor(2 * kDelay + kDelay / 2);
+  this->Return(seconds(12));
+  this->timers.RunFor(kDelay);
+  ASSERT_FALSE(this->IsStoreEmpty()) << "the restore has been carried out";
+  this->host.is_away = true;
+  this->timers.RunFor(seconds(1));
+  this->host.is_away = false;
+  this->timers.RunFor(seconds(10));
+  EXPECT_EQ(this->Bind(other, "second"), "first");
+}
+
+/// Guards against a fleet that goes on to ask a store that stays away, as if callers still waited.
+TEST_F(KeyBindingSeriesTest, RestoresBecomeRareWhenTheStoreStaysAway) {
+  constexpr int kKnown = 100;
+  constexpr int kMostCallsOfASecond = 2;
+  Node node(this->timers, this->host, 1);
+  this->timers.RunFor(seconds(5));
+  for (int i = 0; i < kKnown; ++i) this->Start(node, std::to_string(i), "ticket");
+  this->timers.RunFor(seconds(5));
+  this->Return(seconds(12));
+  this->host.is_away = true;
+  node.store.Generation().Observe(2);
+  this->timers.RunFor(seconds(5));
+  const int before = node.store.Calls();
+  this->timers.RunFor(seconds(30));
+  EXPECT_GT(node.store.Calls(), before);
+  EXPECT_LE(node.store.Calls() - before, 30 * kMostCallsOfASecond);
+  this->host.is_away = false;
+  this->timers.RunFor(seconds(30));
+  EXPECT_FALSE(this->IsStoreEmpty());
+}
+
 /// Guards against "nothing was written", told of a request whose first attempt may have written.
 TEST_F(KeyBindingSeriesTest, ARequestThatFailsAfterAReturnIsUnknown) {
   Node node(this->timers, this->host, 1);
--- a/tests/platform/simulated_store.cc
+++ b/tests/platform/simulated_store.cc
@@ -66,6 +66,7 @@
 template <typename Value>
 void SimulatedStore::Send(std::function<Answer()> perform, Decoder<Value> decode,
                           Handler<Value> handler) {
+  ++this->calls;
   auto call = std::make_shared<Call<Value>>(
       Call<Value>{std::move(perform), std::move(decode), std::move(handler),
                   this->Generation().Number(), this->timers.Now()});
--- a/tests/platform/simulated_store.h
+++ b/tests/platform/simulated_store.h
@@ -39,6 +39,8 @@
 
   /// While it is cut off, its calls and the answers to them get lost.
   void SetCutOff(bool cut_off) { this->is_cut_off = cut_off; }
+  /// So far, answered or not.
+  int Calls() const { return this->calls; }
 
   /// The time that each message takes from now on, in place of a drawn one.
   void SetDelay(Duration new_delay) { this->fixed_delay = new_delay; }
@@ -65,6 +67,7 @@
   SimulatedStoreHost& host;
   std::mt19937 random;
   bool is_cut_off = false;
+  int calls = 0;
   std::optional<Duration> fixed_delay;
 };
 
--- a/tests/policy/weighted_round_robin_test.cc
+++ b/tests/policy/weighted_round_robin_test.cc
@@ -148,5 +148,23 @@
   EXPECT_EQ(firsts, "aaaaabaaaa");
 }
 
+/// Guards against a first call of a route with many services that takes minutes: each position
+/// before the start looks at all parts.
+TEST(WeightedRoundRobinTest, StartOfARouteWithManyServicesIsShort) {
+  constexpr double kMostSteps = 1'000'000;
+  for (const std::size_t parts : {2UL, 100UL, 10'000UL, 300'000UL}) {
+    std::vector<double> weights(parts, 1.0);
+    weights.front() = 0.37;
+    std::uint64_t positions = 0;
+    WeightedRoundRobin round_robin([&](std::uint64_t bound) {
+      positions = bound;
+      return bound - 1;
+    });
+    EXPECT_LT(round_robin.Pick("route", weights), parts);
+    EXPECT_GE(positions, 1U) << parts;
+    EXPECT_LE(static_cast<double>(positions) * static_cast<double>(parts), kMostSteps) << parts;
+  }
+}
+
 }  // namespace
 }  // namespace fireflyrun::policy
